--- /dev/null
+++ b/cmake/PimentoladderTargets.cmake
@@ -0,0 +1,32 @@
+# Functions that declare the libraries, tools and test programs of the project.
+
+add_library(pimentoladder_options INTERFACE)
+target_compile_options(pimentoladder_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+target_include_directories(pimentoladder_options INTERFACE "${CMAKE_SOURCE_DIR}/include")
+if(PIMENTOLADDER_SANITIZE)
+  target_compile_options(pimentoladder_options INTERFACE
+    -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
+  target_link_options(pimentoladder_options INTERFACE -fsanitize=address,undefined)
+endif()
+
+# add_pimentoladder_library(NAME SOURCES file... [DEPENDS target...])
+#
+# Declares the static library NAME. Its sources stand beside the caller's
+# CMakeLists.txt, its public headers in include/pimentoladder/NAME.
+function(add_pimentoladder_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_library(${name} STATIC ${ARG_SOURCES})
+  target_include_directories(${name} PRIVATE "${CMAKE_CURRENT_SOURCE_DIR}")
+  target_link_libraries(${name} PUBLIC pimentoladder_options ${ARG_DEPENDS})
+endfunction()
+
+# add_pimentoladder_unittest(NAME SOURCES file... [DEPENDS target...])
+#
+# Declares the one test program of library NAME and registers it with CTest.
+function(add_pimentoladder_unittest name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${name}Tests "${CMAKE_SOURCE_DIR}/unittests/Main.cpp" ${ARG_SOURCES})
+  target_link_libraries(${name}Tests PRIVATE ${name} ${ARG_DEPENDS} pimentoladder_test_libraries)
+  add_test(NAME ${name} COMMAND ${name}Tests)
+  set_tests_properties(${name} PROPERTIES TIMEOUT 120)
+endfunction()
--- /dev/null
+++ b/include/pimentoladder/Config/Rows.h
@@ -0,0 +1,46 @@
+/// \file
+/// Rows of the document, decoded. A row's key is `config/<kind>/<id>`,
+/// `member/<vm>` or `roster`.
+
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "pimentoladder/Base/Error.h"
+#include "pimentoladder/Config/Document.h"
+
+namespace pimentoladder {
+
+/// The value of one row.
+using document_value = std::variant<workspace, pool, backend_server, data_centre, access_rule, service_rule, member,
+    witness_roster>;
+
+/// One row written or, without a value, deleted.
+struct row_change {
+    std::string key;
+    std::optional<document_value> value;
+    revision changedAt; ///< Revision of the transaction that wrote the row.
+
+    bool operator==(const row_change&) const = default;
+};
+
+/// Returns the key of the row that holds \p value. Thread-safe.
+std::string rowKey(const document_value& value);
+
+/// Returns whether rows with this key belong to the document. Thread-safe.
+bool isDocumentKey(std::string_view key);
+
+/// Applies one row to \p target, without changing its revision.
+/// Errors: `invalidArgument` if the key does not belong to the document or
+/// names another object than the value. Not thread-safe.
+result<void> applyRow(document& target, const row_change& change);
+
+/// Returns every row of \p source, in order of key. The revision of each row
+/// is that of the document. Thread-safe.
+std::vector<row_change> allRows(const document& source);
+
+}
--- /dev/null
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -0,0 +1,165 @@
+/// \file
+/// Messages between routers, free of any encoding. The Wire library turns them
+/// into frames and back.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "pimentoladder/Base/Ids.h"
+#include "pimentoladder/Base/Time.h"
+#include "pimentoladder/Config/Document.h"
+#include "pimentoladder/Config/Rows.h"
+
+namespace pimentoladder {
+
+/// Periodic message between neighbours. It is at once a probe, the answer to
+/// the peer's last probe, and a statement of the sender's revision.
+struct heartbeat {
+    std::uint64_t sequence = 0; ///< Number of this probe, counted by its sender.
+    time_point sentAt; ///< Sender's clock when it sent this message.
+    std::uint64_t echoSequence = 0; ///< Number of the last probe received from the peer; 0: none.
+    revision applied; ///< Revision of the document that the sender has applied.
+    std::uint64_t suspendedDigest = 0; ///< Digest of the sender's set of suspended members.
+    std::optional<duration> basisAge; ///< Age of the sender's freshness basis; none if not fresh.
+};
+
+/// States that the table holds a revision, sent as soon as the sender knows.
+struct revision_announce {
+    revision at;
+};
+
+/// Asks a peer for the rows changed since a revision.
+struct config_request {
+    revision have;
+};
+
+/// Rows that lead from revision `from` to revision `to`. With `from` zero the
+/// rows are the whole document.
+struct config_update {
+    revision from;
+    revision to;
+    std::vector<row_change> rows;
+};
+
+/// Asks witnesses to suspend members, or states the sender's whole set.
+struct suspend {
+    std::vector<member_ref> proposed; ///< Members that the sender asks to suspend.
+    std::vector<member_ref> suspended; ///< Every member that the sender holds suspended.
+};
+
+/// A waiting request for which a router asks a grant.
+struct demand_entry {
+    request_number request;
+    workspace_id workspace;
+    cost_units costHint = 1;
+    fingerprint print; ///< Set only for requests under crash suspicion.
+    std::uint64_t prefixHash = 0; ///< Prompt prefix, for cache affinity; 0: none.
+};
+
+/// Asks the owner of a shard for grants, and withdraws earlier requests.
+struct acquire {
+    shard_id shard;
+    fencing_token token;
+    std::vector<demand_entry> waiting; ///< New requests since the last frame.
+    std::vector<request_number> withdrawn; ///< Requests that no longer wait.
+    std::uint32_t advanceWanted = 0; ///< Grants for any workspace that the sender could use.
+};
+
+/// Permission to send one request to one backend server.
+struct grant_entry {
+    grant_number number;
+    server_id server;
+    request_number request; ///< Zero for an advance grant, usable by any workspace.
+    time_point expiresAt; ///< On the owner's clock; the grant must be started before.
+};
+
+struct grant {
+    shard_id shard;
+    fencing_token token;
+    std::vector<grant_entry> entries;
+};
+
+/// What became of a grant.
+enum class grant_event {
+    started, ///< The request is about to be sent.
+    progress, ///< The request is running and has cost so far `cost`.
+    returned, ///< The grant was not used.
+    finished, ///< The server's answer ended in time and whole.
+    failed, ///< The server reset, stalled, refused or cut the request short.
+    cancelled, ///< The caller left; says nothing about the server.
+};
+
+struct grant_report_entry {
+    grant_number number;
+    grant_event event = grant_event::returned;
+    workspace_id workspace;
+    cost_units cost = 0; ///< When started the hint, in progress the cost so far, at the end the actual cost.
+    duration firstByteLatency {}; ///< From start to the first byte of the answer; zero if none came.
+};
+
+/// Reports what became of grants to the owner that issued them.
+struct grant_report {
+    shard_id shard;
+    fencing_token token;
+    std::vector<grant_report_entry> entries;
+};
+
+/// Asks for the return of unused advance grants, because work is waiting.
+struct recall {
+    shard_id shard;
+    fencing_token token;
+};
+
+/// A request in flight, as told to a new owner.
+struct in_flight_entry {
+    grant_number number; ///< Number given by the earlier owner.
+    fencing_token issuedUnder;
+    server_id server;
+    workspace_id workspace;
+    cost_units costHint = 1;
+    cost_units cost = 0;
+};
+
+/// Tells a new owner the sender's requests in flight in its shard.
+struct in_flight_report {
+    shard_id shard;
+    fencing_token token;
+    std::vector<in_flight_entry> entries;
+};
+
+/// States that the sender no longer acts as owner of a shard under `token`.
+struct shard_release {
+    shard_id shard;
+    fencing_token token;
+};
+
+/// Service that one owner has charged to one workspace since its start. All
+/// three numbers only grow.
+struct service_counter {
+    member_ref owner;
+    workspace_id workspace;
+    cost_units charged = 0;
+    cost_units credited = 0;
+    double lift = 0; ///< Virtual time added on return from idle; merged by maximum over owners.
+};
+
+struct service_counters {
+    std::vector<service_counter> entries;
+};
+
+/// A backend server was lost while it ran the named requests.
+struct crash_report {
+    server_id server;
+    incarnation serverStart;
+    std::vector<fingerprint> running;
+};
+
+using message = std::variant<heartbeat, revision_announce, config_request, config_update, suspend, acquire, grant,
+    grant_report, recall, in_flight_report, shard_release, service_counters, crash_report>;
+
+}
