--- /dev/null
+++ b/include/pimentoladder/Telemetry/Log.h
@@ -0,0 +1,68 @@
+/// \file
+/// Structured log: one JSON object on each line.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "pimentoladder/Base/Time.h"
+
+namespace pimentoladder {
+
+enum class log_level {
+    debug,
+    info,
+    warning,
+    error,
+};
+
+/// Returns the level named \p name, or info. Thread-safe.
+log_level parseLogLevel(std::string_view name);
+
+/// One named value of a log line.
+struct log_field {
+    std::string_view name;
+    std::variant<std::string_view, std::int64_t, std::uint64_t, double, bool> value;
+};
+
+/// Takes whole lines without their line end. Returns false if the line was
+/// dropped because the sink could not take it at once.
+using log_sink = std::function<bool(std::string_view line)>;
+
+/// Returns a sink that writes to a file descriptor and never blocks: a line
+/// that a full or closed descriptor cannot take is dropped. Precondition:
+/// SIGPIPE is ignored.
+log_sink descriptorSink(int descriptor);
+
+/// Writes log lines. Not thread-safe; call on the loop's thread. One logger
+/// exists in a process at a time.
+class logger {
+public:
+    /// \p now gives the time stamp of each line.
+    logger(log_level threshold, log_sink sink, std::function<time_point()> now);
+    ~logger();
+    logger(const logger&) = delete;
+    logger& operator=(const logger&) = delete;
+
+    /// Writes one line with the event's name and fields.
+    void write(log_level level, std::string_view event, std::initializer_list<log_field> fields);
+
+    /// Lines dropped because the sink could not take them.
+    std::uint64_t droppedLines() const { return m_droppedLines; }
+
+private:
+    friend class sink_dispatcher;
+    void emit(std::string_view line);
+
+    log_level m_threshold;
+    log_sink m_sink;
+    std::function<time_point()> m_now;
+    std::uint64_t m_droppedLines = 0;
+};
+
+}
--- /dev/null
+++ b/lib/Telemetry/Log.cpp
@@ -0,0 +1,124 @@
+#include "pimentoladder/Telemetry/Log.h"
+
+#include <array>
+#include <cerrno>
+#include <climits>
+
+#include <poll.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#include <easylogging++.h>
+#include <nlohmann/json.hpp>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace pimentoladder {
+
+namespace {
+
+    constexpr const char* loggerName = "pimentoladder";
+    constexpr const char* dispatcherName = "pimentoladder-sink";
+
+    struct level_name {
+        std::string_view name;
+        log_level level;
+        el::Level libraryLevel;
+    };
+
+    constexpr std::array<level_name, 4> levelNames { {
+        { "debug", log_level::debug, el::Level::Debug },
+        { "info", log_level::info, el::Level::Info },
+        { "warning", log_level::warning, el::Level::Warning },
+        { "error", log_level::error, el::Level::Error },
+    } };
+
+    const level_name& describe(log_level level)
+    {
+        return levelNames.at(static_cast<std::size_t>(level));
+    }
+
+    logger* activeLogger = nullptr;
+
+}
+
+/// Passes each line from the log library to the active logger's sink.
+class sink_dispatcher : public el::LogDispatchCallback {
+protected:
+    void handle(const el::LogDispatchData* data) override
+    {
+        if (!activeLogger || data->dispatchAction() != el::base::DispatchAction::NormalLog)
+            return;
+        activeLogger->emit(data->logMessage()->message());
+    }
+};
+
+log_level parseLogLevel(std::string_view name)
+{
+    for (const level_name& candidate : levelNames) {
+        if (candidate.name == name)
+            return candidate.level;
+    }
+    return log_level::info;
+}
+
+log_sink descriptorSink(int descriptor)
+{
+    return [descriptor](std::string_view line) {
+        // A pipe that polls writable takes PIPE_BUF bytes without blocking, so
+        // a longer line is dropped rather than risk a wait on a slow reader.
+        if (line.size() + 1 > PIPE_BUF)
+            return false;
+        pollfd state { descriptor, POLLOUT, 0 };
+        if (::poll(&state, 1, 0) != 1 || !(state.revents & POLLOUT) || (state.revents & (POLLERR | POLLNVAL)))
+            return false;
+        char lineEnd = '\n';
+        std::array<iovec, 2> parts { { { const_cast<char*>(line.data()), line.size() }, { &lineEnd, 1 } } };
+        return ::writev(descriptor, parts.data(), parts.size()) == static_cast<ssize_t>(line.size() + 1);
+    };
+}
+
+logger::logger(log_level threshold, log_sink sink, std::function<time_point()> now)
+    : m_threshold(threshold)
+    , m_sink(std::move(sink))
+    , m_now(std::move(now))
+{
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    configuration.setGlobally(el::ConfigurationType::Format, "%msg");
+    el::Loggers::getLogger(loggerName);
+    el::Loggers::reconfigureLogger(loggerName, configuration);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<sink_dispatcher>(dispatcherName);
+    activeLogger = this;
+}
+
+logger::~logger()
+{
+    activeLogger = nullptr;
+}
+
+void logger::write(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (level < m_threshold)
+        return;
+    nlohmann::ordered_json line;
+    line["time_ns"] = m_now().time_since_epoch().count();
+    line["level"] = describe(level).name;
+    line["event"] = event;
+    for (const log_field& field : fields)
+        std::visit([&](const auto& value) { line[std::string(field.name)] = value; }, field.value);
+    // Text from callers may hold invalid UTF-8, which would otherwise throw.
+    const std::string text = line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    el::base::Writer(describe(level).libraryLevel, __FILE__, __LINE__, ELPP_FUNC).construct(1, loggerName) << text;
+}
+
+void logger::emit(std::string_view line)
+{
+    if (!m_sink(line))
+        ++m_droppedLines;
+}
+
+}
--- /dev/null
+++ b/unittests/Telemetry/LogTests.cpp
@@ -0,0 +1,79 @@
+#include "pimentoladder/Telemetry/Log.h"
+
+#include <array>
+#include <csignal>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace pimentoladder;
+
+namespace {
+
+time_point fixedTime()
+{
+    return time_point(std::chrono::seconds(5));
+}
+
+}
+
+// Guards against lines that are not valid JSON when callers send control
+// characters or invalid UTF-8.
+TEST_CASE("every line is one JSON object")
+{
+    std::vector<std::string> lines;
+    logger log(
+        log_level::info, [&](std::string_view line) { lines.emplace_back(line); return true; }, fixedTime);
+    log.write(log_level::info, "request_routed", { { "path", std::string_view("a\"b\n\xff%s") }, { "attempt", std::uint64_t(2) } });
+    log.write(log_level::debug, "hidden", {});
+    REQUIRE(lines.size() == 1);
+    const auto parsed = nlohmann::json::parse(lines.front());
+    CHECK(parsed["event"] == "request_routed");
+    CHECK(parsed["attempt"] == 2);
+    CHECK(parsed["time_ns"] == 5'000'000'000);
+    CHECK(lines.front().find('\n') == std::string::npos);
+}
+
+// Guards against a log reader that stops reading and thereby stops the loop.
+TEST_CASE("a full pipe drops lines instead of blocking")
+{
+    std::array<int, 2> ends {};
+    REQUIRE(::pipe(ends.data()) == 0);
+    logger log(log_level::info, descriptorSink(ends[1]), fixedTime);
+    const std::string filler(1000, 'x');
+    for (int i = 0; i < 200; ++i)
+        log.write(log_level::info, "fill", { { "filler", std::string_view(filler) } });
+    CHECK(log.droppedLines() > 0);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
+// Guards against a closed log reader that ends the process.
+TEST_CASE("a closed pipe drops lines")
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::array<int, 2> ends {};
+    REQUIRE(::pipe(ends.data()) == 0);
+    ::close(ends[0]);
+    logger log(log_level::info, descriptorSink(ends[1]), fixedTime);
+    log.write(log_level::info, "lost", {});
+    CHECK(log.droppedLines() == 1);
+    ::close(ends[1]);
+}
+
+// Guards against the log library's default of writing a file into the working
+// folder, which the VMs do not have.
+TEST_CASE("no log file is created")
+{
+    logger log(
+        log_level::info, [](std::string_view) { return true; }, fixedTime);
+    log.write(log_level::info, "event", {});
+    CHECK_FALSE(std::filesystem::exists("myeasylog.log"));
+    CHECK_FALSE(std::filesystem::exists("logs"));
+}
