--- /dev/null
+++ b/lib/Settings/Settings.cpp
@@ -0,0 +1,227 @@
+#include "pimentoladder/Settings/Settings.h"
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+
+#include <yaml-cpp/yaml.h>
+
+#include "SettingsReader.h"
+
+namespace pimentoladder {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::string_view environmentPrefix = "PIMENTOLADDER_";
+
+    template <typename T>
+    void assignIfSet(T& target, const std::optional<T>& value)
+    {
+        if (value)
+            target = *value;
+    }
+
+    void readListen(mapping_reader reader, listen_settings& target)
+    {
+        assignIfSet(target.callers, reader.address("callers", true));
+        assignIfSet(target.admin, reader.address("admin", true));
+        assignIfSet(target.peers, reader.address("peers", true));
+        reader.finish();
+    }
+
+    void readPlatform(mapping_reader reader, platform_settings& target)
+    {
+        assignIfSet(target.table, reader.address("table", true));
+        assignIfSet(target.objects, reader.address("objects", true));
+        assignIfSet(target.vms, reader.address("vms", true));
+        reader.finish();
+    }
+
+    void readSeed(mapping_reader reader, std::vector<seed_settings>& target)
+    {
+        const auto vm = reader.text("vm", true);
+        const auto location = reader.address("address", true);
+        reader.finish();
+        if (vm && location)
+            target.push_back({ vm_id(*vm), *location });
+    }
+
+    void readFleet(mapping_reader reader, settings& target, fault_list& faults)
+    {
+        constexpr std::size_t leastKeyLength = 16;
+        if (const auto key = reader.text("key", true)) {
+            target.fleetKey = *key;
+            if (key->size() < leastKeyLength)
+                faults.add(reader.place("key"), "fleet.key has fewer than 16 characters; use a longer random key");
+        }
+        for (mapping_reader& seed : reader.list("seeds"))
+            readSeed(std::move(seed), target.seeds);
+        reader.finish();
+    }
+
+    void readOperators(std::vector<mapping_reader> readers, settings& target, fault_list& faults)
+    {
+        std::set<std::string> names;
+        for (mapping_reader& reader : readers) {
+            const auto name = reader.text("name", true);
+            const auto digest = reader.digest("token_sha256");
+            reader.finish();
+            if (name && !names.insert(*name).second)
+                faults.add(reader.place("name"), reader.pathOf("name") + " repeats operator \"" + *name + "\"; give each operator one entry");
+            if (name && digest)
+                target.operators.push_back({ *name, *digest });
+        }
+    }
+
+    void readLimits(mapping_reader reader, limit_settings& target)
+    {
+        constexpr std::uint64_t kibibyte = 1024;
+        constexpr std::uint64_t mebibyte = 1024 * kibibyte;
+        assignIfSet(target.headBytes, reader.bytes("head", { kibibyte, mebibyte }));
+        assignIfSet(target.bodyBytes, reader.bytes("body", { 0, 256 * mebibyte }));
+        assignIfSet(target.bufferBytes, reader.bytes("buffer", { 16 * kibibyte, 64 * mebibyte }));
+        assignIfSet(target.connections, reader.number("connections", { 1, 1'000'000 }));
+        reader.finish();
+    }
+
+    void readTimeouts(mapping_reader reader, timeout_settings& target)
+    {
+        const value_range<std::chrono::nanoseconds> range { 1ms, 60min };
+        assignIfSet(target.head, reader.time("head", range));
+        assignIfSet(target.body, reader.time("body", range));
+        assignIfSet(target.queue, reader.time("queue", range));
+        assignIfSet(target.connect, reader.time("connect", range));
+        assignIfSet(target.firstByte, reader.time("first_byte", range));
+        assignIfSet(target.idle, reader.time("idle", range));
+        reader.finish();
+    }
+
+    void readShutdown(mapping_reader reader, shutdown_settings& target, fault_list& faults)
+    {
+        assignIfSet(target.grace, reader.time("grace", { 0ms, 10min }));
+        assignIfSet(target.deadline, reader.time("deadline", { 0ms, 60min }));
+        reader.finish();
+        if (target.deadline < target.grace)
+            faults.add(reader.place("deadline"), "shutdown.deadline is shorter than shutdown.grace; make it at least as long");
+    }
+
+    void readLog(mapping_reader reader, settings& target)
+    {
+        assignIfSet(target.logLevel, reader.choice("level", { "debug", "info", "warning", "error" }));
+        reader.finish();
+    }
+
+    void checkAddresses(const listen_settings& listen, mapping_reader& root, fault_list& faults)
+    {
+        const YAML::Mark place = root.place("listen");
+        if (listen.callers.port != 0 && listen.callers == listen.admin)
+            faults.add(place, "listen.callers and listen.admin are the same address; give each its own port");
+        if (listen.callers.port != 0 && listen.callers == listen.peers)
+            faults.add(place, "listen.callers and listen.peers are the same address; give each its own port");
+        if (listen.admin.port != 0 && listen.admin == listen.peers)
+            faults.add(place, "listen.admin and listen.peers are the same address; give each its own port");
+    }
+
+    void applyOverride(YAML::Node root, const setting_override& change, fault_list& faults)
+    {
+        YAML::Node node = root;
+        std::size_t begin = 0;
+        while (true) {
+            const std::size_t dot = change.key.find('.', begin);
+            const std::string part = change.key.substr(begin, dot - begin);
+            if (part.empty() || (node.IsDefined() && !node.IsMap() && !node.IsNull())) {
+                faults.addWithoutPlace(change.origin + " names \"" + change.key + "\", which is no setting; use section.key as in the settings file");
+                return;
+            }
+            if (dot == std::string::npos) {
+                node[part] = change.value;
+                return;
+            }
+            if (!node[part])
+                node[part] = YAML::Node(YAML::NodeType::Map);
+            node.reset(YAML::Node(node[part]));
+            begin = dot + 1;
+        }
+    }
+
+    settings readRoot(const YAML::Node& tree, fault_list& faults)
+    {
+        settings target;
+        mapping_reader root(tree, "", faults);
+        if (const auto vm = root.text("vm", true))
+            target.vm = vm_id(*vm);
+        if (const auto dataCentre = root.text("data_centre", true))
+            target.dataCentre = data_centre_id(*dataCentre);
+        readListen(root.section("listen", true), target.listen);
+        readPlatform(root.section("platform", true), target.platform);
+        readFleet(root.section("fleet", true), target, faults);
+        readOperators(root.list("operators"), target, faults);
+        readLimits(root.section("limits", false), target.limits);
+        readTimeouts(root.section("timeouts", false), target.timeouts);
+        readShutdown(root.section("shutdown", false), target.shutdown, faults);
+        readLog(root.section("log", false), target);
+        root.finish();
+        checkAddresses(target.listen, root, faults);
+        return target;
+    }
+
+}
+
+std::string describeFault(const setting_fault& fault)
+{
+    if (fault.line == 0)
+        return fault.file + ": " + fault.message;
+    return fault.file + ":" + std::to_string(fault.line) + ":" + std::to_string(fault.column) + ": " + fault.message;
+}
+
+tl::expected<settings, std::vector<setting_fault>> parseSettings(std::string_view text, const std::string& fileName,
+    const std::vector<setting_override>& overrides)
+{
+    fault_list faults(fileName);
+    settings parsed;
+    try {
+        YAML::Node tree = YAML::Load(std::string(text));
+        if (tree.IsNull())
+            tree = YAML::Node(YAML::NodeType::Map);
+        for (const setting_override& change : overrides)
+            applyOverride(tree, change, faults);
+        parsed = readRoot(tree, faults);
+    } catch (const YAML::Exception& fault) {
+        faults.add(fault.mark, "not valid YAML: " + fault.msg + "; correct the syntax");
+    }
+    if (!faults.all().empty())
+        return tl::unexpected(faults.all());
+    return parsed;
+}
+
+std::vector<setting_override> overridesFromEnvironment(const char* const* environment)
+{
+    std::vector<setting_override> overrides;
+    for (; environment && *environment; ++environment) {
+        const std::string_view entry(*environment);
+        const std::size_t equals = entry.find('=');
+        if (!entry.starts_with(environmentPrefix) || equals == std::string_view::npos)
+            continue;
+        const std::string name(entry.substr(0, equals));
+        std::string key;
+        for (std::size_t i = environmentPrefix.size(); i < name.size(); ++i) {
+            const bool isSeparator = name.compare(i, 2, "__") == 0;
+            key += isSeparator ? '.' : static_cast<char>(std::tolower(static_cast<unsigned char>(name[i])));
+            i += isSeparator ? 1 : 0;
+        }
+        overrides.push_back({ key, std::string(entry.substr(equals + 1)), "environment variable " + name });
+    }
+    return overrides;
+}
+
+result<setting_override> overrideFromFlag(std::string_view text)
+{
+    const std::size_t equals = text.find('=');
+    if (equals == std::string_view::npos || equals == 0)
+        return makeError(error_kind::invalidArgument, "flag --set has \"" + std::string(text) + "\"; write --set=section.key=value");
+    return setting_override { std::string(text.substr(0, equals)), std::string(text.substr(equals + 1)), "flag --set" };
+}
+
+}
