--- a/include/pimentoladder/Config/Rows.h
+++ b/include/pimentoladder/Config/Rows.h
@@ -34,6 +34,12 @@
 /// Returns whether rows with this key belong to the document. Thread-safe.
 bool isDocumentKey(std::string_view key);
 
+/// Returns the object that the row named \p key would hold, with its id set and
+/// every other field at its default.
+/// Errors: `invalidArgument` if the key does not belong to the document.
+/// Thread-safe.
+result<document_value> defaultRowValue(std::string_view key);
+
 /// Applies one row to \p target, without changing its revision.
 /// Errors: `invalidArgument` if the key does not belong to the document or
 /// names another object than the value. Not thread-safe.
--- /dev/null
+++ b/unittests/Config/RowsTests.cpp
@@ -0,0 +1,66 @@
+#include "pimentoladder/Config/Rows.h"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+using namespace pimentoladder;
+
+namespace {
+
+document sampleDocument()
+{
+    document sample;
+    sample.at = revision(9);
+    sample.workspaces[workspace_id("w")].id = workspace_id("w");
+    sample.pools[pool_id("p")].id = pool_id("p");
+    sample.servers[server_id("s")].id = server_id("s");
+    sample.dataCentres[data_centre_id("d")].id = data_centre_id("d");
+    sample.accessRules[rule_id("r")].id = rule_id("r");
+    sample.serviceRules[rule_id("r")].id = rule_id("r");
+    sample.members[vm_id("v")].vm = vm_id("v");
+    sample.roster.witnesses.push_back({ vm_id("v"), incarnation(3) });
+    return sample;
+}
+
+}
+
+// Guards against a replica that loses rows when it is sent as a whole.
+TEST_CASE("the rows of a document rebuild it")
+{
+    const document sample = sampleDocument();
+    const auto rows = allRows(sample);
+    CHECK(rows.size() == 8);
+    CHECK(std::is_sorted(rows.begin(), rows.end(), [](const auto& a, const auto& b) { return a.key < b.key; }));
+
+    document copy;
+    copy.at = sample.at;
+    for (const auto& row : rows) {
+        CHECK(row.changedAt == sample.at);
+        CHECK(isDocumentKey(row.key));
+        REQUIRE(applyRow(copy, row));
+    }
+    CHECK(copy == sample);
+
+    for (const auto& row : rows)
+        REQUIRE(applyRow(copy, { row.key, std::nullopt, revision(10) }));
+    document empty;
+    empty.at = sample.at;
+    CHECK(copy == empty);
+}
+
+// Guards against rows of other parts of the table that reach the document.
+TEST_CASE("foreign keys are refused")
+{
+    document target;
+    for (const char* key : { "", "change/1", "claim/w/1", "config/", "config/workspace/", "config/unknown/a", "member/",
+             "roster/", "rosters", "member" }) {
+        CHECK_FALSE(isDocumentKey(key));
+        CHECK_FALSE(applyRow(target, { key, std::nullopt, revision(1) }));
+    }
+    workspace other;
+    other.id = workspace_id("b");
+    CHECK_FALSE(applyRow(target, { "config/workspace/a", other, revision(1) }));
+    CHECK_FALSE(applyRow(target, { "config/pool/b", other, revision(1) }));
+    CHECK(target == document());
+}
