--- /dev/null
+++ b/include/pimentoladder/Membership/RemovalPlanner.h
@@ -0,0 +1,71 @@
+/// \file
+/// Decides what to do about lost members.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "pimentoladder/Base/Ids.h"
+#include "pimentoladder/Base/Random.h"
+#include "pimentoladder/Base/Time.h"
+#include "pimentoladder/Config/Document.h"
+#include "pimentoladder/Freshness/AcceptanceTracker.h"
+#include "pimentoladder/Freshness/SuspensionSet.h"
+#include "pimentoladder/Membership/PeerMonitor.h"
+
+namespace pimentoladder {
+
+enum class removal_kind {
+    removeRow, ///< Delete the member's row if it still names this incarnation.
+    proposeSuspension, ///< Ask the witnesses to suspend the member.
+};
+
+/// What to do about one lost member.
+struct removal {
+    removal_kind kind = removal_kind::removeRow;
+    member_ref member;
+
+    bool operator==(const removal&) const = default;
+};
+
+/// Limits of `removal_planner`.
+struct removal_settings {
+    duration wait = std::chrono::milliseconds(300); ///< Mean wait after the loss, so that one write usually suffices.
+    duration repeat = std::chrono::seconds(1); ///< Time after which an action without effect is repeated.
+};
+
+/// What this router knows of its own position.
+struct removal_position {
+    bool isFresh = false;
+    bool isOwnerFresh = false;
+    bool isTableReachable = false;
+};
+
+/// Plans the removal of lost members from the document and, while the table is
+/// unreachable, their suspension.
+///
+/// A silent member is removed or suspended only by a router that is fresh for
+/// suspensions too, that is, one that reaches a majority of witnesses at first
+/// hand or through a peer. Otherwise a router cut off from all peers, but not
+/// from the table, would remove everyone else. A member that is confirmed dead
+/// may be removed by any fresh router.
+///
+/// Not thread-safe; call on the loop's thread.
+class removal_planner {
+public:
+    removal_planner(member_ref self, const removal_settings& settings, std::uint64_t seed);
+
+    /// Returns the actions that are due.
+    std::vector<removal> due(const document& current, const peer_monitor& monitor, const suspension_set& suspended,
+        const acceptance_tracker& accepted, const removal_position& position, time_point now);
+
+private:
+    member_ref m_self;
+    removal_settings m_settings;
+    random_source m_random;
+    std::map<member_ref, time_point> m_dueAt;
+};
+
+}
--- /dev/null
+++ b/include/pimentoladder/Membership/SuspensionVotes.h
@@ -0,0 +1,52 @@
+/// \file
+/// Votes of the witnesses on suspending lost members.
+
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "pimentoladder/Base/Ids.h"
+#include "pimentoladder/Base/Time.h"
+#include "pimentoladder/Config/Document.h"
+#include "pimentoladder/Membership/PeerMonitor.h"
+#include "pimentoladder/Protocol/Messages.h"
+
+namespace pimentoladder {
+
+/// Counts the witnesses that agree to suspend a member. A member enters the set
+/// of suspended members only when a majority of witnesses has found it silent,
+/// in both sets during a roster change; so one router with a bad link suspends
+/// nobody.
+///
+/// Not thread-safe; call on the loop's thread.
+class suspension_votes {
+public:
+    /// \p monitor must outlive the votes.
+    suspension_votes(member_ref self, const peer_monitor& monitor);
+
+    /// Records the members and the roster. Votes on incarnations that are no
+    /// longer members are dropped.
+    void documentApplied(const document& applied);
+
+    /// Takes in the proposals of \p from. Returns the proposed members that
+    /// this router, if it is a witness, agrees to suspend; they are proposed
+    /// back to \p from as this router's vote.
+    std::vector<member_ref> proposalReceived(const member_ref& from, const suspend& proposal, time_point now);
+
+    /// Returns the members that a majority currently agrees to suspend.
+    std::vector<member_ref> decided(time_point now) const;
+
+private:
+    bool isMember(const member_ref& candidate) const;
+    bool isLost(const member_ref& candidate, time_point now) const;
+    bool hasVote(const member_ref& witness, const member_ref& candidate, time_point now) const;
+
+    member_ref m_self;
+    const peer_monitor& m_monitor;
+    std::map<vm_id, incarnation> m_members;
+    witness_roster m_roster;
+    std::map<member_ref, std::map<member_ref, time_point>> m_votes; // Member, witness, time of the vote.
+};
+
+}
--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -26,6 +26,8 @@
     revision applied; ///< Revision of the document that the sender has applied.
     std::uint64_t suspendedDigest = 0; ///< Digest of the sender's set of suspended members.
     std::optional<duration> basisAge; ///< Age of the sender's freshness basis; none if not fresh.
+    /// Age of the basis for suspensions, which a table read does not advance; none if not fresh.
+    std::optional<duration> suspensionAge;
 };
 
 /// States that the table holds a revision, sent as soon as the sender knows.
@@ -46,10 +48,12 @@
     std::vector<row_change> rows;
 };
 
-/// Asks witnesses to suspend members, or states the sender's whole set.
+/// Asks witnesses to suspend members, or states the sender's whole set. A
+/// witness that agrees to a proposal answers with the same proposal.
 struct suspend {
-    std::vector<member_ref> proposed; ///< Members that the sender asks to suspend.
+    std::vector<member_ref> proposed; ///< Members that have been silent towards the sender for the removal delay.
     std::vector<member_ref> suspended; ///< Every member that the sender holds suspended.
+    revision listedBy; ///< Every member named above was in the document at or before this revision.
 };
 
 /// A waiting request for which a router asks a grant.
