--- /dev/null
+++ b/include/pimentoladder/Fairness/CostEstimator.h
@@ -0,0 +1,45 @@
+/// \file
+/// Learns how the cost of requests relates to the hints given for them.
+
+#pragma once
+
+#include <cstddef>
+#include <map>
+
+#include "pimentoladder/Base/Ids.h"
+
+namespace pimentoladder {
+
+/// Keeps the ratio of actual cost to hint for each workspace and pool.
+/// Not thread-safe; call on the loop's thread.
+class cost_estimator {
+public:
+    /// Returns the expected cost in cost units of a request with \p hint: the
+    /// hint times the learned ratio, or the hint where nothing is learned.
+    /// Hints outside `minHint` to `maxHint`, or not a number, are moved there.
+    cost_units estimate(const workspace_id& workspace, const pool_id& pool, cost_units hint) const;
+
+    /// Learns from a request that ended whole with cost \p actual.
+    void observe(const workspace_id& workspace, const pool_id& pool, cost_units hint, cost_units actual);
+
+    /// Returns the learned ratio; 1 where nothing is learned.
+    double ratio(const workspace_id& workspace, const pool_id& pool) const;
+
+    static constexpr cost_units minHint = 1e-3;
+    static constexpr cost_units maxHint = 1e9;
+
+private:
+    struct key {
+        workspace_id workspace;
+        pool_id pool;
+        auto operator<=>(const key&) const = default;
+    };
+    struct sums {
+        cost_units hinted = 0;
+        cost_units actual = 0;
+    };
+
+    std::map<key, sums> m_sums;
+};
+
+}
--- /dev/null
+++ b/include/pimentoladder/Fairness/ServiceLedger.h
@@ -0,0 +1,120 @@
+/// \file
+/// Service received by each workspace over all shard owners, and the virtual
+/// time that follows from it.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+
+#include "pimentoladder/Base/Ids.h"
+#include "pimentoladder/Protocol/Messages.h"
+
+namespace pimentoladder {
+
+/// Counters of one router, shared by all shards that it owns.
+///
+/// Every stored value only grows and is merged by maximum, so a lost,
+/// duplicated or reordered message makes a copy older and never wrong.
+/// Not thread-safe; call on the loop's thread.
+class service_ledger {
+public:
+    /// \p self is the owner under whose name charges and credits are counted.
+    explicit service_ledger(member_ref self);
+
+    /// Sets the share of \p workspace; 1 until set. Precondition: `weight > 0`.
+    void setWeight(const workspace_id& workspace, double weight);
+
+    /// Counts \p cost units of service. Precondition: `cost >= 0`.
+    void charge(const workspace_id& workspace, cost_units cost);
+
+    /// Takes back \p cost units of an earlier charge. Precondition: `cost >= 0`.
+    void credit(const workspace_id& workspace, cost_units cost);
+
+    /// Returns service over all owners divided by weight, plus the lift of
+    /// the workspace at \p shard.
+    double virtualTime(const shard_id& shard, const workspace_id& workspace) const;
+
+    /// Raises the lift at \p shard so that the virtual time is at least
+    /// \p target. Never lowers it.
+    void liftTo(const shard_id& shard, const workspace_id& workspace, double target);
+
+    /// Returns the highest virtual time at which \p shard has started service.
+    double clock(const shard_id& shard) const;
+
+    /// Raises the clock of \p shard to \p virtualTime. Never lowers it.
+    void advanceClock(const shard_id& shard, double virtualTime);
+
+    /// Returns service over all owners in cost units.
+    cost_units service(const workspace_id& workspace) const;
+
+    /// Merges what a peer sent.
+    void merge(const service_counters& received);
+
+    /// Returns what has changed since the last call for \p peer: own counters,
+    /// lifts and clocks. The first call for a peer returns everything known,
+    /// counters of other owners included.
+    service_counters takeChanges(const member_ref& peer);
+
+    /// Makes the next `takeChanges` for \p peer return everything. Call when
+    /// the link to it was replaced.
+    void restateTo(const member_ref& peer);
+
+    /// Sends the counters of \p owner to every peer once more, because it can
+    /// no longer do so itself. Call when the owner is lost.
+    void adoptCounters(const member_ref& owner);
+
+    /// Grows with every change that can move a virtual time by a merge.
+    std::uint64_t mergeCount() const { return m_mergeCount; }
+
+    /// Returns the number of counters held, over all owners.
+    std::size_t size() const { return m_counters.size(); }
+
+private:
+    struct counter_key {
+        member_ref owner;
+        workspace_id workspace;
+        auto operator<=>(const counter_key&) const = default;
+    };
+    struct lift_key {
+        shard_id shard;
+        workspace_id workspace;
+        auto operator<=>(const lift_key&) const = default;
+    };
+    struct counter {
+        cost_units charged = 0;
+        cost_units credited = 0;
+        std::uint64_t changedAt = 0;
+    };
+    struct lift {
+        double value = 0;
+        std::uint64_t changedAt = 0;
+    };
+    struct account {
+        double weight = 1;
+        cost_units service = 0;
+        counter* own = nullptr;
+        const counter_key* ownKey = nullptr;
+    };
+    using counter_map = std::map<counter_key, counter>;
+    using lift_map = std::map<lift_key, lift>;
+
+    account& ownAccount(const workspace_id& workspace);
+    const lift* findLift(const shard_id& shard, const workspace_id& workspace) const;
+    bool raiseLift(const shard_id& shard, const workspace_id& workspace, double value);
+    void noteChange(const counter_key& key, counter& changed);
+    void mergeCounter(const service_counter& received);
+
+    member_ref m_self;
+    counter_map m_counters;
+    lift_map m_lifts;
+    std::unordered_map<workspace_id, account> m_accounts;
+    std::map<std::uint64_t, counter_map::const_pointer> m_counterChanges; ///< By version; the latest change of each counter.
+    std::map<std::uint64_t, lift_map::const_pointer> m_liftChanges;
+    std::map<member_ref, std::uint64_t> m_sentUpTo;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_mergeCount = 0;
+};
+
+}
--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -96,16 +96,18 @@
 
 struct grant_report_entry {
     grant_number number;
+    fencing_token issuedUnder; ///< Token of the owner that issued the grant; an earlier one's after an owner change.
     grant_event event = grant_event::returned;
     workspace_id workspace;
     cost_units cost = 0; ///< When started the hint, in progress the cost so far, at the end the actual cost.
     duration firstByteLatency {}; ///< From start to the first byte of the answer; zero if none came.
 };
 
-/// Reports what became of grants to the owner that issued them.
+/// Reports what became of grants to the owner of the shard.
 struct grant_report {
     shard_id shard;
     fencing_token token;
+    std::uint64_t sequence = 0; ///< Counts this router's reports and in-flight reports for the shard.
     std::vector<grant_report_entry> entries;
 };
 
@@ -125,10 +127,13 @@
     cost_units cost = 0;
 };
 
-/// Tells a new owner the sender's requests in flight in its shard.
+/// States every request that the sender has in flight in a shard: to a new
+/// owner, after a link was replaced, and at a long interval. A started grant
+/// that is not listed has ended.
 struct in_flight_report {
     shard_id shard;
     fencing_token token;
+    std::uint64_t sequence = 0; ///< Shared with `grant_report`; an older one than the last received is ignored.
     std::vector<in_flight_entry> entries;
 };
 
@@ -138,18 +143,26 @@
     fencing_token token;
 };
 
-/// Service that one owner has charged to one workspace since its start. All
-/// three numbers only grow.
+/// Service that one owner has charged to one workspace since its start. Both
+/// numbers only grow.
 struct service_counter {
     member_ref owner;
     workspace_id workspace;
     cost_units charged = 0;
     cost_units credited = 0;
-    double lift = 0; ///< Virtual time added on return from idle; merged by maximum over owners.
+};
+
+/// Virtual time added at one shard when a workspace returned from idle. It
+/// only grows. With an empty workspace it is the virtual clock of the shard.
+struct service_lift {
+    shard_id shard;
+    workspace_id workspace;
+    double lift = 0;
 };
 
 struct service_counters {
     std::vector<service_counter> entries;
+    std::vector<service_lift> lifts;
 };
 
 /// A backend server was lost while it ran the named requests.
