Add service counters, cost estimates, and the limit of a server

Cause: shard owners need virtual times that survive loss, repetition and restarts, charges that a wrong hint cannot bend, and limits that cold servers bear.

Decisions: the learned ratio is a quotient of decayed sums, because a mean of ratios would not keep the total charge equal to the total cost. Requests that were granted before a fall of the limit count neither as recovery nor as further failures, so that one crash with many requests in flight is one failure. A first byte within 20 ms is never cold: jitter of a 1 ms service would otherwise exceed four times its smoothed latency.

--- a/include/pimentoladder/Admission/ServerLimit.h
+++ b/include/pimentoladder/Admission/ServerLimit.h
@@ -15,6 +15,7 @@
     std::uint32_t floor = 1; ///< Limit of a cold server; at least 1.
     std::uint32_t ceiling = 8; ///< Highest limit; at least the floor.
     double coldLatencyFactor = 4; ///< First-byte latency above this multiple of the smoothed value means cold.
+    duration leastColdLatency = std::chrono::milliseconds(20); ///< A shorter latency is never cold, so that jitter is not.
     std::uint32_t samplesBeforeDetection = 8; ///< Latencies needed before the smoothed value counts.
     std::uint32_t failuresBeforeEjection = 3; ///< Consecutive failures.
     duration firstEjection = std::chrono::seconds(1); ///< Doubles with each ejection that follows.
@@ -56,6 +57,9 @@
     /// new start, or a server that says so, is cold.
     void onLoadReport(incarnation start, bool isReportedCold, time_point now);
 
+    /// The server is back in service, or was cold for another reason.
+    void setCold(time_point now);
+
     /// Ejects the server. The caller checks how many servers are out.
     void eject(time_point now);
 
@@ -72,7 +76,8 @@
         probing,
     };
 
-    void fallToFloor(time_point now);
+    void finishProbe(time_point grantedAt, time_point now);
+    void grow();
     bool isLate(duration firstByteLatency) const;
     void smooth(duration firstByteLatency);
 
--- a/include/pimentoladder/Fairness/ServiceLedger.h
+++ b/include/pimentoladder/Fairness/ServiceLedger.h
@@ -91,19 +91,19 @@
         double value = 0;
         std::uint64_t changedAt = 0;
     };
+    using counter_map = std::map<counter_key, counter>;
+    using lift_map = std::map<lift_key, lift>;
     struct account {
         double weight = 1;
         cost_units service = 0;
-        counter* own = nullptr;
-        const counter_key* ownKey = nullptr;
+        counter_map::pointer own = nullptr;
     };
-    using counter_map = std::map<counter_key, counter>;
-    using lift_map = std::map<lift_key, lift>;
 
     account& ownAccount(const workspace_id& workspace);
     const lift* findLift(const shard_id& shard, const workspace_id& workspace) const;
-    bool raiseLift(const shard_id& shard, const workspace_id& workspace, double value);
-    void noteChange(const counter_key& key, counter& changed);
+    lift_map::pointer raiseLift(const shard_id& shard, const workspace_id& workspace, double value);
+    void noteChange(counter_map::reference changed);
+    void noteChange(lift_map::reference changed);
     void mergeCounter(const service_counter& received);
 
     member_ref m_self;
--- /dev/null
+++ b/lib/Admission/ServerLimit.cpp
@@ -0,0 +1,166 @@
+#include "pimentoladder/Admission/ServerLimit.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pimentoladder {
+
+namespace {
+
+    // Share of a new latency in the smoothed value: about the last 16 count.
+    constexpr int smoothing = 16;
+
+}
+
+server_limit::server_limit(const server_limit_settings& settings)
+    : m_settings(settings)
+    , m_limit(settings.floor)
+{
+    assert(settings.floor >= 1 && settings.ceiling >= settings.floor && "floor and ceiling must be in order");
+}
+
+void server_limit::setRange(std::uint32_t floor, std::uint32_t ceiling)
+{
+    assert(floor >= 1 && ceiling >= floor && "floor and ceiling must be in order");
+    m_settings.floor = floor;
+    m_settings.ceiling = ceiling;
+    m_limit = std::clamp(m_limit, floor, ceiling);
+}
+
+std::uint32_t server_limit::limit() const
+{
+    if (m_phase == phase::ejected)
+        return 0;
+    if (m_phase == phase::probing)
+        return 1;
+    return m_limit;
+}
+
+bool server_limit::isCold() const
+{
+    if (m_phase != phase::serving)
+        return true;
+    const std::uint32_t warmFrom = std::max(m_settings.floor + 1, (m_settings.ceiling + 1) / 2);
+    return m_limit < std::min(warmFrom, m_settings.ceiling);
+}
+
+bool server_limit::isLate(duration firstByteLatency) const
+{
+    if (m_samples < m_settings.samplesBeforeDetection || firstByteLatency < m_settings.leastColdLatency)
+        return false;
+    return static_cast<double>(firstByteLatency.count())
+        > m_settings.coldLatencyFactor * static_cast<double>(m_smoothed.count());
+}
+
+void server_limit::smooth(duration firstByteLatency)
+{
+    if (firstByteLatency <= duration::zero())
+        return;
+    ++m_samples;
+    if (m_samples == 1)
+        m_smoothed = firstByteLatency;
+    m_smoothed += (firstByteLatency - m_smoothed) / smoothing;
+}
+
+void server_limit::setCold(time_point now)
+{
+    m_limit = m_settings.floor;
+    m_finishedInTime = 0;
+    m_coldSince = now;
+}
+
+void server_limit::grow()
+{
+    ++m_finishedInTime;
+    if (m_finishedInTime < m_limit || m_limit >= m_settings.ceiling)
+        return;
+    ++m_limit;
+    m_finishedInTime = 0;
+    if (!isCold())
+        m_ejections = 0;
+}
+
+void server_limit::finishProbe(time_point grantedAt, time_point now)
+{
+    if (grantedAt < m_ejectedUntil)
+        return;
+    m_phase = phase::serving;
+    m_consecutiveFailures = 0;
+    setCold(now);
+}
+
+void server_limit::onFinished(time_point grantedAt, duration firstByteLatency, time_point now)
+{
+    if (m_phase == phase::probing)
+        finishProbe(grantedAt, now);
+    // A request granted before the server became cold tells of the time before.
+    if (m_phase != phase::serving || grantedAt < m_coldSince)
+        return;
+    m_consecutiveFailures = 0;
+    if (isLate(firstByteLatency)) {
+        // The late value counts up to the threshold, so that a lasting change
+        // of the work raises the smoothed value after some requests.
+        smooth(duration(static_cast<duration::rep>(
+            m_settings.coldLatencyFactor * static_cast<double>(m_smoothed.count()))));
+        setCold(now);
+        return;
+    }
+    smooth(firstByteLatency);
+    grow();
+}
+
+bool server_limit::onFailed(time_point grantedAt, time_point now)
+{
+    if (m_phase == phase::ejected)
+        return false;
+    if (m_phase == phase::probing)
+        return grantedAt >= m_ejectedUntil;
+    // One crash breaks every request in flight; it counts as one failure.
+    if (grantedAt < m_coldSince)
+        return false;
+    setCold(now);
+    ++m_consecutiveFailures;
+    return m_consecutiveFailures >= m_settings.failuresBeforeEjection;
+}
+
+void server_limit::onLoadReport(incarnation start, bool isReportedCold, time_point now)
+{
+    if (start < m_start)
+        return;
+    const bool isNewStart = start != m_start && m_start != incarnation();
+    m_start = start;
+    if (isNewStart || isReportedCold)
+        setCold(now);
+    if (isNewStart && m_phase == phase::ejected)
+        m_phase = phase::probing;
+    if (isNewStart)
+        m_ejectedUntil = std::min(m_ejectedUntil, now);
+}
+
+void server_limit::eject(time_point now)
+{
+    constexpr std::uint32_t largestShift = 16;
+    const duration wanted = m_settings.firstEjection * (1U << std::min(m_ejections, largestShift));
+    m_phase = phase::ejected;
+    m_ejectedUntil = now + std::min(wanted, m_settings.longestEjection);
+    m_consecutiveFailures = 0;
+    ++m_ejections;
+    setCold(now);
+}
+
+void server_limit::onTick(time_point now)
+{
+    if (m_phase == phase::ejected && now >= m_ejectedUntil) {
+        m_phase = phase::probing;
+        m_ejectedUntil = now;
+    }
+}
+
+std::optional<time_point> server_limit::ejectedUntil() const
+{
+    if (m_phase != phase::ejected)
+        return std::nullopt;
+    return m_ejectedUntil;
+}
+
+}
--- /dev/null
+++ b/lib/Fairness/CostEstimator.cpp
@@ -0,0 +1,50 @@
+#include "pimentoladder/Fairness/CostEstimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pimentoladder {
+
+namespace {
+
+    // Weight of the past in the sums: about the last 16 requests count.
+    constexpr double decay = 15.0 / 16.0;
+    // Hints are said to be rough, not absurd; a ratio beyond this is a faulty
+    // hint or cost, and learning it would distort the next charges.
+    constexpr double largestRatio = 100;
+
+    cost_units boundedHint(cost_units hint)
+    {
+        if (!std::isfinite(hint))
+            return 1;
+        return std::clamp(hint, cost_estimator::minHint, cost_estimator::maxHint);
+    }
+
+}
+
+cost_units cost_estimator::estimate(const workspace_id& workspace, const pool_id& pool, cost_units hint) const
+{
+    return boundedHint(hint) * ratio(workspace, pool);
+}
+
+void cost_estimator::observe(const workspace_id& workspace, const pool_id& pool, cost_units hint, cost_units actual)
+{
+    if (!std::isfinite(actual) || actual < 0)
+        return;
+    const cost_units bounded = boundedHint(hint);
+    sums& learned = m_sums[key { workspace, pool }];
+    learned.hinted = learned.hinted * decay + bounded;
+    learned.actual = learned.actual * decay + std::min(actual, bounded * largestRatio);
+}
+
+double cost_estimator::ratio(const workspace_id& workspace, const pool_id& pool) const
+{
+    const auto found = m_sums.find(key { workspace, pool });
+    if (found == m_sums.end())
+        return 1;
+    // The quotient of sums keeps the expected total charge equal to the total
+    // cost; a mean of ratios would not.
+    return std::max(found->second.actual / found->second.hinted, 1 / largestRatio);
+}
+
+}
--- /dev/null
+++ b/lib/Fairness/ServiceLedger.cpp
@@ -0,0 +1,177 @@
+#include "pimentoladder/Fairness/ServiceLedger.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace pimentoladder {
+
+service_ledger::service_ledger(member_ref self)
+    : m_self(std::move(self))
+{
+}
+
+void service_ledger::setWeight(const workspace_id& workspace, double weight)
+{
+    assert(weight > 0 && "the weight of a workspace is above 0");
+    m_accounts[workspace].weight = weight;
+}
+
+service_ledger::account& service_ledger::ownAccount(const workspace_id& workspace)
+{
+    account& owned = m_accounts[workspace];
+    if (!owned.own)
+        owned.own = &*m_counters.try_emplace(counter_key { m_self, workspace }).first;
+    return owned;
+}
+
+void service_ledger::charge(const workspace_id& workspace, cost_units cost)
+{
+    assert(cost >= 0 && "a charge is not negative; use credit");
+    account& owned = ownAccount(workspace);
+    owned.service += cost;
+    owned.own->second.charged += cost;
+    noteChange(*owned.own);
+}
+
+void service_ledger::credit(const workspace_id& workspace, cost_units cost)
+{
+    assert(cost >= 0 && "a credit is not negative; use charge");
+    account& owned = ownAccount(workspace);
+    owned.service -= cost;
+    owned.own->second.credited += cost;
+    noteChange(*owned.own);
+}
+
+double service_ledger::virtualTime(const shard_id& shard, const workspace_id& workspace) const
+{
+    const lift* lifted = findLift(shard, workspace);
+    const double base = lifted ? lifted->value : 0;
+    const auto found = m_accounts.find(workspace);
+    if (found == m_accounts.end())
+        return base;
+    return found->second.service / found->second.weight + base;
+}
+
+void service_ledger::liftTo(const shard_id& shard, const workspace_id& workspace, double target)
+{
+    const double missing = target - virtualTime(shard, workspace);
+    if (missing <= 0)
+        return;
+    const lift* lifted = findLift(shard, workspace);
+    const double base = lifted ? lifted->value : 0;
+    if (const auto raised = raiseLift(shard, workspace, base + missing))
+        noteChange(*raised);
+}
+
+double service_ledger::clock(const shard_id& shard) const
+{
+    const lift* found = findLift(shard, workspace_id());
+    return found ? found->value : 0;
+}
+
+void service_ledger::advanceClock(const shard_id& shard, double virtualTime)
+{
+    if (const auto raised = raiseLift(shard, workspace_id(), virtualTime))
+        noteChange(*raised);
+}
+
+cost_units service_ledger::service(const workspace_id& workspace) const
+{
+    const auto found = m_accounts.find(workspace);
+    return found == m_accounts.end() ? 0 : found->second.service;
+}
+
+const service_ledger::lift* service_ledger::findLift(const shard_id& shard, const workspace_id& workspace) const
+{
+    const auto found = m_lifts.find(lift_key { shard, workspace });
+    return found == m_lifts.end() ? nullptr : &found->second;
+}
+
+service_ledger::lift_map::pointer service_ledger::raiseLift(
+    const shard_id& shard, const workspace_id& workspace, double value)
+{
+    auto& entry = *m_lifts.try_emplace(lift_key { shard, workspace }).first;
+    if (value <= entry.second.value)
+        return nullptr;
+    entry.second.value = value;
+    return &entry;
+}
+
+void service_ledger::noteChange(counter_map::reference changed)
+{
+    m_counterChanges.erase(changed.second.changedAt);
+    changed.second.changedAt = ++m_version;
+    m_counterChanges.emplace_hint(m_counterChanges.end(), m_version, &changed);
+}
+
+void service_ledger::noteChange(lift_map::reference changed)
+{
+    m_liftChanges.erase(changed.second.changedAt);
+    changed.second.changedAt = ++m_version;
+    m_liftChanges.emplace_hint(m_liftChanges.end(), m_version, &changed);
+}
+
+void service_ledger::mergeCounter(const service_counter& received)
+{
+    if (received.owner == m_self)
+        return;
+    counter& known = m_counters[counter_key { received.owner, received.workspace }];
+    const cost_units charged = std::max(known.charged, received.charged);
+    const cost_units credited = std::max(known.credited, received.credited);
+    if (charged == known.charged && credited == known.credited)
+        return;
+    m_accounts[received.workspace].service += (charged - known.charged) - (credited - known.credited);
+    known.charged = charged;
+    known.credited = credited;
+    ++m_mergeCount;
+}
+
+void service_ledger::merge(const service_counters& received)
+{
+    for (const service_counter& entry : received.entries)
+        mergeCounter(entry);
+    for (const service_lift& entry : received.lifts) {
+        if (raiseLift(entry.shard, entry.workspace, entry.lift))
+            ++m_mergeCount;
+    }
+}
+
+service_counters service_ledger::takeChanges(const member_ref& peer)
+{
+    service_counters changes;
+    const auto addCounter = [&](counter_map::const_reference entry) {
+        const auto& [key, value] = entry;
+        changes.entries.push_back({ key.owner, key.workspace, value.charged, value.credited });
+    };
+    const auto addLift = [&](lift_map::const_reference entry) {
+        changes.lifts.push_back({ entry.first.shard, entry.first.workspace, entry.second.value });
+    };
+    const auto [sent, isFirst] = m_sentUpTo.try_emplace(peer, 0);
+    if (isFirst) {
+        std::ranges::for_each(m_counters, addCounter);
+        std::ranges::for_each(m_lifts, addLift);
+    } else {
+        for (auto entry = m_counterChanges.upper_bound(sent->second); entry != m_counterChanges.end(); ++entry)
+            addCounter(*entry->second);
+        for (auto entry = m_liftChanges.upper_bound(sent->second); entry != m_liftChanges.end(); ++entry)
+            addLift(*entry->second);
+    }
+    sent->second = m_version;
+    return changes;
+}
+
+void service_ledger::restateTo(const member_ref& peer)
+{
+    m_sentUpTo.erase(peer);
+}
+
+void service_ledger::adoptCounters(const member_ref& owner)
+{
+    m_sentUpTo.erase(owner);
+    const auto first = m_counters.lower_bound(counter_key { owner, workspace_id() });
+    for (auto entry = first; entry != m_counters.end() && entry->first.owner == owner; ++entry)
+        noteChange(*entry);
+}
+
+}
