Declare the HTTP server, client and inspector

Refusal and AttemptEnd lie in Outcome, so that the core decides on facts and kinds without HTTP types.

--- /dev/null
+++ b/include/pimentoladder/Net/EventLoop.h
@@ -0,0 +1,98 @@
+/// \file
+/// The event loop with its clock, timers, deferred calls and signals.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "pimentoladder/Base/Time.h"
+
+struct event;
+struct event_base;
+
+namespace pimentoladder {
+
+/// Owns the libevent base. The only reader of the clock.
+/// Not thread-safe; every object that takes the loop lives on its thread and
+/// must be destroyed before it.
+class event_loop {
+public:
+    /// Throws `std::runtime_error` if the system refuses an event base.
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /// Returns the present time. Counts time during which the VM is suspended.
+    time_point now() const;
+
+    /// Handles events until `stop` is called.
+    void run();
+
+    /// Handles events until `stop` is called or \p limit has passed.
+    void runFor(duration limit);
+
+    /// Makes `run` return after the event in progress.
+    void stop();
+
+    /// Returns the base for libevent calls; owned by the loop.
+    event_base* base() const { return m_base; }
+
+private:
+    event_base* m_base;
+};
+
+/// Calls a function once after a delay; may be armed again afterwards.
+/// Destroying it cancels the call, also from within the function itself.
+/// Not thread-safe; call on the loop's thread.
+class loop_timer {
+public:
+    loop_timer(event_loop& loop, std::function<void()> callback);
+    ~loop_timer();
+    loop_timer(const loop_timer&) = delete;
+    loop_timer& operator=(const loop_timer&) = delete;
+
+    /// Arms the timer, replacing an earlier delay. A negative delay counts as zero.
+    void arm(duration delay);
+    void cancel();
+    bool isArmed() const;
+
+private:
+    std::shared_ptr<std::function<void()>> m_callback;
+    event* m_event;
+};
+
+/// Calls a function on the loop after the callback in progress has returned and
+/// before the loop waits for input. Requests before that call are merged.
+/// Not thread-safe; call on the loop's thread.
+class deferred_call {
+public:
+    deferred_call(event_loop& loop, std::function<void()> callback);
+    ~deferred_call();
+    deferred_call(const deferred_call&) = delete;
+    deferred_call& operator=(const deferred_call&) = delete;
+
+    void schedule();
+    void cancel();
+
+private:
+    std::shared_ptr<std::function<void()>> m_callback;
+    event* m_event;
+};
+
+/// Calls a function on the loop each time the process receives a signal.
+/// Not thread-safe; call on the loop's thread.
+class signal_watch {
+public:
+    signal_watch(event_loop& loop, int signalNumber, std::function<void()> callback);
+    ~signal_watch();
+    signal_watch(const signal_watch&) = delete;
+    signal_watch& operator=(const signal_watch&) = delete;
+
+private:
+    std::shared_ptr<std::function<void()>> m_callback;
+    event* m_event;
+};
+
+}
--- /dev/null
+++ b/include/pimentoladder/Net/HttpClient.h
@@ -0,0 +1,91 @@
+/// \file
+/// HTTP/1.1 client over evhttp that reports how far each attempt got.
+
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "pimentoladder/Base/Time.h"
+#include "pimentoladder/Config/Document.h"
+#include "pimentoladder/Net/HttpMessage.h"
+#include "pimentoladder/Outcome/AttemptEnd.h"
+
+namespace pimentoladder {
+
+class event_loop;
+
+/// Limits and timeouts of a client.
+struct http_client_limits {
+    std::size_t headBytes = 64 * 1024;
+    std::size_t idleConnectionsPerEndpoint = 32;
+    duration connectTimeout = std::chrono::seconds(1);
+    duration firstByteTimeout = std::chrono::seconds(60); ///< From connected to the first byte of the head.
+    duration idleTimeout = std::chrono::seconds(30); ///< Between two parts of an answer, while reading is not paused.
+    duration keepAliveTimeout = std::chrono::seconds(30); ///< How long an unused connection is kept.
+};
+
+/// One attempt to be made. The client adds `Host` and the framing headers.
+struct http_client_request {
+    endpoint server;
+    std::string method;
+    std::string target;
+    http_headers headers; ///< Hop-by-hop headers are removed.
+    std::string body;
+    bool mayReuseConnection = true; ///< Whether a kept-alive connection may carry the request.
+};
+
+/// What the owner of an attempt is told, in this order. No function is called
+/// after `onEnd` or after `cancel`, nor from within `http_client::send`.
+struct http_client_callbacks {
+    /// Asked once, with the connection open, before the first byte of the
+    /// request is given to the socket. If it returns false no byte is given and
+    /// the attempt ends as `notSent`. Without it, the answer is yes.
+    std::function<bool()> maySend;
+    std::function<void(const http_response_head& head)> onHead;
+    std::function<void(std::string_view bytes)> onBody;
+    std::function<void(attempt_end end)> onEnd;
+};
+
+/// Handle of one attempt. Destroying it cancels the attempt.
+/// Not thread-safe; call on the loop's thread.
+class http_client_attempt {
+public:
+    virtual ~http_client_attempt() = default;
+
+    /// Stops reading from the server. At most one further part of the body
+    /// arrives. The idle timeout does not run while reading is paused.
+    virtual void pause() = 0;
+    virtual void resume() = 0;
+
+    /// Closes the connection. No callback follows.
+    virtual void cancel() = 0;
+
+    /// Returns whether a byte of the request may have reached the socket.
+    virtual bool mayHaveBeenSent() const = 0;
+};
+
+/// Sends requests, each exactly once, over kept-alive connections. It never
+/// sends a request again by itself.
+/// Not thread-safe; call on the loop's thread. Attempts may outlive the client.
+class http_client {
+public:
+    http_client(event_loop& loop, http_client_limits limits);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    std::unique_ptr<http_client_attempt> send(http_client_request request, http_client_callbacks callbacks);
+
+    /// Returns the number of unused connections that are kept.
+    std::size_t idleConnectionCount() const;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> m_implementation;
+};
+
+}
--- /dev/null
+++ b/include/pimentoladder/Net/HttpInspector.h
@@ -0,0 +1,152 @@
+/// \file
+/// Strict incremental checks of raw HTTP/1.1 bytes, ahead of evhttp. evhttp
+/// truncates heads at NUL, joins folded lines, ignores the body of some methods
+/// and merges trailers into the headers; none of these reach it.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "pimentoladder/Net/HttpMessage.h"
+#include "pimentoladder/Outcome/Refusal.h"
+
+namespace pimentoladder {
+
+/// Why a message was rejected.
+struct http_violation {
+    refusal_kind kind = refusal_kind::malformedRequest;
+    std::string message;
+};
+
+/// Limits of one message.
+struct http_message_limits {
+    std::size_t headBytes = 0;
+    std::uint64_t bodyBytes = 0;
+};
+
+/// How the end of a message's body is found.
+enum class http_framing {
+    none, ///< No body.
+    length, ///< `Content-Length`.
+    chunked, ///< `Transfer-Encoding: chunked`.
+    untilClose, ///< Responses only: the body ends with the connection.
+};
+
+/// How far a message has been read.
+enum class http_progress {
+    head,
+    body,
+    complete,
+    violated,
+};
+
+/// Reads one message after the other from raw bytes. It makes no system calls
+/// and keeps only the head that is not complete yet.
+/// Not thread-safe.
+class http_inspector {
+public:
+    /// Reads requests.
+    static http_inspector forRequests(http_message_limits limits);
+
+    /// Reads responses. Interim responses (1xx) are dropped.
+    static http_inspector forResponses(http_message_limits limits);
+
+    /// Reads on, up to the end of the message. Body bytes, without their chunked
+    /// coding, are appended to \p body. Trailers are dropped.
+    /// Returns how many bytes were consumed. It is less than the size of \p bytes
+    /// only if the message is complete or violated.
+    std::size_t feed(std::string_view bytes, std::string& body);
+
+    /// States that no further byte will come. Completes a body that ends with
+    /// the connection; leaves any other unfinished message as it is.
+    void feedEnd();
+
+    /// Prepares for the next message. \p requestMethod is the method that the
+    /// response answers; a response to HEAD has no body.
+    void reset(std::string_view requestMethod = {});
+
+    http_progress progress() const { return m_progress; }
+    http_framing framing() const { return m_framing; }
+
+    /// Returns the violation. Precondition: `progress() == violated`.
+    const http_violation& violation() const { return m_violation; }
+
+    /// Returns whether any byte of the message has been read.
+    bool hasBegun() const { return m_hasBegun; }
+
+    /// Returns whether the sender waits for an interim response before it sends
+    /// the body. Valid once the head is complete.
+    bool expectsContinue() const { return m_expectsContinue; }
+
+    /// Returns whether the connection may carry another message. Valid once the
+    /// head is complete.
+    bool isPersistent() const { return m_isPersistent; }
+
+    /// Returns the checked head in normal form: one line per header, an
+    /// origin-form target, and no framing header other than `Content-Length` or
+    /// `Transfer-Encoding: chunked`. Valid once the head is complete.
+    const std::string& head() const { return m_head; }
+
+private:
+    enum class body_part {
+        data, ///< `m_remaining` bytes of the body or of one chunk.
+        chunkSize, ///< The line before a chunk.
+        chunkEnd, ///< The line break after a chunk.
+        trailer, ///< Lines after the last chunk.
+    };
+
+    http_inspector(bool readsRequests, http_message_limits limits);
+
+    std::size_t feedHead(std::string_view bytes);
+    std::size_t feedBody(std::string_view bytes, std::string& body);
+    std::size_t feedData(std::string_view bytes, std::string& body);
+    std::size_t feedChunkLine(std::string_view bytes);
+    void takeChunkLine(std::string_view line);
+    void takeChunkSize(std::string_view line);
+    void endHead();
+    bool checkLines(std::string_view text);
+    bool takeFirstLine(std::string_view line);
+    bool takeRequestLine(std::string_view line);
+    bool takeStatusLine(std::string_view line);
+    bool takeTarget(std::string_view target);
+    bool takeHeader(std::string_view line);
+    bool takeLength(std::string_view value);
+    bool takeHost(std::string_view value);
+    bool checkHead();
+    bool chooseFraming();
+    void writeHead();
+    void startBody();
+    bool violate(refusal_kind kind, std::string message);
+
+    bool m_readsRequests;
+    http_message_limits m_limits;
+    http_progress m_progress = http_progress::head;
+    http_framing m_framing = http_framing::none;
+    body_part m_part = body_part::data;
+    http_violation m_violation;
+    std::string m_raw; ///< The head so far, or one unfinished line of a chunked body.
+    std::string m_head;
+    std::string m_requestMethod;
+    std::string m_method;
+    std::string m_target;
+    std::string m_authority; ///< From an absolute-form target; replaces `Host`.
+    std::string m_reason;
+    http_headers m_headers;
+    std::optional<std::uint64_t> m_length;
+    std::string m_transferEncoding;
+    std::uint64_t m_remaining = 0;
+    std::uint64_t m_bodyBytes = 0;
+    std::size_t m_trailerBytes = 0;
+    int m_minorVersion = 1;
+    int m_status = 0;
+    int m_hostCount = 0;
+    bool m_hasBegun = false;
+    bool m_expectsContinue = false;
+    bool m_isPersistent = true;
+};
+
+}
--- /dev/null
+++ b/include/pimentoladder/Net/HttpServer.h
@@ -0,0 +1,105 @@
+/// \file
+/// HTTP/1.1 server over evhttp, for callers and for administration.
+
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "pimentoladder/Base/Error.h"
+#include "pimentoladder/Base/Time.h"
+#include "pimentoladder/Config/Document.h"
+#include "pimentoladder/Net/HttpMessage.h"
+#include "pimentoladder/Outcome/Refusal.h"
+
+namespace pimentoladder {
+
+class event_loop;
+
+/// Limits of one server. All apply to each connection but `connections`.
+struct http_server_limits {
+    std::size_t headBytes = 32 * 1024;
+    std::size_t bodyBytes = 8 * 1024 * 1024;
+    std::size_t connections = 4096;
+    duration headTimeout = std::chrono::seconds(10); ///< From the first byte of a head to its end.
+    duration bodyTimeout = std::chrono::seconds(60); ///< From the end of the head to the end of the body.
+    duration idleTimeout = std::chrono::seconds(75); ///< Without a request in progress.
+    duration writeTimeout = std::chrono::seconds(60); ///< While the caller takes no byte of a waiting answer.
+    duration lingerTimeout = std::chrono::seconds(1); ///< Reading on after a refusal, so that it is not lost to a reset.
+};
+
+/// The answer to one request. Dropping the last reference to an answer that has
+/// not ended aborts it. After the caller has left, all calls are without effect.
+/// Not thread-safe; call on the loop's thread.
+class http_answer {
+public:
+    virtual ~http_answer() = default;
+
+    /// Sends the head. With a `Content-Length` header the body has that length;
+    /// otherwise it is chunked. Precondition: not started.
+    virtual void start(const http_response_head& head) = 0;
+
+    /// Sends a part of the body. Ignored where the answer has no body (HEAD,
+    /// 204, 304). Precondition: started and not ended.
+    virtual void send(std::string_view bytes) = 0;
+
+    /// Ends the answer. If fewer bytes were sent than announced, the answer is
+    /// aborted instead.
+    virtual void end() = 0;
+
+    /// Closes the connection without the closing chunk or before the announced
+    /// length, so that the caller sees that the answer is not complete.
+    virtual void abort() = 0;
+
+    /// Sends a whole answer.
+    virtual void reply(const http_response_head& head, std::string_view body) = 0;
+
+    /// Sends a refusal with its status and JSON body.
+    virtual void refuse(refusal_kind kind, std::string_view message) = 0;
+
+    /// Returns how many bytes wait to be taken by the caller.
+    virtual std::size_t pendingBytes() const = 0;
+
+    /// Calls \p callback once when at most \p lowBytes wait; replaces an earlier
+    /// call. It is not called if the caller leaves.
+    virtual void whenDrained(std::size_t lowBytes, std::function<void()> callback) = 0;
+
+    /// Calls \p callback once if the caller closes the connection before the
+    /// answer has ended. A caller that closes only its sending side counts as
+    /// having left.
+    virtual void whenCallerLeaves(std::function<void()> callback) = 0;
+};
+
+/// Called once for each request that passes the checks.
+using http_handler = std::function<void(http_request request, std::shared_ptr<http_answer> answer)>;
+
+/// Listens, checks requests and hands them to a handler. Requests that break
+/// the protocol or a limit are refused before the handler sees them. Pipelined
+/// requests are handled one after the other.
+/// Not thread-safe; call on the loop's thread. Answers may outlive the server.
+class http_server {
+public:
+    http_server(event_loop& loop, http_server_limits limits, http_handler handler);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// Starts to listen. Port 0 takes a free port.
+    /// Returns the address in use. Errors: `unavailable` if it cannot be bound.
+    result<endpoint> listen(const endpoint& location);
+
+    /// Stops accepting connections and ends kept-alive ones after the request
+    /// in progress. Requests in progress go on.
+    void drain();
+
+    /// Returns the number of open connections.
+    std::size_t connectionCount() const;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> m_implementation;
+};
+
+}
--- /dev/null
+++ b/include/pimentoladder/Outcome/AttemptEnd.h
@@ -0,0 +1,27 @@
+/// \file
+/// How an attempt to have a request served by a backend server ended.
+
+#pragma once
+
+#include <cstdint>
+
+namespace pimentoladder {
+
+enum class attempt_end_kind {
+    complete, ///< The whole answer arrived.
+    notSent, ///< No byte of the request reached a connected socket.
+    resetAfterSent, ///< The connection broke before the head of the answer was complete.
+    truncated, ///< The answer ended before its announced length or closing chunk.
+    timeout, ///< The server fell silent after a byte of the request may have been sent.
+    malformed, ///< The answer breaks the protocol.
+};
+
+/// The fact that decides retries, and how the attempt ended.
+struct attempt_end {
+    attempt_end_kind kind = attempt_end_kind::notSent;
+    bool mayHaveBeenSent = false; ///< Whether a byte of the request may have reached a connected socket.
+
+    bool operator==(const attempt_end&) const = default;
+};
+
+}
--- /dev/null
+++ b/include/pimentoladder/Outcome/Refusal.h
@@ -0,0 +1,82 @@
+/// \file
+/// Every reason for which a caller gets an answer that no backend server gave.
+
+#pragma once
+
+#include <string_view>
+
+namespace pimentoladder {
+
+enum class refusal_kind {
+    // The request breaks the protocol or a limit of the server.
+    malformedRequest,
+    conflictingLength,
+    invalidLength,
+    unknownTransferCoding,
+    missingHost,
+    duplicateHost,
+    headTooLarge,
+    bodyTooLarge,
+    requestTimeout,
+    methodNotAllowed,
+    expectationFailed,
+    versionNotSupported,
+    tooManyConnections,
+    // The request cannot be routed.
+    unauthenticated,
+    noPool,
+    noEligibleServer,
+    invalidCostHint,
+    // The request was not given to a backend server.
+    queueFull,
+    queueTimeout,
+    connectionLimit,
+    notFresh,
+    draining,
+    serverUnreachable,
+    retryBudgetExhausted,
+    quarantined,
+    // Idempotency claims.
+    claimUnavailable,
+    claimInProgress,
+    keyReused,
+    // The request was given to a backend server.
+    outcomeUnknown,
+    serverFailed,
+    serverTimeout,
+};
+
+/// Number of refusal kinds.
+inline constexpr int refusalKindCount = static_cast<int>(refusal_kind::serverTimeout) + 1;
+
+/// Whether a refused request ran.
+enum class run_state {
+    notRun, ///< No backend server received a byte of this request.
+    unknown, ///< A backend server may have run it.
+    elsewhere, ///< An earlier request with the same idempotency key runs or ran; this one did not.
+};
+
+/// What the caller should do with the same request.
+enum class retry_advice {
+    no, ///< It would be refused again; correct it first.
+    later, ///< Send it again after a short wait.
+    afterCheck, ///< Find out first whether it took effect.
+};
+
+/// One row of the table of refusals.
+struct refusal {
+    refusal_kind kind;
+    std::string_view name; ///< Machine-readable, in snake case.
+    int status; ///< HTTP status code.
+    run_state ran;
+    retry_advice retry;
+    std::string_view message; ///< Default text for people.
+};
+
+/// Returns the row of a kind. Thread-safe.
+const refusal& refusalOf(refusal_kind kind);
+
+/// Returns the machine-readable name of an advice. Thread-safe.
+std::string_view retryAdviceName(retry_advice advice);
+
+}
