--- a/include/pimentoladder/Net/HttpMessage.h
+++ b/include/pimentoladder/Net/HttpMessage.h
@@ -8,15 +8,11 @@
 #include <string_view>
 #include <vector>
 
-namespace pimentoladder {
-
-struct http_header {
-    std::string name;
-    std::string value;
+#include "pimentoladder/Outcome/Answer.h"
 
-    bool operator==(const http_header&) const = default;
-};
+namespace pimentoladder {
 
+using http_header = header_field;
 using http_headers = std::vector<http_header>;
 
 /// Returns whether two header names are equal, ignoring case. Thread-safe.
