--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -141,6 +141,13 @@
     std::vector<in_flight_entry> entries;
 };
 
+/// States that the sender owns a shard under `token`. Sent when it begins to
+/// own it, and to a router that asks under another token.
+struct shard_owner {
+    shard_id shard;
+    fencing_token token;
+};
+
 /// States that the sender no longer acts as owner of a shard under `token`.
 struct shard_release {
     shard_id shard;
@@ -177,6 +184,6 @@
 };
 
 using message = std::variant<heartbeat, revision_announce, config_request, config_update, suspend, acquire, grant,
-    grant_report, recall, in_flight_report, shard_release, service_counters, crash_report>;
+    grant_report, recall, in_flight_report, shard_release, service_counters, crash_report, shard_owner>;
 
 }
--- a/include/pimentoladder/Router/Actions.h
+++ b/include/pimentoladder/Router/Actions.h
@@ -9,9 +9,12 @@
 #include <variant>
 #include <vector>
 
+#include "pimentoladder/Base/Error.h"
 #include "pimentoladder/Base/Ids.h"
 #include "pimentoladder/Base/Time.h"
 #include "pimentoladder/Config/Rows.h"
+#include "pimentoladder/Outcome/IdempotencyClaims.h"
+#include "pimentoladder/Outcome/RequestLifecycle.h"
 #include "pimentoladder/Protocol/Messages.h"
 
 namespace pimentoladder {
@@ -48,11 +51,6 @@
     std::vector<row_change> writes;
 };
 
-/// Open links to these routers and close others.
-struct set_peers {
-    std::vector<std::pair<vm_id, endpoint>> peers;
-};
-
 /// This router was removed or suspended while it lived and returns under a new
 /// incarnation: all links must be closed and opened again under it.
 struct change_incarnation {
@@ -64,6 +62,66 @@
     revision at;
 };
 
-using fleet_action = std::variant<send_message, poll_revision, fetch_rows, commit_rows, change_incarnation, document_in_force>;
+/// The set of suspended members has changed.
+struct membership_changed { };
+
+/// Something was received that cannot be used.
+struct report_fault {
+    error fault;
+};
+
+/// Read the load of a backend server.
+struct poll_load {
+    server_id server;
+    endpoint location;
+};
+
+/// Open an attempt at a backend server.
+struct start_attempt {
+    request_number request;
+    open_attempt attempt;
+    endpoint location;
+};
+
+/// Tell an engine to stop a stream.
+struct stop_stream {
+    endpoint location;
+    std::string stream;
+};
+
+/// A step of one request that concerns its caller or its attempt.
+struct request_step {
+    request_number request;
+    request_action step;
+};
+
+/// A grant was used: the record of one routing decision.
+struct route_decision {
+    request_number request;
+    attempt_number attempt;
+    workspace_id workspace;
+    pool_id pool;
+    server_id server;
+    shard_id shard;
+    member_ref owner;
+    fencing_token token;
+    grant_number grant;
+    duration waited {};
+    revision at;
+    std::size_t candidates = 0; ///< Servers in service that the workspace may reach in the pool.
+};
+
+/// This router became, or ceased to be, owner of a shard.
+struct ownership_decision {
+    shard_id shard;
+    fencing_token token;
+    bool isOwner = false;
+    time_point grantsFrom; ///< First grant at the earliest.
+};
+
+using router_action = std::variant<send_message, poll_revision, fetch_rows, commit_rows, change_incarnation,
+    document_in_force, membership_changed, report_fault, poll_load, start_attempt, stop_stream, request_step,
+    write_claims, read_claims, store_body, route_decision, ownership_decision>;
+using router_actions = std::vector<router_action>;
 
 }
