--- a/include/pimentoladder/Config/Document.h
+++ b/include/pimentoladder/Config/Document.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -132,8 +133,12 @@
     std::map<rule_id, service_rule> serviceRules;
     std::map<vm_id, member> members;
     witness_roster roster;
+    /// Revision of the transaction that wrote each row, by key. A row without
+    /// an entry counts as written at `at`.
+    std::map<std::string, revision, std::less<>> rowRevisions;
 
-    bool operator==(const document&) const = default;
+    /// Compares the contents and the revision, not the revisions of the rows.
+    bool operator==(const document& other) const;
 };
 
 }
--- a/include/pimentoladder/Config/Rows.h
+++ b/include/pimentoladder/Config/Rows.h
@@ -40,13 +40,20 @@
 /// Thread-safe.
 result<document_value> defaultRowValue(std::string_view key);
 
-/// Applies one row to \p target, without changing its revision.
+/// Returns the revision of the transaction that wrote the row. Thread-safe.
+revision rowRevision(const document& source, std::string_view key);
+
+/// Returns the object in row \p key, or none if there is no such row.
+/// Thread-safe.
+std::optional<document_value> findRow(const document& source, std::string_view key);
+
+/// Applies one row to \p target, without changing the document's revision.
 /// Errors: `invalidArgument` if the key does not belong to the document or
 /// names another object than the value. Not thread-safe.
 result<void> applyRow(document& target, const row_change& change);
 
-/// Returns every row of \p source, in order of key. The revision of each row
-/// is that of the document. Thread-safe.
+/// Returns every row of \p source, in order of key, each with the revision at
+/// which it was written. Thread-safe.
 std::vector<row_change> allRows(const document& source);
 
 }
--- a/include/pimentoladder/Config/Selector.h
+++ b/include/pimentoladder/Config/Selector.h
@@ -50,6 +50,8 @@
 
     bool matches(const label_map& labels) const;
 
+    const std::vector<label_requirement>& requirements() const { return m_requirements; }
+
     bool operator==(const selector&) const = default;
 
 private:
--- a/lib/Config/Rows.cpp
+++ b/lib/Config/Rows.cpp
@@ -31,11 +31,12 @@
         }
     };
 
-    // One kind of row: its key prefix, and how the document makes, drops and
-    // lists its rows.
+    // One kind of row: its key prefix, and how the document makes, finds,
+    // drops and lists its rows.
     struct row_kind {
         std::string_view prefix;
         document_value (*make)(std::string name);
+        std::optional<document_value> (*find)(const document&, std::string name);
         void (*erase)(document&, std::string name);
         void (*list)(const document&, std::vector<row_change>&);
     };
@@ -53,28 +54,44 @@
         }
     };
 
+    template <auto Map, typename Id>
+    std::optional<document_value> findIn(const document& source, std::string name)
+    {
+        const auto found = (source.*Map).find(Id(std::move(name)));
+        if (found == (source.*Map).end())
+            return std::nullopt;
+        return found->second;
+    }
+
     template <auto Map, typename Id>
     void eraseFrom(document& target, std::string name)
     {
         (target.*Map).erase(Id(std::move(name)));
     }
 
+    void appendRow(
+        const document& source, std::string key, const document_value& value, std::vector<row_change>& rows)
+    {
+        const revision changedAt = rowRevision(source, key);
+        rows.push_back({ std::move(key), value, changedAt });
+    }
+
     template <auto Map>
     void listFrom(const document& source, std::vector<row_change>& rows)
     {
         for (const auto& [id, value] : source.*Map)
-            rows.push_back({ rowKey(value), value, source.at });
+            appendRow(source, rowKey(value), value, rows);
     }
 
     // In order of key, as allRows promises.
     constexpr row_kind rowKinds[] = {
-        { accessRulePrefix, named<&access_rule::id>::make, eraseFrom<&document::accessRules, rule_id>, listFrom<&document::accessRules> },
-        { dataCentrePrefix, named<&data_centre::id>::make, eraseFrom<&document::dataCentres, data_centre_id>, listFrom<&document::dataCentres> },
-        { poolPrefix, named<&pool::id>::make, eraseFrom<&document::pools, pool_id>, listFrom<&document::pools> },
-        { serverPrefix, named<&backend_server::id>::make, eraseFrom<&document::servers, server_id>, listFrom<&document::servers> },
-        { serviceRulePrefix, named<&service_rule::id>::make, eraseFrom<&document::serviceRules, rule_id>, listFrom<&document::serviceRules> },
-        { workspacePrefix, named<&workspace::id>::make, eraseFrom<&document::workspaces, workspace_id>, listFrom<&document::workspaces> },
-        { memberPrefix, named<&member::vm>::make, eraseFrom<&document::members, vm_id>, listFrom<&document::members> },
+        { accessRulePrefix, named<&access_rule::id>::make, findIn<&document::accessRules, rule_id>, eraseFrom<&document::accessRules, rule_id>, listFrom<&document::accessRules> },
+        { dataCentrePrefix, named<&data_centre::id>::make, findIn<&document::dataCentres, data_centre_id>, eraseFrom<&document::dataCentres, data_centre_id>, listFrom<&document::dataCentres> },
+        { poolPrefix, named<&pool::id>::make, findIn<&document::pools, pool_id>, eraseFrom<&document::pools, pool_id>, listFrom<&document::pools> },
+        { serverPrefix, named<&backend_server::id>::make, findIn<&document::servers, server_id>, eraseFrom<&document::servers, server_id>, listFrom<&document::servers> },
+        { serviceRulePrefix, named<&service_rule::id>::make, findIn<&document::serviceRules, rule_id>, eraseFrom<&document::serviceRules, rule_id>, listFrom<&document::serviceRules> },
+        { workspacePrefix, named<&workspace::id>::make, findIn<&document::workspaces, workspace_id>, eraseFrom<&document::workspaces, workspace_id>, listFrom<&document::workspaces> },
+        { memberPrefix, named<&member::vm>::make, findIn<&document::members, vm_id>, eraseFrom<&document::members, vm_id>, listFrom<&document::members> },
     };
 
     const row_kind* rowKindOf(std::string_view key)
@@ -111,6 +128,13 @@
 
 }
 
+bool document::operator==(const document& other) const
+{
+    return at == other.at && workspaces == other.workspaces && pools == other.pools && servers == other.servers
+        && dataCentres == other.dataCentres && accessRules == other.accessRules && serviceRules == other.serviceRules
+        && members == other.members && roster == other.roster;
+}
+
 std::string rowKey(const document_value& value)
 {
     return std::visit(key_visitor {}, value);
@@ -132,6 +156,20 @@
     return kind->make(std::string(key.substr(kind->prefix.size())));
 }
 
+revision rowRevision(const document& source, std::string_view key)
+{
+    const auto found = source.rowRevisions.find(key);
+    return found == source.rowRevisions.end() ? source.at : found->second;
+}
+
+std::optional<document_value> findRow(const document& source, std::string_view key)
+{
+    if (key == rosterKey && source.roster != witness_roster {})
+        return source.roster;
+    const row_kind* kind = rowKindOf(key);
+    return kind ? kind->find(source, std::string(key.substr(kind->prefix.size()))) : std::nullopt;
+}
+
 result<void> applyRow(document& target, const row_change& change)
 {
     if (!isDocumentKey(change.key))
@@ -139,6 +177,7 @@
             "row \"" + change.key + "\" does not belong to the document; leave it out");
     if (!change.value) {
         eraseRow(target, change.key);
+        target.rowRevisions.erase(change.key);
         return {};
     }
     if (rowKey(*change.value) != change.key)
@@ -146,6 +185,7 @@
             "row \"" + change.key + "\" holds the object of row \"" + rowKey(*change.value)
                 + "\"; store each object under its own key");
     std::visit(store_visitor { target }, *change.value);
+    target.rowRevisions.insert_or_assign(change.key, change.changedAt);
     return {};
 }
 
@@ -155,7 +195,7 @@
     for (const auto& kind : rowKinds)
         kind.list(source, rows);
     if (source.roster != witness_roster {})
-        rows.push_back({ std::string(rosterKey), source.roster, source.at });
+        appendRow(source, std::string(rosterKey), source.roster, rows);
     return rows;
 }
 
--- a/unittests/Config/RowsTests.cpp
+++ b/unittests/Config/RowsTests.cpp
@@ -64,3 +64,21 @@
     CHECK_FALSE(applyRow(target, { "config/pool/b", other, revision(1) }));
     CHECK(target == document());
 }
+
+// Guards against an operator's condition that passes although the row changed,
+// or fails because another row did.
+TEST_CASE("rows keep the revision that wrote them")
+{
+    document target;
+    target.at = revision(7);
+    workspace tenant;
+    tenant.id = workspace_id("a");
+    REQUIRE(applyRow(target, { "config/workspace/a", tenant, revision(3) }));
+    CHECK(rowRevision(target, "config/workspace/a") == revision(3));
+    CHECK(rowRevision(target, "config/workspace/b") == revision(7));
+    CHECK(allRows(target).front().changedAt == revision(3));
+    CHECK(findRow(target, "config/workspace/a") == document_value(tenant));
+    REQUIRE(applyRow(target, { "config/workspace/a", std::nullopt, revision(8) }));
+    CHECK_FALSE(findRow(target, "config/workspace/a"));
+    CHECK_FALSE(findRow(target, "roster"));
+}
