--- a/include/pimentoladder/Freshness/AcceptanceTracker.h
+++ b/include/pimentoladder/Freshness/AcceptanceTracker.h
@@ -3,8 +3,8 @@
 
 #pragma once
 
+#include <cstddef>
 #include <deque>
-#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -45,7 +45,8 @@
     /// a newer incarnation confirms the death of a witness.
     void documentApplied(const document& applied, time_point now);
 
-    /// Takes in the platform's list. A VM that it no longer names is confirmed dead.
+    /// Takes in the platform's list. A VM that it no longer names is confirmed
+    /// dead. A list that does not name this router's own VM is ignored.
     void vmListReceived(const vm_list& list, time_point now);
 
     /// Re-evaluates what is accepted; call after every group of inputs.
@@ -81,12 +82,13 @@
         std::optional<time_point> absentSince;
     };
 
-    bool isWitness(const member_ref& candidate) const;
+    bool isWitnessVm(const vm_id& vm) const;
+    std::size_t acknowledgementsNeeded(const std::vector<member_ref>& witnesses) const;
     std::optional<revision> acceptedIn(const std::vector<member_ref>& witnesses) const;
     bool isSuspensionAcceptedIn(const std::vector<member_ref>& witnesses, const member_ref& member) const;
     bool holdsSuspension(const member_ref& witness, const member_ref& member) const;
     void updateRevision(time_point now);
-    void updateSuspensions(time_point now);
+    void updateSuspensions(bool isFresh, time_point now);
     void forgetFormerWitnesses();
 
     member_ref m_self;
--- a/include/pimentoladder/Freshness/FreshnessTracker.h
+++ b/include/pimentoladder/Freshness/FreshnessTracker.h
@@ -129,7 +129,7 @@
         time_point probeSentAt;
         freshness_statement statement;
     };
-    struct peer {
+    struct peer_record {
         incarnation start;
         std::deque<sent_probe> probes;
         std::optional<answer> newest;
@@ -146,27 +146,28 @@
     bool isSuspensionCurrent(const answer& from) const;
     std::optional<time_point> quorumBasis(answer_test isCurrent, time_point now) const;
     std::optional<time_point> relayBasis(answer_test isCurrent, age_member age) const;
-    void advance(std::optional<time_point>& basis, std::optional<time_point> candidate);
+    static void advance(std::optional<time_point>& basis, std::optional<time_point> candidate);
     void reevaluate(time_point now);
-    void learnRevision(revision at);
+    void learnRevision(const vm_id& from, revision at);
     std::optional<duration> ageWithinWindow(const std::optional<time_point>& basis, time_point now) const;
 
     member_ref m_self;
     const suspension_set& m_suspended;
     freshness_settings m_settings;
     random_source m_random;
-    std::map<vm_id, peer> m_peers;
+    std::map<vm_id, peer_record> m_peers;
     std::deque<table_read> m_tableReads; // Reads that stated a revision not yet applied.
     witness_roster m_roster;
     revision m_applied;
     revision m_known;
+    vm_id m_announcer; // Who first told of m_known; empty: the table.
     std::optional<time_point> m_basis;
     std::optional<time_point> m_suspensionBasis;
     std::optional<time_point> m_lastPoll;
     duration m_pollAge;
     duration m_pollInterval;
     std::optional<time_point> m_fetchSentAt;
-    std::set<vm_id> m_fetchTried; // The empty name stands for the table.
+    std::set<vm_id> m_fetchTried;
 };
 
 }
--- a/include/pimentoladder/Freshness/RosterPlanner.h
+++ b/include/pimentoladder/Freshness/RosterPlanner.h
@@ -43,8 +43,8 @@
 public:
     roster_planner(const roster_settings& settings, std::uint64_t seed);
 
-    /// Returns the roster to write on condition that the document is still at
-    /// `current.at`, or nothing. Call while fresh, at least once a second.
+    /// Returns the roster to write on condition that the roster row has not
+    /// changed since `current.at`, or nothing. Call only while fresh.
     /// Members that are suspended, or whose VM is leaving or missing from
     /// \p vms, are not chosen.
     std::optional<witness_roster> plan(const document& current, const vm_list& vms, const suspension_set& suspended,
@@ -53,11 +53,12 @@
 private:
     std::optional<witness_roster> wanted(const document& current, const vm_list& vms, const suspension_set& suspended,
         const acceptance_tracker& accepted, time_point now) const;
-    void noteRoster(const document& current);
+    void noteRoster(const document& current, time_point now);
 
     roster_settings m_settings;
     random_source m_random;
     std::optional<witness_roster> m_seenRoster;
+    std::optional<time_point> m_lastPlanned;
     revision m_seenAt; // First document in which the roster was seen; at or after the write of the roster.
     std::optional<witness_roster> m_pending;
     time_point m_proposeAt;
