Visit only the set bits when an index is built

Building the access index for 2,000 workspaces, 890 servers and 500 access rules took 9.6 to 11.2 ms in a trial (-O2, scratch program, shared machine). Testing each bit of each rule's workspace set was half of it.

--- a/lib/Config/Access.cpp
+++ b/lib/Config/Access.cpp
@@ -90,8 +90,9 @@
     for (const auto& [id, rule] : m_source->accessRules) {
         const number_set reached = servers.matching(rule.servers);
         workspaces.matching(rule.workspaces).forEach([&](std::size_t row) {
-            for (std::size_t i = 0; i < m_wordsPerRow; ++i)
-                m_reach[row * m_wordsPerRow + i] |= reached.words()[i];
+            std::uint64_t* words = &m_reach[row * m_wordsPerRow];
+            for (const std::uint64_t word : reached.words())
+                *words++ |= word;
         });
     }
 }
--- a/lib/Config/LabelIndex.h
+++ b/lib/Config/LabelIndex.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <bit>
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
@@ -30,9 +31,9 @@
     template <typename Use>
     void forEach(Use use) const
     {
-        for (std::size_t number = 0; number < m_size; ++number) {
-            if (m_words[number / 64] >> (number % 64) & 1)
-                use(number);
+        for (std::size_t i = 0; i < m_words.size(); ++i) {
+            for (std::uint64_t rest = m_words[i]; rest != 0; rest &= rest - 1)
+                use(i * 64 + static_cast<std::size_t>(std::countr_zero(rest)));
         }
     }
 
