--- a/include/pimentoladder/Membership/PeerDirectory.h
+++ b/include/pimentoladder/Membership/PeerDirectory.h
@@ -54,15 +54,16 @@
     /// Returns the members with which heartbeats are exchanged.
     const std::set<vm_id>& neighbours() const { return m_neighbours; }
 
-    /// Returns the routers to keep links to: the neighbours and, while no
-    /// document names other members, the seeds.
+    /// Returns the routers to keep links to: the neighbours, and the seeds where
+    /// no member is known to be.
     std::vector<peer_target> targets() const;
 
     /// Returns where \p vm is, for links opened on use.
     std::optional<endpoint> locate(const vm_id& vm) const;
 
 private:
-    void refresh();
+    void refreshNeighbours();
+    bool isKnownMember(const endpoint& location) const;
 
     vm_id m_self;
     endpoint m_ownLocation;
--- a/include/pimentoladder/Membership/PeerMonitor.h
+++ b/include/pimentoladder/Membership/PeerMonitor.h
@@ -55,8 +55,7 @@
     /// heartbeats themselves are answered too, until they are lost.
     void setNeighbours(const std::set<vm_id>& neighbours, time_point now);
 
-    /// Advances the clock. Call at least every `stallLimit`, before other calls
-    /// with the same time.
+    /// Advances the clock. Call at least every half `stallLimit`.
     void tick(time_point now);
 
     /// Returns whether a frame of this sender may be used, and remembers its
@@ -95,7 +94,7 @@
         std::uint64_t sequence = 0;
         time_point sentAt;
     };
-    struct peer {
+    struct peer_record {
         incarnation start;
         bool isNeighbour = false;
         time_point lastHeard; // Or when watching began.
@@ -105,14 +104,15 @@
         remote_clock clock;
     };
 
-    peer& watch(const vm_id& vm, time_point now);
-    bool isAnswered(const peer& watched, time_point now) const;
+    peer_record& watch(const vm_id& vm, time_point now);
+    time_point heardAt(const peer_record& watched, time_point now) const;
+    bool isAnswered(const peer_record& watched, time_point now) const;
 
     member_ref m_self;
     monitor_settings m_settings;
     random_source m_random;
-    std::map<vm_id, peer> m_peers;
-    std::uint64_t m_sequence;
+    std::map<vm_id, peer_record> m_peers;
+    std::uint64_t m_sequence; // Starts at random, so that no echo to an earlier incarnation fits.
     std::optional<time_point> m_lastTick;
 };
 
--- a/include/pimentoladder/Membership/RemoteClock.h
+++ b/include/pimentoladder/Membership/RemoteClock.h
@@ -3,7 +3,6 @@
 
 #pragma once
 
-#include <cstddef>
 #include <deque>
 #include <optional>
 
@@ -15,7 +14,9 @@
 ///
 /// When the peer states its clock in an answer to a probe, this router's clock
 /// is at or after the time at which it sent the probe. So the difference of the
-/// two is an upper bound on the offset between the clocks.
+/// two is an upper bound on the offset between the clocks. The bound exceeds the
+/// offset by the time that the answer waited for the peer's next heartbeat, so
+/// the least of several answers is used, with an allowance for drift.
 ///
 /// Not thread-safe; call on the loop's thread.
 class remote_clock {
@@ -29,7 +30,12 @@
     std::optional<time_point> latestAt(time_point now) const;
 
 private:
-    std::deque<duration> m_offsets; // Newest last.
+    struct sample {
+        duration offset;
+        time_point probeSentAt;
+    };
+
+    std::deque<sample> m_samples; // Newest last.
 };
 
 }
--- a/include/pimentoladder/Membership/SuspensionVotes.h
+++ b/include/pimentoladder/Membership/SuspensionVotes.h
@@ -31,13 +31,15 @@
 
     /// Takes in the proposals of \p from. Returns the proposed members that
     /// this router, if it is a witness, agrees to suspend; they are proposed
-    /// back to \p from as this router's vote.
+    /// back to \p from as this router's vote. A vote just sent to \p from is not
+    /// repeated, so that two witnesses do not answer each other without end.
     std::vector<member_ref> proposalReceived(const member_ref& from, const suspend& proposal, time_point now);
 
     /// Returns the members that a majority currently agrees to suspend.
     std::vector<member_ref> decided(time_point now) const;
 
 private:
+    bool isWitness(const member_ref& candidate) const;
     bool isMember(const member_ref& candidate) const;
     bool isLost(const member_ref& candidate, time_point now) const;
     bool hasVote(const member_ref& witness, const member_ref& candidate, time_point now) const;
@@ -46,7 +48,9 @@
     const peer_monitor& m_monitor;
     std::map<vm_id, incarnation> m_members;
     witness_roster m_roster;
-    std::map<member_ref, std::map<member_ref, time_point>> m_votes; // Member, witness, time of the vote.
+    // Member, then witness or receiver, then time of the vote.
+    std::map<member_ref, std::map<member_ref, time_point>> m_votes;
+    std::map<member_ref, std::map<member_ref, time_point>> m_answered;
 };
 
 }
