--- a/include/pimentoladder/Router/RequestCoordinator.h
+++ b/include/pimentoladder/Router/RequestCoordinator.h
@@ -87,6 +87,9 @@
 
     request_figures figures() const;
 
+    /// Returns whether the request has neither ended nor been refused.
+    bool isInProgress(request_number request) const { return m_requests.contains(request); }
+
     /// Returns the service received by this router's requests of each
     /// workspace since its start, in cost units.
     const std::map<workspace_id, cost_units>& servedCosts() const { return m_served; }
