--- a/include/pimentoladder/Router/Actions.h
+++ b/include/pimentoladder/Router/Actions.h
@@ -39,7 +39,7 @@
 };
 
 /// A row that must still have this revision; zero: that must not exist.
-struct row_condition {
+struct document_condition {
     std::string key;
     revision at;
 };
@@ -47,7 +47,7 @@
 /// Write rows of the document in one conditional transaction.
 struct commit_rows {
     transaction_ticket ticket;
-    std::vector<row_condition> conditions;
+    std::vector<document_condition> conditions;
     std::vector<row_change> writes;
 };
 
--- a/include/pimentoladder/Router/FleetCoordinator.h
+++ b/include/pimentoladder/Router/FleetCoordinator.h
@@ -35,6 +35,12 @@
 /// The table's answer to a read of rows.
 using rows_answer = result<config_update>;
 
+/// What a peer last stated of itself.
+struct peer_statement {
+    revision applied;
+    std::optional<duration> basisAge;
+};
+
 /// Keeps this router in step with the fleet. Events append the actions that
 /// follow. Not thread-safe; call on the loop's thread.
 class fleet_coordinator {
@@ -112,6 +118,10 @@
     /// Returns the members that are not suspended.
     std::vector<member> activeMembers() const;
 
+    /// Returns what \p peer last stated; none if it has not under its present
+    /// incarnation.
+    std::optional<peer_statement> statementOf(const member_ref& peer) const;
+
     peer_state stateOf(const vm_id& peer, time_point now) const;
 
     /// Returns a time on the clock of \p owner that is never before its present time.
@@ -150,6 +160,7 @@
     peer_directory m_directory;
     vm_list m_vms;
     std::unique_ptr<tracking> m_tracking; ///< State of one incarnation.
+    std::map<member_ref, peer_statement> m_statements;
     std::map<transaction_ticket, std::string> m_commits; ///< Row key of each commit in progress.
     std::uint64_t m_lastTicket = 0;
     duration m_backstopPoll {}; ///< Time after the last poll at which the next one is due anyway.
--- a/include/pimentoladder/Router/RouterCore.h
+++ b/include/pimentoladder/Router/RouterCore.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 
 #include "pimentoladder/Router/FleetCoordinator.h"
@@ -91,6 +92,7 @@
     owner_role m_owner;
     requester_role m_requester;
     request_coordinator m_requests;
+    std::set<vm_id> m_leavingVms; ///< As the directory was built with.
     bool m_isDraining = false;
 };
 
--- /dev/null
+++ b/lib/Daemon/DecisionLog.cpp
@@ -0,0 +1,51 @@
+#include "pimentoladder/Daemon/DecisionLog.h"
+
+namespace pimentoladder {
+
+void decision_log::perform(const route_decision& decided)
+{
+    const auto waited = std::chrono::duration_cast<std::chrono::microseconds>(decided.waited).count();
+    m_log.write(log_level::info, "request_routed",
+        {
+            { "request", decided.request.value() },
+            { "attempt", decided.attempt.value() },
+            { "workspace", std::string_view(decided.workspace.value()) },
+            { "pool", std::string_view(decided.pool.value()) },
+            { "server", std::string_view(decided.server.value()) },
+            { "rule", std::string_view("grant") },
+            { "shard", std::string_view(decided.shard.value()) },
+            { "owner", std::string_view(decided.owner.vm.value()) },
+            { "token", decided.token.value() },
+            { "grant", decided.grant.value() },
+            { "candidates", static_cast<std::uint64_t>(decided.candidates) },
+            { "waited_us", static_cast<std::int64_t>(waited) },
+            { "revision", decided.at.value() },
+        });
+}
+
+void decision_log::perform(const ownership_decision& decided)
+{
+    m_log.write(log_level::info, decided.isOwner ? "shard_taken" : "shard_left",
+        {
+            { "shard", std::string_view(decided.shard.value()) },
+            { "token", decided.token.value() },
+            { "grants_from_ns", static_cast<std::int64_t>(decided.grantsFrom.time_since_epoch().count()) },
+        });
+}
+
+void decision_log::perform(const document_in_force& applied)
+{
+    m_log.write(log_level::info, "in_force", { { "revision", applied.at.value() } });
+}
+
+void decision_log::perform(const change_incarnation& changed)
+{
+    m_log.write(log_level::warning, "incarnation_changed", { { "incarnation", changed.start.value() } });
+}
+
+void decision_log::perform(const report_fault& reported)
+{
+    m_log.write(log_level::error, "fault", { { "kind", errorKindName(reported.fault.kind) }, { "reason", std::string_view(reported.fault.message) } });
+}
+
+}
--- /dev/null
+++ b/lib/Daemon/RouterProcess.cpp
@@ -0,0 +1,214 @@
+#include "pimentoladder/Daemon/RouterProcess.h"
+
+#include <utility>
+
+#include "pimentoladder/Admin/AdminService.h"
+#include "pimentoladder/Daemon/AdminFront.h"
+#include "pimentoladder/Daemon/CallerFront.h"
+#include "pimentoladder/Daemon/CoreDriver.h"
+#include "pimentoladder/Daemon/DecisionLog.h"
+#include "pimentoladder/Daemon/LoadPoller.h"
+#include "pimentoladder/Daemon/MetricsReport.h"
+#include "pimentoladder/Daemon/PeerMesh.h"
+#include "pimentoladder/Daemon/PlatformAccess.h"
+#include "pimentoladder/Daemon/PlatformGateway.h"
+#include "pimentoladder/Daemon/ShutdownSequence.h"
+#include "pimentoladder/Net/HttpClient.h"
+#include "pimentoladder/Net/HttpServer.h"
+#include "pimentoladder/Telemetry/Metrics.h"
+
+namespace pimentoladder {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    router_identity identityOf(const settings& configured, incarnation start)
+    {
+        router_identity identity;
+        identity.self = { configured.vm, start, configured.dataCentre, configured.listen.peers };
+        for (const seed_settings& seed : configured.seeds)
+            identity.seeds.push_back(seed.location);
+        return identity;
+    }
+
+    lifecycle_limits lifecycleLimits(const settings& configured)
+    {
+        lifecycle_limits limits;
+        limits.queueTimeout = configured.timeouts.queue;
+        return limits;
+    }
+
+    http_client_limits backendLimits(const settings& configured)
+    {
+        http_client_limits limits;
+        limits.connectTimeout = configured.timeouts.connect;
+        limits.firstByteTimeout = configured.timeouts.firstByte;
+        limits.idleTimeout = configured.timeouts.idle;
+        return limits;
+    }
+
+    http_client_limits pollLimits()
+    {
+        http_client_limits limits;
+        limits.connectTimeout = 500ms;
+        limits.firstByteTimeout = 800ms;
+        limits.idleTimeout = 800ms;
+        return limits;
+    }
+
+    http_server_limits callerLimits(const settings& configured)
+    {
+        http_server_limits limits;
+        limits.headBytes = configured.limits.headBytes;
+        limits.bodyBytes = configured.limits.bodyBytes;
+        limits.connections = configured.limits.connections;
+        limits.headTimeout = configured.timeouts.head;
+        limits.bodyTimeout = configured.timeouts.body;
+        return limits;
+    }
+
+    peer_link_settings linkSettings(const settings& configured, incarnation start)
+    {
+        peer_link_settings link;
+        link.self = { configured.vm, start };
+        link.fleetKey = configured.fleetKey;
+        return link;
+    }
+
+    operator_directory operatorsOf(const settings& configured)
+    {
+        std::vector<operator_credential> credentials;
+        for (const operator_settings& each : configured.operators)
+            credentials.push_back({ each.name, each.tokenDigest });
+        // The settings were checked, so every credential is valid.
+        return *operator_directory::create(credentials);
+    }
+
+}
+
+/// The parts of a router in order of dependency, and the dispatch of the core's
+/// actions to them.
+struct router_process::parts : action_handler {
+    parts(event_loop& ofLoop, logger& toLog, const settings& from, incarnation start, std::uint64_t seed);
+
+    void handle(const router_action& action) override;
+
+    void perform(const document_in_force& applied);
+    void perform(const membership_changed&) { mesh.refreshTargets(); }
+    void perform(const change_incarnation& changed);
+
+    event_loop& loop;
+    logger& log;
+    settings configured;
+    metrics values;
+    http_client backends;
+    http_client polls;
+    router_core core;
+    core_driver driver;
+    decision_log decisions;
+    caller_front callers;
+    load_poller loads;
+    peer_mesh mesh;
+    platform_access platform;
+    platform_gateway gateway;
+    admin_service administration;
+    metrics_report report;
+    admin_front admin;
+    http_server callerServer;
+    http_server adminServer;
+    shutdown_sequence shutdown;
+};
+
+router_process::parts::parts(event_loop& ofLoop, logger& toLog, const settings& from, incarnation start, std::uint64_t seed)
+    : loop(ofLoop)
+    , log(toLog)
+    , configured(from)
+    , backends(loop, backendLimits(configured))
+    , polls(loop, pollLimits())
+    , core(identityOf(configured, start), lifecycleLimits(configured), seed)
+    , driver(loop, core)
+    , decisions(log)
+    , callers(driver, backends, log, values, configured.limits.bufferBytes)
+    , loads(driver, polls, log)
+    , mesh(driver, log, linkSettings(configured, start), seed + 1)
+    , platform(loop, configured.platform, seed + 2)
+    , gateway(driver, log, platform.clients(), configured.vm.value() + "-" + std::to_string(start.value()))
+    , administration(
+          {}, operatorsOf(configured), gateway.changes(),
+          [this](revision at) { driver.post([at](router_core& target, time_point now) { return target.onChangeCommitted(now, at); }); }, seed + 3)
+    , report(driver, values, mesh, log)
+    , admin(driver, administration, [this] { return report.text(); })
+    , callerServer(loop, callerLimits(configured), [this](http_request request, std::shared_ptr<http_answer> answer) { callers.onRequest(std::move(request), std::move(answer)); })
+    , adminServer(loop, {}, [this](const http_request& request, const std::shared_ptr<http_answer>& answer) { admin.onRequest(request, answer); })
+    , shutdown({ driver, admin, callers, callerServer, log }, configured.shutdown)
+{
+    driver.setHandler(*this);
+}
+
+void router_process::parts::handle(const router_action& action)
+{
+    struct performer {
+        parts& to;
+
+        void operator()(const send_message& step) const { to.mesh.perform(step); }
+        void operator()(const poll_revision& step) const { to.gateway.perform(step); }
+        void operator()(const fetch_rows& step) const { to.gateway.perform(step); }
+        void operator()(const commit_rows& step) const { to.gateway.perform(step); }
+        void operator()(const write_claims& step) const { to.gateway.perform(step); }
+        void operator()(const read_claims& step) const { to.gateway.perform(step); }
+        void operator()(const store_body& step) const { to.gateway.perform(step); }
+        void operator()(const poll_load& step) const { to.loads.perform(step); }
+        void operator()(const start_attempt& step) const { to.callers.perform(step); }
+        void operator()(const stop_stream& step) const { to.callers.perform(step); }
+        void operator()(const request_step& step) const { to.callers.perform(step); }
+        void operator()(const document_in_force& step) const { to.perform(step); }
+        void operator()(const membership_changed& step) const { to.perform(step); }
+        void operator()(const change_incarnation& step) const { to.perform(step); }
+        void operator()(const report_fault& step) const { to.decisions.perform(step); }
+        void operator()(const route_decision& step) const { to.decisions.perform(step); }
+        void operator()(const ownership_decision& step) const { to.decisions.perform(step); }
+    };
+    std::visit(performer { *this }, action);
+}
+
+void router_process::parts::perform(const document_in_force& applied)
+{
+    decisions.perform(applied);
+    mesh.refreshTargets();
+}
+
+void router_process::parts::perform(const change_incarnation& changed)
+{
+    decisions.perform(changed);
+    mesh.perform(changed);
+}
+
+router_process::router_process(event_loop& loop, logger& log, const settings& configured, incarnation start, std::uint64_t seed)
+    : m_parts(std::make_unique<parts>(loop, log, configured, start, seed))
+{
+}
+
+router_process::~router_process() = default;
+
+result<void> router_process::start()
+{
+    const settings& configured = m_parts->configured;
+    if (const auto listening = m_parts->mesh.listen(configured.listen.peers); !listening)
+        return tl::unexpected(listening.error());
+    if (const auto listening = m_parts->adminServer.listen(configured.listen.admin); !listening)
+        return tl::unexpected(listening.error());
+    if (const auto listening = m_parts->callerServer.listen(configured.listen.callers); !listening)
+        return tl::unexpected(listening.error());
+    m_parts->mesh.refreshTargets();
+    m_parts->gateway.watchVms();
+    m_parts->log.write(log_level::info, "router_started", { { "vm", std::string_view(configured.vm.value()) }, { "data_centre", std::string_view(configured.dataCentre.value()) } });
+    return {};
+}
+
+void router_process::shutDown()
+{
+    m_parts->shutdown.begin();
+}
+
+}
--- /dev/null
+++ b/lib/Daemon/ShutdownSequence.cpp
@@ -0,0 +1,65 @@
+#include "pimentoladder/Daemon/ShutdownSequence.h"
+
+namespace pimentoladder {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr duration checkInterval = 50ms;
+    // The member row is removed through the table, which may be down; peers then
+    // notice the silence instead.
+    constexpr duration leaveTimeout = 3s;
+
+}
+
+shutdown_sequence::shutdown_sequence(targets acted, shutdown_settings limits)
+    : m_targets(acted)
+    , m_limits(limits)
+    , m_graceTimer(acted.driver.loop(), [this] { drain(); })
+    , m_deadlineTimer(acted.driver.loop(), [this] { end("deadline"); })
+    , m_checkTimer(acted.driver.loop(), [this] { check(); })
+{
+}
+
+void shutdown_sequence::begin()
+{
+    if (m_hasBegun) {
+        end("second signal");
+        return;
+    }
+    m_hasBegun = true;
+    m_targets.admin.setUnready();
+    m_targets.log.write(log_level::info, "shutdown_begun", { { "requests", static_cast<std::uint64_t>(m_targets.callers.inProgress()) } });
+    m_graceTimer.arm(m_limits.grace);
+    m_deadlineTimer.arm(m_limits.deadline);
+}
+
+void shutdown_sequence::drain()
+{
+    m_drainedAt = m_targets.driver.loop().now();
+    m_targets.callerServer.drain();
+    m_targets.driver.post([](router_core& core, time_point now) { return core.drain(now); });
+    m_checkTimer.arm(checkInterval);
+}
+
+void shutdown_sequence::check()
+{
+    const bool hasLeft = m_targets.driver.core().fleet().hasLeft()
+        || m_targets.driver.loop().now() - m_drainedAt > leaveTimeout;
+    const bool isIdle = m_targets.callers.inProgress() == 0 && m_targets.driver.core().requests().figures().inProgress == 0;
+    if (hasLeft && isIdle) {
+        end("idle");
+        return;
+    }
+    m_checkTimer.arm(checkInterval);
+}
+
+void shutdown_sequence::end(std::string_view reason)
+{
+    const std::uint64_t cut = m_targets.callers.abortAll();
+    m_targets.log.write(cut == 0 ? log_level::info : log_level::warning, "shutdown_ended", { { "reason", reason }, { "requests_cut", cut } });
+    m_targets.driver.loop().stop();
+}
+
+}
--- a/lib/Router/FleetCoordinator.cpp
+++ b/lib/Router/FleetCoordinator.cpp
@@ -78,6 +78,7 @@
         return;
     m_tracking->freshness.heartbeatReceived(from, beat, now);
     m_tracking->acceptance.heartbeatReceived(from, beat);
+    m_statements[from] = { beat.applied, beat.basisAge };
     if (beat.suspendedDigest != m_tracking->suspended.digest() && !m_tracking->suspended.isEmpty()) {
         const suspend stated { {}, m_tracking->suspended.members(), m_tracking->suspended.listedBy() };
         out.push_back(send_message { from.vm, stated });
@@ -258,6 +259,12 @@
     return active;
 }
 
+std::optional<peer_statement> fleet_coordinator::statementOf(const member_ref& peer) const
+{
+    const auto found = m_statements.find(peer);
+    return found == m_statements.end() ? std::nullopt : std::optional(found->second);
+}
+
 peer_state fleet_coordinator::stateOf(const vm_id& peer, time_point now) const
 {
     return m_tracking->monitor.state(peer, now);
@@ -298,6 +305,10 @@
     track.votes.documentApplied(current());
     m_directory.documentApplied(current());
     track.monitor.setNeighbours(m_directory.neighbours(), now);
+    std::erase_if(m_statements, [this](const auto& entry) {
+        const auto listed = current().members.find(entry.first.vm);
+        return listed == current().members.end() || refOf(listed->second) != entry.first;
+    });
     out.push_back(document_in_force { current().at });
     // A heartbeat acknowledges the revision at once, so that it is accepted
     // without waiting for the next regular heartbeat.
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -148,7 +148,12 @@
 void router_core::rebuildDirectory(time_point now, router_actions& out)
 {
     const std::vector<member_ref> suspended = m_fleet.suspended().members();
-    m_directory.rebuild(m_fleet.current(), { suspended.begin(), suspended.end() });
+    document effective = m_fleet.current();
+    // A server leaves when operators say so or when the platform takes its VM.
+    m_leavingVms = m_fleet.vms().leaving;
+    for (auto& [id, server] : effective.servers)
+        server.isLeaving = server.isLeaving || m_leavingVms.contains(server.vm);
+    m_directory.rebuild(effective, { suspended.begin(), suspended.end() });
     m_requests.onHomeless(m_requester.onDirectoryChanged(now), now, out);
     m_owner.onDirectoryChanged(now, out);
 }
@@ -262,6 +267,8 @@
 {
     router_actions out;
     m_fleet.onVmList(list, now);
+    if (m_leavingVms != list.leaving)
+        out.push_back(membership_changed {});
     return settle(now, std::move(out));
 }
 
--- /dev/null
+++ b/tools/pimentoladder/Main.cpp
@@ -0,0 +1,162 @@
+/// \file
+/// The command line of pimentoladder.
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <unistd.h>
+
+#include "AdminCommand.h"
+#include "pimentoladder/Daemon/RouterProcess.h"
+#include "pimentoladder/Net/EventLoop.h"
+#include "pimentoladder/Settings/Settings.h"
+#include "pimentoladder/Telemetry/Log.h"
+
+ABSL_FLAG(std::string, config, "", "settings file");
+ABSL_FLAG(std::vector<std::string>, set, {}, "settings that override the file and the environment: section.key=value,...");
+
+namespace pimentoladder {
+
+namespace {
+
+    constexpr int exitOk = 0;
+    constexpr int exitFailed = 1;
+    constexpr int exitUsage = 2;
+
+    constexpr const char* usage = "usage: pimentoladder COMMAND [FLAGS]\n"
+                                  "\n"
+                                  "  run --config=FILE     run a router\n"
+                                  "  check --config=FILE   check a settings file and print every fault\n"
+                                  "  admin ...             administer a running router; `admin help` says more\n"
+                                  "  version               print the version\n"
+                                  "\n"
+                                  "Settings are taken from --set, then the environment (PIMENTOLADDER_SECTION__KEY),\n"
+                                  "then the file, then the defaults.\n";
+
+    result<std::string> readFile(const std::string& path)
+    {
+        std::ifstream file(path, std::ios::binary);
+        if (!file)
+            return makeError(error_kind::notFound, "settings file \"" + path + "\" cannot be read; check the path given with --config");
+        return std::string(std::istreambuf_iterator<char>(file), {});
+    }
+
+    result<std::vector<setting_override>> collectOverrides()
+    {
+        std::vector<setting_override> overrides = overridesFromEnvironment(environ);
+        for (const std::string& text : absl::GetFlag(FLAGS_set)) {
+            auto parsed = overrideFromFlag(text);
+            if (!parsed)
+                return tl::unexpected(parsed.error());
+            overrides.push_back(std::move(*parsed));
+        }
+        return overrides;
+    }
+
+    std::optional<settings> loadSettings()
+    {
+        const std::string path = absl::GetFlag(FLAGS_config);
+        const auto text = readFile(path);
+        const auto overrides = collectOverrides();
+        if (!text || !overrides) {
+            std::cerr << (text ? overrides.error().message : text.error().message) << "\n";
+            return std::nullopt;
+        }
+        auto parsed = parseSettings(*text, path, *overrides);
+        if (parsed)
+            return std::move(*parsed);
+        for (const setting_fault& fault : parsed.error())
+            std::cerr << describeFault(fault) << "\n";
+        return std::nullopt;
+    }
+
+    int check()
+    {
+        if (!loadSettings())
+            return exitUsage;
+        std::cout << "settings are valid\n";
+        return exitOk;
+    }
+
+    int run()
+    {
+        const auto configured = loadSettings();
+        if (!configured)
+            return exitUsage;
+        std::signal(SIGPIPE, SIG_IGN);
+        event_loop loop;
+        logger log(parseLogLevel(configured->logLevel), descriptorSink(STDOUT_FILENO), [&loop] { return loop.now(); });
+        // Wall time in milliseconds grows from start to start of a VM, also when
+        // the VM is replaced and its other clocks begin anew.
+        const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
+        const incarnation start(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(wallTime).count()));
+        router_process router(loop, log, *configured, start, std::random_device {}());
+        const auto shutDown = [&router] { router.shutDown(); };
+        signal_watch onTerminate(loop, SIGTERM, shutDown);
+        signal_watch onInterrupt(loop, SIGINT, shutDown);
+        if (const auto started = router.start(); !started) {
+            std::cerr << started.error().message << "\n";
+            return exitFailed;
+        }
+        loop.run();
+        return exitOk;
+    }
+
+    int printVersion()
+    {
+        std::cout << "pimentoladder " << PIMENTOLADDER_VERSION << "\n";
+        return exitOk;
+    }
+
+    int printUsage()
+    {
+        std::cout << usage;
+        return exitOk;
+    }
+
+    struct command {
+        std::string_view name;
+        int (*execute)();
+    };
+
+    constexpr std::array<command, 4> commands { {
+        { "run", run },
+        { "check", check },
+        { "version", printVersion },
+        { "help", printUsage },
+    } };
+
+}
+
+int execute(int argc, char** argv)
+{
+    const std::string name = argc > 1 ? argv[1] : "help";
+    if (name == "admin")
+        return runAdmin({ argv + 2, argv + argc });
+    absl::SetProgramUsageMessage(usage);
+    absl::ParseCommandLine(argc, argv);
+    for (const command& candidate : commands) {
+        if (candidate.name == name)
+            return candidate.execute();
+    }
+    std::cerr << "unknown command \"" << name << "\"\n"
+              << usage;
+    return exitUsage;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    return pimentoladder::execute(argc, argv);
+}
