--- /dev/null
+++ b/unittests/Router/FleetHarness.h
@@ -0,0 +1,200 @@
+/// \file
+/// A few router cores, connected by a list of delayed messages, with small fakes
+/// of the table and of backend servers. Time is a number that the test moves.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pimentoladder/Base/Random.h"
+#include "pimentoladder/Router/RouterCore.h"
+
+namespace pimentoladder {
+
+/// The table: rows of the document and claims, each with a revision.
+struct fake_table {
+    bool isUp = true;
+    bool losesAnswers = false; ///< Writes take effect and their answers are lost.
+    revision at;
+    std::map<std::string, row_change> rows;
+    revision claimsAt;
+    std::map<claim_key, claim_row> claims;
+
+    result<revision> commit(const commit_rows& asked);
+    claim_write_answer write(const write_claims& asked);
+};
+
+/// A backend server that bears `warmLimit` requests, or `coldLimit` until
+/// `warmAfter` requests have finished since it became cold.
+struct fake_server {
+    std::uint32_t coldLimit = 1;
+    std::uint32_t warmLimit = 8;
+    std::uint32_t warmAfter = 6;
+    duration service = std::chrono::milliseconds(20);
+    incarnation start { 1 };
+    bool isUp = true;
+    std::uint32_t finishedSinceCold = 0;
+    std::uint32_t inFlight = 0;
+    std::uint32_t mostInFlightCold = 0;
+    std::uint32_t mostInFlight = 0;
+    std::uint64_t executions = 0;
+
+    bool isCold() const { return finishedSinceCold < warmAfter; }
+};
+
+/// What happened to one request of a test.
+struct request_record_seen {
+    std::size_t router = 0;
+    std::string key;
+    time_point sentAt;
+    std::optional<time_point> endedAt;
+    std::optional<refusal_kind> refused;
+    bool isAnswered = false;
+    bool isAborted = false;
+    bool isReplayed = false;
+    std::uint32_t executions = 0;
+};
+
+/// One execution at a server.
+struct execution_seen {
+    time_point at;
+    server_id server;
+    std::size_t record = 0;
+};
+
+/// A document applied by a router.
+struct in_force_seen {
+    time_point at;
+    std::size_t router = 0;
+    incarnation start;
+    revision applied;
+};
+
+class fleet_harness {
+public:
+    fleet_harness(std::size_t routers, std::uint64_t seed);
+    ~fleet_harness();
+
+    /// Starts all routers and runs until every one is fresh and shards are open.
+    void form();
+
+    /// Writes rows as an operator would, and tells \p router about the commit.
+    revision change(std::size_t router, const std::vector<document_value>& values);
+
+    /// Moves time, carrying out everything that is due.
+    void run(duration length);
+
+    std::size_t send(std::size_t router, const std::string& workspace, const std::string& method,
+        const std::string& path, const std::string& key = {}, std::uint64_t content = 1);
+
+    void kill(std::size_t router);
+    void drain(std::size_t router);
+    void restart(std::size_t router);
+    void freeze(std::size_t router) { m_nodes[router].isFrozen = true; }
+    void thaw(std::size_t router);
+    void cut(std::size_t left, std::size_t right, bool isCut);
+    void cutFromTable(std::size_t router, bool isCut) { m_nodes[router].isCutFromTable = isCut; }
+
+    /// Ends the server's process: its requests break, and it starts again cold.
+    void crash(const server_id& server);
+
+    router_core& core(std::size_t router) { return *m_nodes[router].core; }
+    bool isUp(std::size_t router) const { return m_nodes[router].isUp; }
+    time_point now() const { return m_now; }
+    std::size_t size() const { return m_nodes.size(); }
+
+    /// Returns the routers that own \p shard under the document of \p router.
+    std::size_t ownerOf(std::size_t router, const shard_id& shard);
+
+    fake_table table;
+    std::map<server_id, fake_server> servers;
+    std::vector<request_record_seen> requests;
+    std::vector<execution_seen> executions;
+    std::vector<in_force_seen> inForce;
+    std::function<bool(std::size_t record, const server_id& server)> crashesServer; ///< Asked at each execution.
+    duration messageDelay = std::chrono::microseconds(700);
+    double lossShare = 0; ///< Of messages between routers.
+
+private:
+    struct node {
+        member self;
+        std::unique_ptr<router_core> core;
+        std::uint64_t generation = 0; ///< Events for an earlier one are dropped.
+        bool isUp = false;
+        bool isFrozen = false;
+        bool isCutFromTable = false;
+        std::vector<std::function<void()>> whileFrozen;
+    };
+    struct event {
+        time_point at;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+        bool operator>(const event& other) const { return std::pair(at, order) > std::pair(other.at, other.order); }
+    };
+    struct attempt_seen {
+        std::size_t router = 0;
+        std::uint64_t generation = 0;
+        attempt_number number;
+        std::size_t record = 0;
+        server_id server;
+        bool isOpen = true;
+    };
+    using core_event = std::function<router_actions(router_core&, time_point)>;
+
+    void at(time_point when, std::function<void()> action);
+    void onNode(std::size_t router, std::uint64_t generation, const std::function<void()>& action);
+    void post(std::size_t router, const core_event& event);
+    void later(std::size_t router, duration delay, core_event event);
+    void start(std::size_t router);
+    void tick(std::size_t router, std::uint64_t generation);
+    void openLinks(std::size_t router);
+    bool isConnected(std::size_t from, std::size_t to) const;
+    bool reachesTable(std::size_t router) const { return table.isUp && !m_nodes[router].isCutFromTable; }
+    std::optional<std::size_t> find(const vm_id& vm) const;
+
+    void perform(std::size_t router, const send_message& step);
+    void perform(std::size_t router, const poll_revision& step);
+    void perform(std::size_t router, const fetch_rows& step);
+    void perform(std::size_t router, const commit_rows& step);
+    void perform(std::size_t router, const write_claims& step);
+    void perform(std::size_t router, const read_claims& step);
+    void perform(std::size_t router, const poll_load& step);
+    void perform(std::size_t router, const start_attempt& step);
+    void perform(std::size_t router, const request_step& step);
+    void perform(std::size_t router, const document_in_force& step);
+    void perform(std::size_t router, const change_incarnation& step);
+    void perform(std::size_t router, const store_body& step);
+    template <typename Other>
+    void perform(std::size_t, const Other&) { }
+
+    void execute(const std::shared_ptr<attempt_seen>& attempt);
+    void finishAttempt(const std::shared_ptr<attempt_seen>& attempt, attempt_end end);
+
+    std::vector<node> m_nodes;
+    std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
+    std::set<std::pair<std::size_t, std::size_t>> m_cuts;
+    std::map<std::pair<std::size_t, request_number>, std::size_t> m_records;
+    std::map<std::pair<std::size_t, attempt_number>, std::shared_ptr<attempt_seen>> m_attempts;
+    random_source m_random;
+    std::uint64_t m_seed;
+    std::uint64_t m_order = 0;
+    std::uint64_t m_incarnations = 0;
+    time_point m_now { std::chrono::seconds(1000) };
+};
+
+/// Returns a document with one model pool, one portal pool, `dataCentres` data
+/// centres and rules that let every workspace reach every server.
+std::vector<document_value> smallDocument(std::size_t dataCentres, std::size_t workspaces);
+
+/// Returns the digest of a test workspace's key.
+std::string keyDigestOf(const std::string& workspace);
+
+}
--- /dev/null
+++ b/unittests/Router/FleetTests.cpp
@@ -0,0 +1,319 @@
+#include "FleetHarness.h"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+using namespace pimentoladder;
+using namespace std::chrono_literals;
+
+namespace {
+
+const shard_id portalShard("portal#0");
+
+/// Adds the servers of `smallDocument` and applies it.
+void configure(fleet_harness& fleet, std::size_t dataCentres = 4, std::size_t workspaces = 4)
+{
+    const auto values = smallDocument(dataCentres, workspaces);
+    for (const document_value& value : values) {
+        if (const auto* server = std::get_if<backend_server>(&value))
+            fleet.servers[server->id] = fake_server();
+    }
+    fleet.change(0, values);
+}
+
+/// Sends portal reads at a steady rate over all routers that are up.
+void sendReads(fleet_harness& fleet, duration length, duration interval)
+{
+    const time_point end = fleet.now() + length;
+    for (std::size_t i = 0; fleet.now() < end; ++i) {
+        fleet.send(i % fleet.size(), "ws-" + std::to_string(i % 4), "GET", "/portal/index");
+        fleet.run(interval);
+    }
+}
+
+std::size_t countAnswered(const fleet_harness& fleet, std::size_t from = 0)
+{
+    return static_cast<std::size_t>(std::count_if(fleet.requests.begin() + static_cast<std::ptrdiff_t>(from), fleet.requests.end(), [](const auto& seen) { return seen.isAnswered; }));
+}
+
+/// The latest execution in `dataCentre` (the last digit of its servers' names).
+time_point lastExecutionIn(const fleet_harness& fleet, const std::string& dataCentre)
+{
+    time_point last;
+    for (const execution_seen& seen : fleet.executions) {
+        if (seen.server.value().ends_with(dataCentre))
+            last = std::max(last, seen.at);
+    }
+    return last;
+}
+
+void checkLimits(const fleet_harness& fleet)
+{
+    for (const auto& [id, server] : fleet.servers) {
+        CAPTURE(id.value());
+        CHECK(server.mostInFlightCold <= server.coldLimit);
+        CHECK(server.mostInFlight <= server.warmLimit);
+    }
+}
+
+void checkNotRunIsTrue(const fleet_harness& fleet)
+{
+    for (const request_record_seen& seen : fleet.requests) {
+        if (seen.refused && refusalOf(*seen.refused).ran == run_state::notRun)
+            CHECK(seen.executions == 0);
+    }
+}
+
+}
+
+// Guards against a fleet that does not form or a path that is not connected.
+TEST_CASE("a fleet forms and serves requests on every router")
+{
+    fleet_harness fleet(4, 1);
+    fleet.form();
+    configure(fleet);
+    fleet.run(6s);
+    for (std::size_t router = 0; router < fleet.size(); ++router) {
+        CHECK(fleet.core(router).fleet().isFresh(fleet.now()));
+        CHECK(fleet.core(router).fleet().current().members.size() == 4);
+        CHECK(fleet.core(router).fleet().current().at == fleet.table.at);
+    }
+    sendReads(fleet, 2s, 10ms);
+    fleet.run(1s);
+    CHECK(countAnswered(fleet) == fleet.requests.size());
+    checkLimits(fleet);
+}
+
+// Guards against work that reaches a data centre after operators took it out (P4).
+TEST_CASE("a data centre taken out receives no new work three seconds after acceptance")
+{
+    fleet_harness fleet(4, 2);
+    fleet.form();
+    configure(fleet);
+    fleet.run(6s);
+    sendReads(fleet, 2s, 5ms);
+    const time_point acceptedBy = fleet.now() + 1s;
+    fleet.change(1, { service_rule { rule_id("out"), *selector::parse("site=dc-2") } });
+    const std::size_t before = fleet.requests.size();
+    sendReads(fleet, 8s, 5ms);
+    fleet.run(1s);
+    CHECK(lastExecutionIn(fleet, "-2") < acceptedBy + 3s);
+    CHECK(countAnswered(fleet, before) == fleet.requests.size() - before);
+}
+
+// Guards against a router that goes on under an old configuration while it is cut
+// off from the table and from its peers (P4, P10).
+TEST_CASE("a router that is cut off stops taking work and returns without reverting")
+{
+    fleet_harness fleet(4, 3);
+    fleet.form();
+    configure(fleet);
+    fleet.run(6s);
+    for (std::size_t other = 0; other < 3; ++other)
+        fleet.cut(3, other, true);
+    fleet.cutFromTable(3, true);
+    fleet.change(0, { service_rule { rule_id("out"), *selector::parse("site=dc-1") } });
+    fleet.run(4s);
+    CHECK_FALSE(fleet.core(3).fleet().isFresh(fleet.now()));
+    const std::size_t refused = fleet.send(3, "ws-0", "GET", "/portal/index");
+    CHECK(fleet.requests[refused].refused == refusal_kind::notFresh);
+    for (std::size_t other = 0; other < 3; ++other)
+        fleet.cut(3, other, false);
+    fleet.cutFromTable(3, false);
+    fleet.run(10s);
+    CHECK(fleet.core(3).fleet().isFresh(fleet.now()));
+    CHECK(fleet.core(3).fleet().current().at == fleet.table.at);
+    const std::size_t served = fleet.send(3, "ws-0", "GET", "/portal/index");
+    fleet.run(1s);
+    CHECK(fleet.requests[served].isAnswered);
+    checkNotRunIsTrue(fleet);
+}
+
+// Guards against servers whose owner died and that nobody grants any more.
+TEST_CASE("the shards of a killed router are granted again by another")
+{
+    fleet_harness fleet(4, 4);
+    fleet.form();
+    configure(fleet);
+    fleet.run(6s);
+    sendReads(fleet, 1s, 5ms);
+    const std::size_t owner = fleet.ownerOf(0, portalShard);
+    fleet.kill(owner);
+    const std::size_t alive = owner == 0 ? 1 : 0;
+    fleet.run(9s);
+    CHECK(fleet.ownerOf(alive, portalShard) != owner);
+    const std::size_t before = fleet.requests.size();
+    for (int i = 0; i < 100; ++i) {
+        fleet.send(alive, "ws-0", "GET", "/portal/index");
+        fleet.run(10ms);
+    }
+    fleet.run(1s);
+    CHECK(countAnswered(fleet, before) == 100);
+    checkLimits(fleet);
+}
+
+// Guards against a fleet that stops when the platform's table is down (P10), and
+// against shards that stay without an owner through the outage.
+TEST_CASE("the fleet serves through an outage of the table, also when an owner dies in it")
+{
+    fleet_harness fleet(5, 5);
+    fleet.form();
+    configure(fleet);
+    fleet.run(6s);
+    fleet.table.isUp = false;
+    fleet.run(60s);
+    std::size_t before = fleet.requests.size();
+    sendReads(fleet, 1s, 10ms);
+    fleet.run(1s);
+    CHECK(countAnswered(fleet, before) == fleet.requests.size() - before);
+    const std::size_t owner = fleet.ownerOf(0, portalShard);
+    fleet.kill(owner);
+    const std::size_t alive = owner == 0 ? 1 : 0;
+    fleet.run(12s);
+    CHECK(fleet.ownerOf(alive, portalShard) != owner);
+    before = fleet.requests.size();
+    for (int i = 0; i < 50; ++i) {
+        fleet.send(alive, "ws-1", "GET", "/portal/index");
+        fleet.run(10ms);
+    }
+    fleet.run(1s);
+    CHECK(countAnswered(fleet, before) == 50);
+    checkLimits(fleet);
+    // A router that restarts in the outage has no memory and is no member; it
+    // obtains the document from its peers and serves.
+    fleet.restart(owner);
+    fleet.run(3s);
+    const std::size_t late = fleet.send(owner, "ws-1", "GET", "/portal/index");
+    fleet.run(2s);
+    CHECK(fleet.requests[late].isAnswered);
+}
+
+// Guards against an owner that was paused and, when it runs again, grants beside
+// its successor (P3).
+TEST_CASE("a frozen owner that resumes grants nothing beside its successor")
+{
+    fleet_harness fleet(4, 6);
+    fleet.form();
+    configure(fleet);
+    fleet.run(6s);
+    sendReads(fleet, 1s, 2ms);
+    const std::size_t owner = fleet.ownerOf(0, portalShard);
+    const std::size_t alive = owner == 0 ? 1 : 0;
+    for (std::size_t i = 0; i < 40; ++i)
+        fleet.send(alive, "ws-0", "GET", "/portal/index");
+    fleet.freeze(owner);
+    for (int i = 0; i < 1000; ++i) {
+        if (i % 5 == 0)
+            fleet.send(alive, "ws-" + std::to_string(i % 4), "GET", "/portal/index");
+        fleet.run(10ms);
+    }
+    fleet.thaw(owner);
+    for (int i = 0; i < 500; ++i) {
+        fleet.send(alive, "ws-" + std::to_string(i % 4), "GET", "/portal/index");
+        fleet.run(10ms);
+    }
+    fleet.run(8s);
+    checkLimits(fleet);
+    CHECK(fleet.core(owner).fleet().isFresh(fleet.now()));
+    CHECK(fleet.core(owner).fleet().current().members.size() == 4);
+}
+
+// Guards against a filing that runs twice because its caller sends it again to
+// another router, or because the table's answer was lost (P7).
+TEST_CASE("an order with a key runs once over routers, kills and lost answers")
+{
+    fleet_harness fleet(3, 7);
+    fleet.form();
+    configure(fleet);
+    fleet.run(6s);
+    const std::size_t first = fleet.send(0, "ws-0", "POST", "/portal/orders", "key-a", 5);
+    const std::size_t second = fleet.send(1, "ws-0", "POST", "/portal/orders", "key-a", 5);
+    fleet.run(2s);
+    CHECK(fleet.requests[first].executions + fleet.requests[second].executions == 1);
+    const std::size_t repeat = fleet.send(2, "ws-0", "POST", "/portal/orders", "key-a", 5);
+    fleet.run(1s);
+    CHECK(fleet.requests[repeat].isReplayed);
+    CHECK(fleet.requests[repeat].executions == 0);
+    const std::size_t reused = fleet.send(2, "ws-0", "POST", "/portal/orders", "key-a", 6);
+    fleet.run(1s);
+    CHECK(fleet.requests[reused].refused == refusal_kind::keyReused);
+
+    fleet.table.losesAnswers = true;
+    const std::size_t lost = fleet.send(0, "ws-0", "POST", "/portal/orders", "key-b", 5);
+    fleet.run(100ms);
+    fleet.table.losesAnswers = false;
+    fleet.run(4s);
+    const std::size_t again = fleet.send(1, "ws-0", "POST", "/portal/orders", "key-b", 5);
+    fleet.run(3s);
+    CHECK(fleet.requests[lost].executions + fleet.requests[again].executions <= 1);
+
+    const std::size_t killed = fleet.send(0, "ws-0", "POST", "/portal/orders", "key-c", 5);
+    fleet.run(12ms);
+    fleet.kill(0);
+    fleet.run(8s);
+    const std::size_t resent = fleet.send(1, "ws-0", "POST", "/portal/orders", "key-c", 5);
+    fleet.run(3s);
+    CHECK(fleet.requests[killed].executions + fleet.requests[resent].executions <= 1);
+
+    fleet.table.isUp = false;
+    const std::size_t unclaimed = fleet.send(1, "ws-0", "POST", "/portal/orders", "key-d", 5);
+    fleet.run(4s);
+    REQUIRE(fleet.requests[unclaimed].refused);
+    CHECK(refusalOf(*fleet.requests[unclaimed].refused).ran == run_state::notRun);
+    checkNotRunIsTrue(fleet);
+}
+
+// Guards against a request that takes down one server after the other as its
+// caller sends it again, and against innocent requests refused with it.
+TEST_CASE("a request that crashes servers is refused after two of them")
+{
+    fleet_harness fleet(3, 8);
+    fleet.form();
+    configure(fleet);
+    fleet.run(6s);
+    std::set<std::size_t> harmful;
+    fleet.crashesServer = [&](std::size_t record, const server_id&) { return harmful.contains(record); };
+    std::uint64_t losses = 0;
+    for (int i = 0; i < 20; ++i) {
+        harmful.insert(fleet.requests.size());
+        fleet.send(static_cast<std::size_t>(i) % 3, "ws-0", "GET", "/portal/index", {}, 666);
+        for (int j = 0; j < 20; ++j) {
+            fleet.send(static_cast<std::size_t>(j) % 3, "ws-1", "GET", "/portal/index", {}, 1000 + static_cast<std::uint64_t>(j));
+            fleet.run(50ms);
+        }
+    }
+    fleet.run(5s);
+    for (const std::size_t record : harmful)
+        losses += fleet.requests[record].executions;
+    // Retries of an idempotent request may be under way when the first loss is confirmed.
+    CHECK(losses <= 4);
+    CHECK(fleet.requests[*harmful.rbegin()].refused == refusal_kind::quarantined);
+    for (std::size_t record = 0; record < fleet.requests.size(); ++record) {
+        if (!harmful.contains(record))
+            CHECK(fleet.requests[record].refused != refusal_kind::quarantined);
+    }
+}
+
+// Guards against a graceful shutdown that cuts requests in progress (P9).
+TEST_CASE("a draining router finishes its requests and leaves")
+{
+    fleet_harness fleet(3, 9);
+    fleet.form();
+    configure(fleet);
+    fleet.run(6s);
+    for (auto& [id, server] : fleet.servers)
+        server.service = 500ms;
+    for (int i = 0; i < 6; ++i)
+        fleet.send(0, "ws-0", "GET", "/portal/index");
+    fleet.run(20ms);
+    const std::size_t before = fleet.requests.size();
+    fleet.drain(0);
+    const std::size_t refused = fleet.send(0, "ws-0", "GET", "/portal/index");
+    CHECK(fleet.requests[refused].refused == refusal_kind::draining);
+    fleet.run(10s);
+    for (std::size_t record = 0; record < before; ++record)
+        CHECK(fleet.requests[record].isAnswered);
+    CHECK(fleet.core(0).fleet().hasLeft());
+    CHECK(fleet.core(1).fleet().current().members.size() == 2);
+}
