--- a/lib/Outcome/IdempotencyClaims.cpp
+++ b/lib/Outcome/IdempotencyClaims.cpp
@@ -7,16 +7,16 @@
 
 namespace {
 
-const claim_row* findRow(const std::vector<claim_row>& rows, const claim_key& key)
-{
-    const auto found = std::find_if(rows.begin(), rows.end(), [&key](const claim_row& row) { return row.key == key; });
-    return found == rows.end() ? nullptr : &*found;
-}
+    const claim_row* findRow(const std::vector<claim_row>& rows, const claim_key& key)
+    {
+        const auto found = std::find_if(rows.begin(), rows.end(), [&key](const claim_row& row) { return row.key == key; });
+        return found == rows.end() ? nullptr : &*found;
+    }
 
-std::string objectName(const claim_row& row)
-{
-    return "outcome/" + row.key.workspace.value() + "/" + row.key.keyHash;
-}
+    std::string objectName(const claim_row& row)
+    {
+        return "outcome/" + row.key.workspace.value() + "/" + row.key.keyHash;
+    }
 
 }
 
