--- /dev/null
+++ b/include/pimentoladder/Daemon/CallerFront.h
@@ -0,0 +1,77 @@
+/// \file
+/// Callers' requests over HTTP, and the attempts at backend servers that serve
+/// them.
+
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "pimentoladder/Daemon/CoreDriver.h"
+#include "pimentoladder/Net/HttpClient.h"
+#include "pimentoladder/Net/HttpServer.h"
+#include "pimentoladder/Router/Actions.h"
+#include "pimentoladder/Telemetry/Log.h"
+#include "pimentoladder/Telemetry/Metrics.h"
+
+namespace pimentoladder {
+
+/// Connects callers, the core and backend servers: it turns HTTP into events of
+/// the core and the core's steps into HTTP, and passes bytes from an attempt to
+/// its caller with back-pressure. Not thread-safe; call on the loop's thread.
+class caller_front {
+public:
+    /// The references outlive the front. \p bufferBytes is the most unsent
+    /// answer bytes of one request before reading from the server pauses.
+    caller_front(core_driver& driver, http_client& client, logger& log, metrics& values, std::size_t bufferBytes);
+    ~caller_front();
+    caller_front(const caller_front&) = delete;
+    caller_front& operator=(const caller_front&) = delete;
+
+    /// Takes a request that passed the protocol checks.
+    void onRequest(http_request received, std::shared_ptr<http_answer> answer);
+
+    /// Carries out a step of one request.
+    void perform(const request_step& step);
+
+    /// Opens an attempt.
+    void perform(const start_attempt& started);
+
+    /// Tells an engine to stop a stream.
+    void perform(const stop_stream& stopped);
+
+    /// Aborts every request in progress and returns how many there were.
+    std::size_t abortAll();
+
+    std::size_t inProgress() const { return m_exchanges.size(); }
+
+private:
+    struct exchange;
+    struct step_performer;
+    using exchange_ref = std::shared_ptr<exchange>;
+
+    incoming_request describe(const http_request& received);
+    const std::string& digestOf(std::string_view key);
+    http_client_request buildRequest(const exchange& source, const start_attempt& started) const;
+    http_client_callbacks buildCallbacks(const exchange_ref& target, attempt_number attempt);
+    void passHead(const exchange_ref& target, attempt_number attempt, const http_response_head& head);
+    void passBytes(const exchange_ref& target, attempt_number attempt, std::string_view bytes);
+    void refuse(const exchange_ref& target, refusal_kind kind);
+    void replay(const exchange_ref& target, const recorded_outcome& outcome);
+    void finish(const exchange_ref& target);
+
+    core_driver& m_driver;
+    http_client& m_client;
+    logger& m_log;
+    metrics& m_metrics;
+    std::size_t m_bufferBytes;
+    std::unordered_map<request_number, exchange_ref> m_exchanges;
+    std::unordered_map<std::string, std::string> m_digests; ///< SHA-256 of keys seen, to spare the hashing.
+    std::uint64_t m_nextStop = 0;
+    std::unordered_map<std::uint64_t, std::unique_ptr<http_client_attempt>> m_stops;
+};
+
+}
--- /dev/null
+++ b/lib/Daemon/PeerMesh.cpp
@@ -0,0 +1,148 @@
+#include "pimentoladder/Daemon/PeerMesh.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace pimentoladder {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr duration unusedLinkLifetime = 60s; ///< Of a link opened on use and not used since.
+
+}
+
+peer_mesh::peer_mesh(core_driver& driver, logger& log, peer_link_settings settings, std::uint64_t seed)
+    : m_driver(driver)
+    , m_log(log)
+    , m_settings(std::move(settings))
+    , m_seed(seed)
+    , m_restart(driver.loop(), [this] { restart(); })
+{
+}
+
+peer_mesh::~peer_mesh() = default;
+
+result<void> peer_mesh::listen(const endpoint& location)
+{
+    m_location = location;
+    auto listener = peer_listener::listen(m_driver.loop().base(), m_settings, location, handlers({}), m_counters);
+    if (!listener)
+        return tl::unexpected(listener.error());
+    m_listener = std::move(*listener);
+    return {};
+}
+
+peer_link_handlers peer_mesh::handlers(const endpoint& dialledTo)
+{
+    peer_link_handlers made;
+    made.opened = [this, dialledTo](peer_link& link) { onOpened(link, dialledTo); };
+    made.received = [this](peer_link& link, const message& received) { onReceived(link, received); };
+    made.closed = [this](peer_link& link, const error& reason) { onClosed(link, reason); };
+    return made;
+}
+
+void peer_mesh::onOpened(peer_link& link, const endpoint& dialledTo)
+{
+    const member_ref peer = link.peer();
+    m_open.emplace(peer.vm, &link);
+    m_log.write(log_level::info, "peer_link_opened", { { "peer", std::string_view(peer.vm.value()) }, { "incarnation", peer.start.value() }, { "dialled", link.isDialled() } });
+    m_driver.post([&](router_core& core, time_point now) { return core.onLinkOpened(now, peer, dialledTo); });
+}
+
+void peer_mesh::onReceived(peer_link& link, const message& received)
+{
+    m_driver.post([&](router_core& core, time_point now) { return core.onMessage(now, link.peer(), received); });
+}
+
+void peer_mesh::onClosed(peer_link& link, const error& reason)
+{
+    std::erase_if(m_open, [&](const auto& entry) { return entry.second == &link; });
+    m_log.write(log_level::info, "peer_link_closed", { { "peer", std::string_view(link.peer().vm.value()) }, { "reason", std::string_view(reason.message) } });
+}
+
+void peer_mesh::dial(const peer_target& target)
+{
+    dialled_link dialled { target, nullptr, m_driver.loop().now() };
+    dialled.link = peer_link::dial(m_driver.loop().base(), m_settings, target.location, target.vm, handlers(target.location), m_counters, ++m_seed);
+    m_dialled[target.location] = std::move(dialled);
+}
+
+void peer_mesh::refreshTargets()
+{
+    std::set<endpoint> wanted;
+    const auto& members = m_driver.core().fleet().current().members;
+    const bool isListed = members.contains(m_settings.self.vm);
+    for (const peer_target& target : m_driver.core().fleet().targets()) {
+        // Of two routers that know each other the one with the lesser name
+        // connects, so that one link serves both. A router that the others do
+        // not know yet connects to all.
+        const bool isOurs = !isListed || target.vm.isEmpty() || m_settings.self.vm < target.vm;
+        if (!isOurs || target.location == m_location)
+            continue;
+        wanted.insert(target.location);
+        const auto known = m_dialled.find(target.location);
+        if (known == m_dialled.end())
+            dial(target);
+    }
+    const time_point now = m_driver.loop().now();
+    for (auto it = m_dialled.begin(); it != m_dialled.end();) {
+        const bool isKept = wanted.contains(it->first) || now - it->second.usedAt < unusedLinkLifetime;
+        if (isKept) {
+            ++it;
+            continue;
+        }
+        std::erase_if(m_open, [&](const auto& entry) { return entry.second == it->second.link.get(); });
+        it = m_dialled.erase(it);
+    }
+}
+
+peer_link* peer_mesh::openLinkTo(const vm_id& vm)
+{
+    const auto [first, last] = m_open.equal_range(vm);
+    // The newest link is tried first: an older one may belong to an earlier
+    // incarnation and not have noticed its end.
+    for (auto it = last; it != first;) {
+        --it;
+        if (it->second->isOpen())
+            return it->second;
+    }
+    return nullptr;
+}
+
+void peer_mesh::perform(const send_message& sent)
+{
+    if (peer_link* link = openLinkTo(sent.to)) {
+        link->send(sent.content);
+        return;
+    }
+    const auto location = m_driver.core().fleet().locate(sent.to);
+    if (!location || *location == m_location)
+        return;
+    const auto known = m_dialled.find(*location);
+    if (known == m_dialled.end())
+        dial({ sent.to, *location });
+    else
+        known->second.usedAt = m_driver.loop().now();
+}
+
+void peer_mesh::perform(const change_incarnation& changed)
+{
+    m_settings.self.start = changed.start;
+    m_restart.schedule();
+}
+
+void peer_mesh::restart()
+{
+    // Links prove the incarnation in their handshake, so all are made anew.
+    m_open.clear();
+    m_dialled.clear();
+    m_listener.reset();
+    if (const auto listening = listen(m_location); !listening)
+        m_log.write(log_level::error, "peer_listen_failed", { { "reason", std::string_view(listening.error().message) } });
+    refreshTargets();
+}
+
+}
