Add the administration service and its command line client

Unknown query parameters are refused, because a misspelt dryRun would carry the change out; selectors have no default, because a rule without one would match everything.

--- /dev/null
+++ b/lib/Admin/UrlText.cpp
@@ -0,0 +1,101 @@
+#include "UrlText.h"
+
+#include <optional>
+
+namespace pimentoladder {
+
+namespace {
+
+    constexpr std::string_view hexDigits = "0123456789ABCDEF";
+
+    std::optional<unsigned> hexValue(char c)
+    {
+        if (c >= '0' && c <= '9')
+            return static_cast<unsigned>(c - '0');
+        if (c >= 'a' && c <= 'f')
+            return static_cast<unsigned>(c - 'a' + 10);
+        if (c >= 'A' && c <= 'F')
+            return static_cast<unsigned>(c - 'A' + 10);
+        return std::nullopt;
+    }
+
+    result<std::string> decoded(std::string_view text)
+    {
+        std::string plain;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            if (text[i] != '%') {
+                plain += text[i] == '+' ? ' ' : text[i];
+                continue;
+            }
+            const auto high = i + 2 < text.size() ? hexValue(text[i + 1]) : std::nullopt;
+            const auto low = i + 2 < text.size() ? hexValue(text[i + 2]) : std::nullopt;
+            if (!high || !low)
+                return makeError(error_kind::invalidArgument, "the query holds a malformed escape; write % as %25");
+            plain += static_cast<char>(*high * 16 + *low);
+            i += 2;
+        }
+        return plain;
+    }
+
+    std::vector<std::string_view> split(std::string_view text, char separator)
+    {
+        std::vector<std::string_view> parts;
+        while (true) {
+            const std::size_t end = text.find(separator);
+            parts.push_back(text.substr(0, end));
+            if (end == std::string_view::npos)
+                return parts;
+            text.remove_prefix(end + 1);
+        }
+    }
+
+    bool isUnreserved(char c)
+    {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_'
+            || c == '.' || c == '~';
+    }
+
+}
+
+std::vector<std::string_view> pathSegments(std::string_view path)
+{
+    if (path.starts_with('/'))
+        path.remove_prefix(1);
+    return split(path, '/');
+}
+
+result<query_parameters> parseQuery(std::string_view query)
+{
+    query_parameters parameters;
+    for (const auto part : split(query, '&')) {
+        if (part.empty())
+            continue;
+        const std::size_t equals = part.find('=');
+        auto name = decoded(part.substr(0, equals));
+        auto value = decoded(equals == std::string_view::npos ? std::string_view() : part.substr(equals + 1));
+        if (!name || !value)
+            return tl::unexpected(name ? value.error() : name.error());
+        if (!parameters.emplace(*name, std::move(*value)).second)
+            return makeError(
+                error_kind::invalidArgument, "query parameter \"" + *name + "\" occurs twice; give it once");
+    }
+    return parameters;
+}
+
+std::string urlEncoded(std::string_view text)
+{
+    std::string encoded;
+    for (const char c : text) {
+        if (isUnreserved(c)) {
+            encoded += c;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(c);
+        encoded += '%';
+        encoded += hexDigits[byte / 16];
+        encoded += hexDigits[byte % 16];
+    }
+    return encoded;
+}
+
+}
