--- a/include/pimentoladder/Outcome/IdempotencyClaims.h
+++ b/include/pimentoladder/Outcome/IdempotencyClaims.h
@@ -192,7 +192,8 @@
         revision expected; ///< Revision of the row in the table; zero if absent.
         task next = task::create;
         bool mustRead = false; ///< What the table holds is not known.
-        bool isWriteTried = false; ///< A write of the row may reach the table.
+        bool mayBeInTable = false; ///< A write of the row may have reached or may yet reach the table.
+        bool isAmbiguous = false; ///< The result of an earlier write is not known.
         bool isQueued = false;
         time_point startedAt;
         std::optional<time_point> retryAt;
--- a/lib/Outcome/IdempotencyClaims.cpp
+++ b/lib/Outcome/IdempotencyClaims.cpp
@@ -7,16 +7,16 @@
 
 namespace {
 
-const claim_row* findRow(const std::vector<claim_row>& rows, const claim_key& key)
-{
-    const auto found = std::find_if(rows.begin(), rows.end(), [&key](const claim_row& row) { return row.key == key; });
-    return found == rows.end() ? nullptr : &*found;
-}
+    const claim_row* findRow(const std::vector<claim_row>& rows, const claim_key& key)
+    {
+        const auto found = std::find_if(rows.begin(), rows.end(), [&key](const claim_row& row) { return row.key == key; });
+        return found == rows.end() ? nullptr : &*found;
+    }
 
-std::string objectName(const claim_row& row)
-{
-    return "outcome/" + row.key.workspace.value() + "/" + row.key.keyHash;
-}
+    std::string objectName(const claim_row& row)
+    {
+        return "outcome/" + row.key.workspace.value() + "/" + row.key.keyHash;
+    }
 
 }
 
@@ -76,7 +76,7 @@
     const bool isReleasable = found && (found->next == task::create || found->next == task::none);
     if (!isReleasable)
         return actions;
-    if (found->next == task::create && !found->isWriteTried) {
+    if (found->next == task::create && !found->mayBeInTable) {
         drop(request);
         return actions;
     }
@@ -225,6 +225,7 @@
 void idempotency_claims::readLater(request_number request, entry& target)
 {
     target.mustRead = true;
+    target.isAmbiguous = true;
     enqueue(request);
 }
 
@@ -264,7 +265,7 @@
     write_claims write { started.batch, {} };
     for (const called_task& each : started.tasks) {
         entry& written = m_entries.at(each.request);
-        written.isWriteTried = true;
+        written.mayBeInTable = true;
         write.writes.push_back({ written.row, written.expected, each.task == task::remove });
     }
     return write;
@@ -289,6 +290,7 @@
 void idempotency_claims::unavailable(time_point now, request_number request, entry& target, claim_actions& actions)
 {
     if (target.next == task::create) {
+        target.mayBeInTable = target.isAmbiguous;
         giveUp(request, target, actions);
         return;
     }
@@ -353,7 +355,7 @@
 void idempotency_claims::giveUp(request_number request, entry& target, claim_actions& actions)
 {
     actions.emplace_back(claim_refused { request, refusal_kind::claimUnavailable });
-    if (target.isWriteTried)
+    if (target.mayBeInTable)
         startRemoval(request, target);
     else
         drop(request);
--- a/lib/Outcome/RequestLifecycle.cpp
+++ b/lib/Outcome/RequestLifecycle.cpp
@@ -11,13 +11,13 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusUnavailable = 503;
+    constexpr int statusOk = 200;
+    constexpr int statusUnavailable = 503;
 
-bool isWaitingPhase(request_phase phase)
-{
-    return phase == request_phase::queued || phase == request_phase::granted;
-}
+    bool isWaitingPhase(request_phase phase)
+    {
+        return phase == request_phase::queued || phase == request_phase::granted;
+    }
 
 }
 
--- /dev/null
+++ b/unittests/Outcome/CrashQuarantineTests.cpp
@@ -0,0 +1,72 @@
+#include "pimentoladder/Outcome/CrashQuarantine.h"
+
+#include <doctest/doctest.h>
+
+using namespace pimentoladder;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr fingerprint crashing(1);
+constexpr fingerprint innocent(2);
+constexpr time_point start { 1000s };
+
+crash_report lost(const char* server, std::uint64_t serverStart, std::vector<fingerprint> running)
+{
+    return { server_id(server), incarnation(serverStart), std::move(running) };
+}
+
+}
+
+// Guards against a crashing request that goes on losing servers, and against
+// refusing the requests that happened to run beside it.
+TEST_CASE("an innocent request beside a crashing one is not refused")
+{
+    crash_quarantine quarantine;
+    quarantine.merge(start, lost("a", 1, { crashing, innocent }));
+    CHECK(quarantine.verdict(start, crashing) == crash_verdict::isolate);
+    CHECK(quarantine.verdict(start, innocent) == crash_verdict::isolate);
+
+    quarantine.succeeded(innocent);
+    quarantine.merge(start + 1s, lost("b", 1, { crashing }));
+    CHECK(quarantine.verdict(start + 1s, crashing) == crash_verdict::quarantined);
+    CHECK(quarantine.verdict(start + 1s, innocent) == crash_verdict::clear);
+}
+
+// Guards against one loss counted twice because several routers report it.
+TEST_CASE("reports of one loss count once")
+{
+    crash_quarantine quarantine;
+    for (int i = 0; i < 5; ++i)
+        quarantine.merge(start + i * 1s, lost("a", 1, { crashing }));
+    CHECK(quarantine.verdict(start + 5s, crashing) == crash_verdict::isolate);
+    quarantine.merge(start + 5s, lost("a", 2, { crashing }));
+    CHECK(quarantine.verdict(start + 5s, crashing) == crash_verdict::quarantined);
+}
+
+// Guards against a late report that puts a request under suspicion again after
+// it has proved innocent.
+TEST_CASE("a late report does not restore a cleared suspicion")
+{
+    crash_quarantine quarantine;
+    quarantine.merge(start, lost("a", 1, { innocent }));
+    quarantine.succeeded(innocent);
+    quarantine.merge(start + 1s, lost("a", 1, { innocent }));
+    CHECK(quarantine.verdict(start + 1s, innocent) == crash_verdict::clear);
+}
+
+// Guards against a quarantine without end, and against memory without bound.
+TEST_CASE("suspicions end after their lifetime and are bounded in number")
+{
+    crash_quarantine quarantine;
+    quarantine.merge(start, lost("a", 1, { crashing }));
+    quarantine.merge(start, lost("b", 1, { crashing }));
+    CHECK(quarantine.verdict(start + 9min, crashing) == crash_verdict::quarantined);
+    CHECK(quarantine.verdict(start + 10min, crashing) == crash_verdict::clear);
+
+    std::vector<fingerprint> many;
+    for (std::uint64_t i = 1; i <= crash_quarantine::maximumFingerprints + 100; ++i)
+        many.emplace_back(i);
+    quarantine.merge(start + 20min, lost("c", 1, many));
+    CHECK(quarantine.size() == crash_quarantine::maximumFingerprints);
+}
