Add the event loop, HTTP server, client and inspector

Raw input is taken out of the bufferevent's input buffer before evhttp reads it, because evhttp truncates heads at NUL, skips the bodies of GET and DELETE, joins folded lines, and delivers a chunk only when it is whole. A filter bufferevent was ruled out: it reports its output as written when it has moved to the lower bufferevent, and evhttp would free connections with unsent bytes.

--- a/include/pimentoladder/Net/HttpClient.h
+++ b/include/pimentoladder/Net/HttpClient.h
@@ -23,7 +23,7 @@
     std::size_t headBytes = 64 * 1024;
     std::size_t idleConnectionsPerEndpoint = 32;
     duration connectTimeout = std::chrono::seconds(1);
-    duration firstByteTimeout = std::chrono::seconds(60); ///< From connected to the first byte of the head.
+    duration firstByteTimeout = std::chrono::seconds(60); ///< From the last byte of the request that the socket took to the first byte of the head.
     duration idleTimeout = std::chrono::seconds(30); ///< Between two parts of an answer, while reading is not paused.
     duration keepAliveTimeout = std::chrono::seconds(30); ///< How long an unused connection is kept.
 };
@@ -31,7 +31,7 @@
 /// One attempt to be made. The client adds `Host` and the framing headers.
 struct http_client_request {
     endpoint server;
-    std::string method;
+    std::string method; ///< GET, HEAD, POST, PUT, DELETE, OPTIONS or PATCH; others end as `notSent`.
     std::string target;
     http_headers headers; ///< Hop-by-hop headers are removed.
     std::string body;
@@ -39,7 +39,8 @@
 };
 
 /// What the owner of an attempt is told, in this order. No function is called
-/// after `onEnd` or after `cancel`, nor from within `http_client::send`.
+/// after `onEnd`, after `cancel`, nor from within `http_client::send`. The client
+/// may be destroyed from `onEnd` only.
 struct http_client_callbacks {
     /// Asked once, with the connection open, before the first byte of the
     /// request is given to the socket. If it returns false no byte is given and
@@ -69,7 +70,7 @@
 };
 
 /// Sends requests, each exactly once, over kept-alive connections. It never
-/// sends a request again by itself.
+/// sends a request again by itself. Destroying the client cancels its attempts.
 /// Not thread-safe; call on the loop's thread. Attempts may outlive the client.
 class http_client {
 public:
--- a/include/pimentoladder/Net/HttpInspector.h
+++ b/include/pimentoladder/Net/HttpInspector.h
@@ -86,9 +86,11 @@
     /// head is complete.
     bool isPersistent() const { return m_isPersistent; }
 
-    /// Returns the checked head in normal form: one line per header, an
-    /// origin-form target, and no framing header other than `Content-Length` or
-    /// `Transfer-Encoding: chunked`. Valid once the head is complete.
+    /// Returns the checked head in normal form, as evhttp is given it: an
+    /// origin-form target, no hop-by-hop headers but `Connection: close`, and for
+    /// responses `Content-Length` or `Transfer-Encoding: chunked`. The head of a
+    /// request announces no body, because evhttp does not read it. Valid once the
+    /// head is complete.
     const std::string& head() const { return m_head; }
 
 private:
--- a/include/pimentoladder/Net/HttpServer.h
+++ b/include/pimentoladder/Net/HttpServer.h
@@ -99,7 +99,7 @@
 
 private:
     class implementation;
-    std::shared_ptr<implementation> m_implementation;
+    std::unique_ptr<implementation> m_implementation;
 };
 
 }
--- /dev/null
+++ b/lib/Net/EventLoop.cpp
@@ -0,0 +1,144 @@
+#include "pimentoladder/Net/EventLoop.h"
+
+#include <algorithm>
+#include <ctime>
+#include <stdexcept>
+#include <utility>
+
+#include <event2/event.h>
+
+namespace pimentoladder {
+
+namespace {
+
+    timeval toTimeval(duration length)
+    {
+        const duration positive = std::max(length, duration::zero());
+        const auto whole = std::chrono::duration_cast<std::chrono::seconds>(positive);
+        const auto rest = std::chrono::ceil<std::chrono::microseconds>(positive - whole);
+        return { static_cast<time_t>(whole.count()), static_cast<suseconds_t>(rest.count()) };
+    }
+
+    /// Runs the function behind \p context. The copy keeps it alive if it destroys
+    /// its owner.
+    void runCallback(evutil_socket_t, short, void* context)
+    {
+        const std::shared_ptr<std::function<void()>> callback
+            = *static_cast<std::shared_ptr<std::function<void()>>*>(context);
+        (*callback)();
+    }
+
+    event* makeEvent(event_loop& loop, evutil_socket_t source, short what, std::shared_ptr<std::function<void()>>& callback)
+    {
+        event* made = event_new(loop.base(), source, what, runCallback, &callback);
+        if (!made)
+            throw std::runtime_error("libevent refuses an event");
+        return made;
+    }
+
+}
+
+event_loop::event_loop()
+    : m_base(nullptr)
+{
+    event_config* config = event_config_new();
+    if (!config)
+        throw std::runtime_error("libevent refuses a configuration");
+    // The coarse clock would fire timers up to a tick early.
+    event_config_set_flag(config, EVENT_BASE_FLAG_NOLOCK | EVENT_BASE_FLAG_PRECISE_TIMER);
+    m_base = event_base_new_with_config(config);
+    event_config_free(config);
+    if (!m_base)
+        throw std::runtime_error("libevent refuses an event base");
+}
+
+event_loop::~event_loop()
+{
+    event_base_free(m_base);
+}
+
+time_point event_loop::now() const
+{
+    timespec read {};
+    clock_gettime(CLOCK_BOOTTIME, &read);
+    return time_point(std::chrono::seconds(read.tv_sec) + std::chrono::nanoseconds(read.tv_nsec));
+}
+
+void event_loop::run()
+{
+    event_base_loop(m_base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void event_loop::runFor(duration limit)
+{
+    loop_timer end(*this, [this] { stop(); });
+    end.arm(limit);
+    run();
+}
+
+void event_loop::stop()
+{
+    event_base_loopbreak(m_base);
+}
+
+loop_timer::loop_timer(event_loop& loop, std::function<void()> callback)
+    : m_callback(std::make_shared<std::function<void()>>(std::move(callback)))
+    , m_event(makeEvent(loop, -1, 0, m_callback))
+{
+}
+
+loop_timer::~loop_timer()
+{
+    event_free(m_event);
+}
+
+void loop_timer::arm(duration delay)
+{
+    const timeval wait = toTimeval(delay);
+    event_add(m_event, &wait);
+}
+
+void loop_timer::cancel()
+{
+    event_del(m_event);
+}
+
+bool loop_timer::isArmed() const
+{
+    return event_pending(m_event, EV_TIMEOUT, nullptr) != 0;
+}
+
+deferred_call::deferred_call(event_loop& loop, std::function<void()> callback)
+    : m_callback(std::make_shared<std::function<void()>>(std::move(callback)))
+    , m_event(makeEvent(loop, -1, 0, m_callback))
+{
+}
+
+deferred_call::~deferred_call()
+{
+    event_free(m_event);
+}
+
+void deferred_call::schedule()
+{
+    event_active(m_event, EV_TIMEOUT, 0);
+}
+
+void deferred_call::cancel()
+{
+    event_del(m_event);
+}
+
+signal_watch::signal_watch(event_loop& loop, int signalNumber, std::function<void()> callback)
+    : m_callback(std::make_shared<std::function<void()>>(std::move(callback)))
+    , m_event(makeEvent(loop, signalNumber, EV_SIGNAL | EV_PERSIST, m_callback))
+{
+    event_add(m_event, nullptr);
+}
+
+signal_watch::~signal_watch()
+{
+    event_free(m_event);
+}
+
+}
--- /dev/null
+++ b/lib/Net/HttpSockets.cpp
@@ -0,0 +1,60 @@
+#include "HttpSockets.h"
+
+#include <cerrno>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace pimentoladder {
+
+bool toSocketAddress(const endpoint& location, sockaddr_storage& address)
+{
+    address = {};
+    auto* v4 = reinterpret_cast<sockaddr_in*>(&address);
+    auto* v6 = reinterpret_cast<sockaddr_in6*>(&address);
+    if (inet_pton(AF_INET, location.address.c_str(), &v4->sin_addr) == 1) {
+        v4->sin_family = AF_INET;
+        v4->sin_port = htons(location.port);
+        return true;
+    }
+    if (inet_pton(AF_INET6, location.address.c_str(), &v6->sin6_addr) == 1) {
+        v6->sin6_family = AF_INET6;
+        v6->sin6_port = htons(location.port);
+        return true;
+    }
+    return false;
+}
+
+std::uint16_t localPort(int socket)
+{
+    sockaddr_storage address {};
+    socklen_t size = sizeof address;
+    if (getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) != 0)
+        return 0;
+    if (address.ss_family == AF_INET6)
+        return ntohs(reinterpret_cast<const sockaddr_in6*>(&address)->sin6_port);
+    return ntohs(reinterpret_cast<const sockaddr_in*>(&address)->sin_port);
+}
+
+void setNoDelay(int socket)
+{
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+void setResetOnClose(int socket)
+{
+    const linger reset { 1, 0 };
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+}
+
+bool isUnusable(int socket)
+{
+    char byte = 0;
+    const ssize_t count = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+}
