--- a/tools/standins/EngineService.cpp
+++ b/tools/standins/EngineService.cpp
@@ -86,7 +86,8 @@
     const stream_number number = m_model.start(request.value("prompt", std::string()), hidden);
     const stream_state& state = *m_model.find(number);
     stream_record& record = m_streams[number];
-    record.salt = state.salt;
+    // Executions of different starts must differ even with one seed.
+    record.salt = state.salt ^ m_incarnation;
     record.promptTokens = state.promptTokens;
     record.total = state.total;
     record.loadId = exchange->header(loadIdHeader);
--- a/tools/standins/PortalService.cpp
+++ b/tools/standins/PortalService.cpp
@@ -42,7 +42,7 @@
 void portal_service::handleRead(const exchange_ptr& exchange)
 {
     execute(exchange, 200, [this, path = exchange->path()](std::uint64_t execution) {
-        return json { { "path", path }, { "server", m_context.name }, { "execution", execution } };
+        return json { { "path", path }, { "server", m_context.name }, { "incarnation", m_incarnation }, { "execution", execution } };
     });
 }
 
@@ -51,7 +51,7 @@
     const json order = json::parse(exchange->body());
     const auto bodyId = order.at("id").get<std::string>();
     execute(exchange, 201, [this, path = exchange->path(), bodyId](std::uint64_t execution) {
-        json entry { { "path", path }, { "id", bodyId }, { "server", m_context.name }, { "execution", execution } };
+        json entry { { "path", path }, { "id", bodyId }, { "server", m_context.name }, { "incarnation", m_incarnation }, { "execution", execution } };
         m_orders.push_back(entry);
         return entry;
     });
--- a/tools/standins/Relay.cpp
+++ b/tools/standins/Relay.cpp
@@ -20,7 +20,7 @@
 namespace {
 
     // Above this a direction is not read until the other side has taken bytes.
-    constexpr std::size_t bufferLimit = 256 * 1024;
+    constexpr std::size_t bufferLimit = std::size_t { 256 } * 1024;
 
     struct socket_address {
         sockaddr_storage storage {};
