--- a/unittests/Platform/TableClientTests.cpp
+++ b/unittests/Platform/TableClientTests.cpp
@@ -100,7 +100,7 @@
 {
     const bool holds = rc::check("", [] {
         const auto drawn = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
-        std::vector<mishap> script;
+        std::vector<mishap> script { static_cast<mishap>(*rc::gen::inRange(0, 6)) };
         for (const int number : drawn)
             script.push_back(static_cast<mishap>(number));
         fixture net(script);
