--- a/lib/Admin/Replies.cpp
+++ b/lib/Admin/Replies.cpp
@@ -102,9 +102,11 @@
     json body = details.is_object() ? std::move(details) : json::object();
     body["kind"] = row.name;
     body["message"] = message;
-    body["ran"] = row.ran == run_state::notRun ? "no" : "unknown";
+    body["ran"] = row.ran == run_state::notRun ? json(false) : json("unknown");
     body["retry"] = retryAdviceName(row.retry);
     admin_response response = jsonReply(row.status, body);
+    if (row.retry == retry_advice::later)
+        response.headers.push_back({ "Retry-After", "1" });
     if (kind == admin_refusal::unauthenticated)
         response.headers.push_back({ "WWW-Authenticate", "Bearer" });
     return response;
--- a/unittests/Admin/AdminServiceTests.cpp
+++ b/unittests/Admin/AdminServiceTests.cpp
@@ -144,7 +144,8 @@
         fixture.store.nextFault = table_fault::unavailable;
         const admin_response refused = fixture.send("POST", "/v1/data-centres", sampleCentre);
         CHECK(refused.status == 503);
-        CHECK(admin_fixture::json(refused)["ran"] == "no");
+        CHECK(admin_fixture::json(refused)["ran"] == false);
+        CHECK(findAdminHeader(refused.headers, "retry-after") == "1");
     }
 }
 
