--- /dev/null
+++ b/lib/Net/HttpClientConnection.h
@@ -0,0 +1,108 @@
+/// \file
+/// One connection of the HTTP client and the attempt in progress on it.
+
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+
+#include "HttpSockets.h"
+#include "pimentoladder/Net/EventLoop.h"
+#include "pimentoladder/Net/HttpClient.h"
+#include "pimentoladder/Net/HttpInspector.h"
+
+namespace pimentoladder {
+
+class http_client_connection;
+
+/// Returns whether the client can send requests of this method. Thread-safe.
+bool isClientMethod(std::string_view method);
+
+/// What an attempt's owner, its connection and the client share.
+struct http_attempt_state {
+    http_client_request request;
+    std::shared_ptr<http_client_callbacks> callbacks;
+    http_client_connection* connection = nullptr;
+    std::unique_ptr<deferred_call> start;
+    bool isEnded = false;
+    bool mayHaveBeenSent = false;
+};
+
+/// What a connection tells its client.
+class http_client_connection_pool {
+public:
+    virtual ~http_client_connection_pool() = default;
+    virtual const http_client_limits& limits() const = 0;
+    /// Keeps the connection for later use, or discards it.
+    virtual void keep(http_client_connection& unused) = 0;
+    /// Destroys the connection. Not to be called from within an evhttp callback.
+    virtual void discard(http_client_connection& dead) = 0;
+};
+
+/// One connection to a backend server, in use by at most one attempt. The raw
+/// input is checked and written anew, chunk by chunk, before evhttp reads it.
+class http_client_connection {
+public:
+    http_client_connection(event_loop& loop, http_client_connection_pool& pool, endpoint server);
+    ~http_client_connection();
+    http_client_connection(const http_client_connection&) = delete;
+    http_client_connection& operator=(const http_client_connection&) = delete;
+
+    const endpoint& server() const { return m_server; }
+    bool isUsable() const { return !m_isClosed && !m_isEnding && !isUnusable(bufferevent_getfd(m_channel)); }
+
+    void begin(std::shared_ptr<http_attempt_state> attempt);
+    void pause();
+    void resume();
+    void cancel();
+    /// Starts the time after which the unused connection is closed.
+    void becomeIdle();
+
+private:
+    static void onInput(evbuffer*, const evbuffer_cb_info* info, void* context);
+    static void onOutput(evbuffer*, const evbuffer_cb_info* info, void* context);
+    static int onHead(evhttp_request* request, void* context);
+    static void onBody(evhttp_request* request, void* context);
+    static void onDone(evhttp_request* request, void* context);
+    static void onClosed(evhttp_connection*, void* context);
+
+    void inputArrived(std::size_t added);
+    std::string checkedInput(std::string_view raw);
+    void outputChanged(const evbuffer_cb_info& info);
+    bool askMaySend();
+    void dropOutput();
+    void headArrived(evhttp_request* request);
+    void bodyArrived(evhttp_request* request);
+    evhttp_request* makeRequest();
+    void end(attempt_end_kind kind);
+    attempt_end_kind brokenKind() const;
+    void finish();
+    void deadlinePassed();
+
+    http_client_connection_pool& m_pool;
+    endpoint m_server;
+    bufferevent* m_channel;
+    evhttp_connection* m_evhttp;
+    http_inspector m_inspector;
+    std::string m_body; ///< Scratch buffer.
+    std::shared_ptr<http_attempt_state> m_attempt;
+    attempt_end_kind m_endKind = attempt_end_kind::notSent;
+    deferred_call m_finish;
+    loop_timer m_deadline;
+    bool m_isAsked = false; ///< Whether bytes may be sent has been asked for this attempt.
+    bool m_isDenied = false;
+    bool m_hasDeliveredHead = false;
+    bool m_isEnding = false;
+    bool m_isPaused = false;
+    bool m_isClosed = false;
+    bool m_hasSurplus = false; ///< Bytes arrived that belong to no answer.
+    bool m_isRewriting = false;
+};
+
+}
--- /dev/null
+++ b/lib/Net/HttpServerConnection.cpp
@@ -0,0 +1,448 @@
+#include "HttpServerConnection.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstdlib>
+
+#include <sys/socket.h>
+
+#include <event2/event.h>
+#include <event2/keyvalq_struct.h>
+
+#include "HttpRefusal.h"
+#include "HttpSockets.h"
+
+namespace pimentoladder {
+
+namespace {
+
+    // Bytes of later requests that are read while an answer is in progress.
+    constexpr std::size_t readAheadBytes = 64 * 1024;
+    // Connections over the limit that still get a refusal instead of a plain close.
+    constexpr std::size_t refusedConnections = 64;
+    constexpr std::string_view refusedRequest = "GET / HTTP/1.1\r\nHost: refused\r\nContent-Length: 0\r\n\r\n";
+    constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+
+}
+
+http_server_answer::~http_server_answer()
+{
+    if (m_connection && !m_isEnded)
+        m_connection->abortAnswer();
+}
+
+void http_server_answer::start(const http_response_head& head)
+{
+    assert(!m_isStarted && "an answer starts once");
+    m_isStarted = true;
+    if (!m_connection)
+        return;
+    const std::optional<std::string_view> length = findHeader(head.headers, "Content-Length");
+    if (length && m_connection->hasAnswerBody(head.status))
+        m_announced = std::strtoull(std::string(*length).c_str(), nullptr, 10);
+    m_connection->sendHead(head, length.has_value());
+}
+
+void http_server_answer::send(std::string_view bytes)
+{
+    assert(m_isStarted && "the head goes before the body");
+    if (!m_connection || m_isEnded || bytes.empty())
+        return;
+    if (m_announced && bytes.size() > *m_announced) {
+        abort();
+        return;
+    }
+    if (m_announced)
+        *m_announced -= bytes.size();
+    m_connection->sendBody(bytes);
+}
+
+void http_server_answer::end()
+{
+    if (!m_connection || m_isEnded)
+        return;
+    const bool isShort = m_announced.value_or(0) > 0;
+    if (isShort || !m_isStarted) {
+        abort();
+        return;
+    }
+    m_isEnded = true;
+    m_connection->endAnswer();
+}
+
+void http_server_answer::abort()
+{
+    if (!m_connection || m_isEnded)
+        return;
+    m_isEnded = true;
+    m_connection->abortAnswer();
+}
+
+void http_server_answer::reply(const http_response_head& head, std::string_view body)
+{
+    http_response_head framed = head;
+    std::erase_if(
+        framed.headers, [](const http_header& each) { return isSameHeaderName(each.name, "Content-Length"); });
+    framed.headers.push_back({ "Content-Length", std::to_string(body.size()) });
+    start(framed);
+    if (m_announced)
+        send(body);
+    end();
+}
+
+void http_server_answer::refuse(refusal_kind kind, std::string_view message)
+{
+    reply(refusalHead(kind), refusalBody(kind, message));
+}
+
+std::size_t http_server_answer::pendingBytes() const
+{
+    return m_connection ? m_connection->pendingBytes() : 0;
+}
+
+void http_server_answer::whenDrained(std::size_t lowBytes, std::function<void()> callback)
+{
+    m_lowBytes = lowBytes;
+    m_whenDrained = std::move(callback);
+    outputShrank();
+}
+
+void http_server_answer::connectionClosed()
+{
+    m_connection = nullptr;
+    m_whenDrained = nullptr;
+    if (!m_isEnded)
+        m_leave.schedule();
+}
+
+void http_server_answer::outputShrank()
+{
+    if (m_connection && m_whenDrained && m_connection->pendingBytes() <= m_lowBytes)
+        m_drain.schedule();
+}
+
+http_server_connection::http_server_connection(event_loop& loop, http_server_connection_owner& owner, bufferevent* channel)
+    : m_loop(loop)
+    , m_owner(owner)
+    , m_channel(channel)
+    , m_raw(evbuffer_new())
+    , m_part(evbuffer_new())
+    , m_inspector(http_inspector::forRequests({ owner.limits().headBytes, owner.limits().bodyBytes }))
+    , m_proceed(loop, [this] { proceed(); })
+    , m_deadline(loop, [this] { deadlinePassed(); })
+{
+    // evhttp must not read by itself: with this low mark its read callback runs
+    // only when a checked head is injected.
+    bufferevent_setwatermark(m_channel, EV_READ, SIZE_MAX, readAheadBytes);
+    evbuffer_add_cb(bufferevent_get_input(m_channel), onInput, this);
+    evbuffer_add_cb(bufferevent_get_output(m_channel), onOutput, this);
+    bufferevent_incref(m_channel);
+    m_proceed.schedule();
+}
+
+http_server_connection::~http_server_connection()
+{
+    if (m_phase == phase::adopting) {
+        forgetChannel();
+        bufferevent_decref(m_channel);
+    }
+    evbuffer_free(m_raw);
+    evbuffer_free(m_part);
+}
+
+void http_server_connection::forgetChannel()
+{
+    evbuffer_remove_cb(bufferevent_get_input(m_channel), onInput, this);
+    evbuffer_remove_cb(bufferevent_get_output(m_channel), onOutput, this);
+    m_phase = phase::closed;
+    m_proceed.cancel();
+    m_deadline.cancel();
+}
+
+void http_server_connection::onInput(evbuffer*, const evbuffer_cb_info* info, void* context)
+{
+    auto* self = static_cast<http_server_connection*>(context);
+    if (info->n_added == 0 || self->m_isInjecting)
+        return;
+    if (evbuffer_get_length(self->m_raw) < readAheadBytes)
+        self->takeRawInput();
+    if (self->m_phase == phase::refusing)
+        evbuffer_drain(self->m_raw, evbuffer_get_length(self->m_raw));
+    self->m_proceed.schedule();
+}
+
+void http_server_connection::onOutput(evbuffer*, const evbuffer_cb_info* info, void* context)
+{
+    auto* self = static_cast<http_server_connection*>(context);
+    const bool isEmpty = self->pendingBytes() == 0;
+    if (info->n_deleted > 0) {
+        if (const auto answer = self->m_answer.lock())
+            answer->outputShrank();
+        if (isEmpty && self->m_phase == phase::aborting)
+            self->m_proceed.schedule();
+    }
+    if (self->m_phase != phase::answering && self->m_phase != phase::aborting)
+        return;
+    if (isEmpty)
+        self->m_deadline.cancel();
+    else if (info->n_deleted > 0 || !self->m_deadline.isArmed())
+        self->m_deadline.arm(self->m_owner.limits().writeTimeout);
+}
+
+void http_server_connection::onClosed(evhttp_connection*, void* context)
+{
+    static_cast<http_server_connection*>(context)->closed();
+}
+
+void http_server_connection::onAnswerSent(evhttp_request*, void* context)
+{
+    static_cast<http_server_connection*>(context)->answerSent();
+}
+
+void http_server_connection::proceed()
+{
+    if (m_phase == phase::adopting)
+        adopt();
+    else if (m_phase == phase::reading)
+        read();
+    else if (m_phase == phase::aborting && pendingBytes() == 0)
+        close();
+}
+
+void http_server_connection::adopt()
+{
+    bufferevent_event_cb onEvent = nullptr;
+    void* context = nullptr;
+    bufferevent_getcb(m_channel, nullptr, nullptr, &onEvent, &context);
+    if (!onEvent) {
+        // evhttp could not take the connection and has freed it.
+        forgetChannel();
+        bufferevent_decref(m_channel);
+        m_owner.connectionClosed(m_channel);
+        return;
+    }
+    m_phase = phase::reading;
+    bufferevent_decref(m_channel);
+    m_evhttp = static_cast<evhttp_connection*>(context);
+    assert(evhttp_connection_get_bufferevent(m_evhttp) == m_channel && "evhttp passes its connection to its callbacks");
+    evhttp_connection_set_closecb(m_evhttp, onClosed, this);
+    bufferevent_set_timeouts(m_channel, nullptr, nullptr);
+    setNoDelay(bufferevent_getfd(m_channel));
+    m_deadline.arm(m_owner.limits().idleTimeout);
+    const std::size_t limit = m_owner.limits().connections;
+    if (m_owner.connectionCount() > limit + refusedConnections)
+        close();
+    else if (m_owner.connectionCount() > limit)
+        refuse(refusal_kind::tooManyConnections, {});
+}
+
+void http_server_connection::takeRawInput()
+{
+    evbuffer_remove_buffer(
+        bufferevent_get_input(m_channel), m_raw, evbuffer_get_length(bufferevent_get_input(m_channel)));
+}
+
+void http_server_connection::read()
+{
+    takeRawInput();
+    while (m_phase == phase::reading && evbuffer_get_length(m_raw) > 0) {
+        evbuffer_iovec first {};
+        evbuffer_peek(m_raw, -1, nullptr, &first, 1);
+        const bool wasHead = m_inspector.progress() == http_progress::head;
+        const bool hadBegun = m_inspector.hasBegun();
+        const std::string_view bytes(static_cast<const char*>(first.iov_base), first.iov_len);
+        evbuffer_drain(m_raw, m_inspector.feed(bytes, m_body));
+        if (!hadBegun && m_inspector.hasBegun())
+            m_deadline.arm(m_owner.limits().headTimeout);
+        progressed(wasHead);
+    }
+}
+
+void http_server_connection::progressed(bool wasHead)
+{
+    switch (m_inspector.progress()) {
+    case http_progress::head:
+        return;
+    case http_progress::body:
+        if (!wasHead)
+            return;
+        m_deadline.arm(m_owner.limits().bodyTimeout);
+        if (m_inspector.expectsContinue())
+            sendContinue();
+        return;
+    case http_progress::complete:
+        dispatch();
+        return;
+    case http_progress::violated:
+        refuse(m_inspector.violation().kind, m_inspector.violation().message);
+        return;
+    }
+}
+
+void http_server_connection::sendContinue()
+{
+    // No answer is in progress, so nothing of evhttp's output can be overtaken.
+    // If the socket does not take it, the caller sends its body without it.
+    if (evbuffer_get_length(m_raw) == 0)
+        static_cast<void>(::send(bufferevent_getfd(m_channel), continueResponse.data(), continueResponse.size(),
+            MSG_NOSIGNAL | MSG_DONTWAIT));
+}
+
+void http_server_connection::inject(std::string_view head)
+{
+    evbuffer* input = bufferevent_get_input(m_channel);
+    takeRawInput();
+    m_isInjecting = true;
+    evbuffer_unfreeze(input, 0);
+    evbuffer_add(input, head.data(), head.size());
+    evbuffer_freeze(input, 0);
+    m_isInjecting = false;
+    bufferevent_trigger(m_channel, EV_READ, BEV_TRIG_IGNORE_WATERMARKS);
+}
+
+void http_server_connection::dispatch()
+{
+    m_phase = phase::answering;
+    m_deadline.cancel();
+    inject(m_inspector.head());
+}
+
+void http_server_connection::refuse(refusal_kind kind, std::string message)
+{
+    m_phase = phase::refusing;
+    m_refusal = { kind, std::move(message) };
+    inject(refusedRequest);
+}
+
+void http_server_connection::requestParsed(evhttp_request* request)
+{
+    m_request = request;
+    evhttp_request_set_on_complete_cb(request, onAnswerSent, this);
+    // evhttp stops reading here; read on, to learn when the caller leaves.
+    bufferevent_enable(m_channel, EV_READ);
+    if (m_phase == phase::refusing) {
+        sendRefusal();
+        return;
+    }
+    const std::string& head = m_inspector.head();
+    http_request taken;
+    taken.method = head.substr(0, head.find(' '));
+    taken.target = evhttp_request_get_uri(request);
+    taken.body = std::exchange(m_body, {});
+    const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+    for (const evkeyval* each = headers->tqh_first; each; each = each->next.tqe_next) {
+        const bool isFraming
+            = isSameHeaderName(each->key, "Connection") || isSameHeaderName(each->key, "Content-Length");
+        if (!isFraming)
+            taken.headers.push_back({ each->key, each->value });
+    }
+    m_isHead = taken.method == "HEAD";
+    const auto answer = std::make_shared<http_server_answer>(m_loop, *this);
+    m_answer = answer;
+    m_owner.requestArrived(std::move(taken), answer);
+}
+
+void http_server_connection::sendRefusal()
+{
+    const std::string body = refusalBody(m_refusal.kind, m_refusal.message);
+    http_response_head head = refusalHead(m_refusal.kind);
+    head.headers.push_back({ "Content-Length", std::to_string(body.size()) });
+    evhttp_add_header(evhttp_request_get_output_headers(m_request), "Connection", "close");
+    sendHead(head, true);
+    sendBody(body);
+    // The answer is ended, and with it the connection, when the caller closes or
+    // the time is over: closing while input is unread would reset the connection
+    // and could destroy the refusal on its way.
+    evbuffer_drain(m_raw, evbuffer_get_length(m_raw));
+    m_deadline.arm(m_owner.limits().lingerTimeout);
+}
+
+bool http_server_connection::hasAnswerBody(int status) const
+{
+    return !m_isHead && status != HTTP_NOCONTENT && status != HTTP_NOTMODIFIED && status >= 200;
+}
+
+void http_server_connection::sendHead(const http_response_head& head, bool isLengthKnown)
+{
+    http_headers headers = head.headers;
+    removeHopByHopHeaders(headers);
+    evkeyvalq* output = evhttp_request_get_output_headers(m_request);
+    for (const http_header& each : headers) {
+        const bool isLength = isSameHeaderName(each.name, "Content-Length");
+        if (!isLength || hasAnswerBody(head.status) || m_isHead)
+            evhttp_add_header(output, each.name.c_str(), each.value.c_str());
+    }
+    if (m_owner.isDraining() && !evhttp_find_header(output, "Connection"))
+        evhttp_add_header(output, "Connection", "close");
+    const bool isOldVersion = m_inspector.head().find(" HTTP/1.0\r\n") != std::string::npos;
+    m_isCloseDelimited = isOldVersion && !isLengthKnown && hasAnswerBody(head.status);
+    evhttp_send_reply_start(m_request, head.status, nullptr);
+}
+
+void http_server_connection::sendBody(std::string_view bytes)
+{
+    evbuffer_add(m_part, bytes.data(), bytes.size());
+    evhttp_send_reply_chunk(m_request, m_part);
+    // evhttp leaves the bytes where the answer has no body.
+    evbuffer_drain(m_part, evbuffer_get_length(m_part));
+}
+
+void http_server_connection::endAnswer()
+{
+    evhttp_send_reply_end(m_request);
+}
+
+void http_server_connection::abortAnswer()
+{
+    if (m_phase != phase::answering)
+        return;
+    m_phase = phase::aborting;
+    m_proceed.schedule();
+}
+
+void http_server_connection::close()
+{
+    // Without a length or chunks, only a reset shows the caller that the answer is cut short.
+    if (m_phase == phase::aborting && m_isCloseDelimited)
+        resetConnection(bufferevent_getfd(m_channel));
+    evhttp_connection_free(m_evhttp);
+}
+
+void http_server_connection::closed()
+{
+    forgetChannel();
+    if (m_request) {
+        evhttp_request_set_on_complete_cb(m_request, nullptr, nullptr);
+        // evhttp leaves a request whose answer has not ended to its user.
+        if (!evhttp_request_get_connection(m_request))
+            evhttp_send_reply_end(m_request);
+    }
+    m_request = nullptr;
+    if (const auto answer = m_answer.lock())
+        answer->connectionClosed();
+    m_owner.connectionClosed(m_channel);
+}
+
+void http_server_connection::answerSent()
+{
+    if (const auto answer = m_answer.lock())
+        answer->answerSent();
+    m_answer.reset();
+    m_request = nullptr;
+    m_phase = phase::reading;
+    m_inspector.reset();
+    takeRawInput();
+    m_deadline.arm(m_owner.limits().idleTimeout);
+    m_proceed.schedule();
+}
+
+void http_server_connection::deadlinePassed()
+{
+    if (m_phase == phase::reading && m_inspector.hasBegun()) {
+        refuse(refusal_kind::requestTimeout, {});
+        return;
+    }
+    close();
+}
+
+}
--- /dev/null
+++ b/lib/Net/HttpServerConnection.h
@@ -0,0 +1,160 @@
+/// \file
+/// One connection of the HTTP server and the answer in progress on it.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+
+#include "pimentoladder/Net/EventLoop.h"
+#include "pimentoladder/Net/HttpInspector.h"
+#include "pimentoladder/Net/HttpServer.h"
+
+namespace pimentoladder {
+
+class http_server_connection;
+
+/// The answer's side of a connection. It outlives the connection.
+class http_server_answer final : public http_answer {
+public:
+    http_server_answer(event_loop& loop, http_server_connection& owner)
+        : m_connection(&owner)
+        , m_leave(loop, [this] { callOnce(m_whenLeft); })
+        , m_drain(loop, [this] { callOnce(m_whenDrained); })
+    {
+    }
+    ~http_server_answer() override;
+    http_server_answer(const http_server_answer&) = delete;
+    http_server_answer& operator=(const http_server_answer&) = delete;
+
+    void start(const http_response_head& head) override;
+    void send(std::string_view bytes) override;
+    void end() override;
+    void abort() override;
+    void reply(const http_response_head& head, std::string_view body) override;
+    void refuse(refusal_kind kind, std::string_view message) override;
+    std::size_t pendingBytes() const override;
+    void whenDrained(std::size_t lowBytes, std::function<void()> callback) override;
+    void whenCallerLeaves(std::function<void()> callback) override { m_whenLeft = std::move(callback); }
+
+    /// Detaches from a connection that closes.
+    void connectionClosed();
+    /// Detaches from a connection that has sent the whole answer.
+    void answerSent() { m_connection = nullptr; }
+    void outputShrank();
+
+private:
+    static void callOnce(std::function<void()>& callback)
+    {
+        const auto called = std::exchange(callback, nullptr);
+        if (called)
+            called();
+    }
+
+    http_server_connection* m_connection;
+    std::function<void()> m_whenLeft;
+    std::function<void()> m_whenDrained;
+    deferred_call m_leave;
+    deferred_call m_drain;
+    std::size_t m_lowBytes = 0;
+    std::optional<std::uint64_t> m_announced; ///< Bytes of the body that are still to be sent.
+    bool m_isStarted = false;
+    bool m_isEnded = false;
+};
+
+/// What a connection tells its server.
+class http_server_connection_owner {
+public:
+    virtual ~http_server_connection_owner() = default;
+    virtual const http_server_limits& limits() const = 0;
+    virtual bool isDraining() const = 0;
+    virtual std::size_t connectionCount() const = 0;
+    virtual void requestArrived(http_request request, std::shared_ptr<http_answer> answer) = 0;
+    /// Takes a connection that is of no more use. It is destroyed later.
+    virtual void connectionClosed(bufferevent* channel) = 0;
+};
+
+/// One caller's connection. evhttp owns the bufferevent. The raw input is moved
+/// out of it as it arrives; evhttp is given one checked head at a time.
+class http_server_connection {
+public:
+    http_server_connection(event_loop& loop, http_server_connection_owner& owner, bufferevent* channel);
+    ~http_server_connection();
+    http_server_connection(const http_server_connection&) = delete;
+    http_server_connection& operator=(const http_server_connection&) = delete;
+
+    /// Continues in evhttp's request callback for the head that was injected.
+    void requestParsed(evhttp_request* request);
+
+    /// Refuses the connection before any request.
+    void refuse(refusal_kind kind, std::string message);
+    /// Closes at once. Not to be called from within an evhttp callback.
+    void close();
+    bool isIdle() const { return m_phase == phase::reading && !m_inspector.hasBegun(); }
+
+    void sendHead(const http_response_head& head, bool isLengthKnown);
+    void sendBody(std::string_view bytes);
+    void endAnswer();
+    void abortAnswer();
+    std::size_t pendingBytes() const { return evbuffer_get_length(bufferevent_get_output(m_channel)); }
+    bool hasAnswerBody(int status) const;
+
+private:
+    enum class phase {
+        adopting, ///< evhttp has not taken the connection yet.
+        reading, ///< Waits for a request or reads it.
+        answering, ///< The handler has the request.
+        refusing, ///< A refusal is being sent; input is discarded.
+        aborting, ///< Closes when the output is empty.
+        closed, ///< evhttp has freed the connection.
+    };
+
+    static void onInput(evbuffer*, const evbuffer_cb_info* info, void* context);
+    static void onOutput(evbuffer*, const evbuffer_cb_info* info, void* context);
+    static void onClosed(evhttp_connection*, void* context);
+    static void onAnswerSent(evhttp_request*, void* context);
+
+    void proceed();
+    void adopt();
+    void forgetChannel();
+    void read();
+    void takeRawInput();
+    void progressed(bool wasHead);
+    void sendContinue();
+    void inject(std::string_view head);
+    void dispatch();
+    void sendRefusal();
+    void closed();
+    void answerSent();
+    void deadlinePassed();
+
+    event_loop& m_loop;
+    http_server_connection_owner& m_owner;
+    bufferevent* m_channel;
+    evhttp_connection* m_evhttp = nullptr;
+    evhttp_request* m_request = nullptr;
+    evbuffer* m_raw; ///< Input that has not been inspected.
+    evbuffer* m_part; ///< Scratch buffer for parts of an answer.
+    http_inspector m_inspector;
+    std::string m_body;
+    std::weak_ptr<http_server_answer> m_answer;
+    deferred_call m_proceed;
+    loop_timer m_deadline;
+    phase m_phase = phase::adopting;
+    http_violation m_refusal;
+    bool m_isInjecting = false;
+    bool m_isHead = false;
+    bool m_isCloseDelimited = false;
+};
+
+}
--- a/lib/Net/HttpSockets.cpp
+++ b/lib/Net/HttpSockets.cpp
@@ -44,10 +44,12 @@
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
-void setResetOnClose(int socket)
+void resetConnection(int socket)
 {
-    const linger reset { 1, 0 };
-    setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    // SO_LINGER would not do: evhttp calls shutdown, which sends a regular end, before close.
+    sockaddr unspecified {};
+    unspecified.sa_family = AF_UNSPEC;
+    static_cast<void>(connect(socket, &unspecified, sizeof unspecified));
 }
 
 bool isUnusable(int socket)
--- a/lib/Net/HttpSockets.h
+++ b/lib/Net/HttpSockets.h
@@ -21,8 +21,8 @@
 /// Sends small parts at once instead of waiting for more.
 void setNoDelay(int socket);
 
-/// Makes the close of the socket a reset.
-void setResetOnClose(int socket);
+/// Resets the connection, so that the peer cannot take its end for regular.
+void resetConnection(int socket);
 
 /// Returns whether the peer has closed the connection, or has sent bytes that
 /// nobody asked for. Does not block and takes no bytes.
--- /dev/null
+++ b/unittests/Net/HttpClientTests.cpp
@@ -0,0 +1,390 @@
+#include "pimentoladder/Net/HttpClient.h"
+
+#include "RawSocket.h"
+
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+using namespace pimentoladder;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// What one attempt reported.
+struct observed {
+    std::vector<http_response_head> heads;
+    std::string body;
+    std::vector<attempt_end> ends;
+    std::unique_ptr<http_client_attempt> attempt;
+    std::function<bool()> maySend;
+};
+
+struct client_fixture {
+    explicit client_fixture(http_client_limits limits = {})
+        : server(loop)
+        , client(loop, limits)
+    {
+    }
+
+    http_client_request request(const char* method = "GET", std::string body = {}) const
+    {
+        return { { "127.0.0.1", server.port }, method, "/index", { { "X-A", "1" } }, std::move(body), true };
+    }
+
+    void send(observed& into, const http_client_request& wanted)
+    {
+        into.attempt = client.send(wanted,
+            { into.maySend, [&into](const http_response_head& head) { into.heads.push_back(head); },
+                [&into](std::string_view bytes) { into.body += bytes; },
+                [&into](attempt_end end) { into.ends.push_back(end); } });
+    }
+
+    bool waitForEnd(const observed& each, duration limit = testLimit)
+    {
+        return runUntil(
+            loop, [&] { return !each.ends.empty(); }, limit);
+    }
+
+    /// Completes one exchange, so that the client keeps its connection.
+    raw_socket openKeptConnection()
+    {
+        observed first;
+        send(first, request());
+        raw_socket connection = server.accept();
+        connection.waitFor("\r\n\r\n");
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(waitForEnd(first));
+        REQUIRE(client.idleConnectionCount() == 1);
+        connection.received.clear();
+        return connection;
+    }
+
+    event_loop loop;
+    raw_listener server;
+    http_client client;
+};
+
+constexpr attempt_end unsent { attempt_end_kind::notSent, false };
+
+struct answer_case {
+    const char* name;
+    std::string bytes; ///< Sent by the server, which then closes.
+    attempt_end_kind end;
+    std::string body;
+};
+
+const std::vector<answer_case> answerCases {
+    { "length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd", attempt_end_kind::complete, "abcd" },
+    { "chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n",
+        attempt_end_kind::complete, "abcd" },
+    { "until close", "HTTP/1.0 200 OK\r\n\r\nabcd", attempt_end_kind::complete, "abcd" },
+    { "interim first", "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+        attempt_end_kind::complete, "ab" },
+    { "204", "HTTP/1.1 204 No Content\r\n\r\n", attempt_end_kind::complete, "" },
+    { "length cut", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcd", attempt_end_kind::truncated, "abcd" },
+    { "chunk cut", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", attempt_end_kind::truncated, "ab" },
+    { "closing chunk missing", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+        attempt_end_kind::truncated, "ab" },
+    { "closing chunk cut", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n",
+        attempt_end_kind::truncated, "ab" },
+    { "head cut", "HTTP/1.1 200 OK\r\nContent-Le", attempt_end_kind::resetAfterSent, "" },
+    { "nothing", "", attempt_end_kind::resetAfterSent, "" },
+    { "both framings", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        attempt_end_kind::malformed, "" },
+    { "bad chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", attempt_end_kind::malformed, "" },
+    { "not HTTP", "SSH-2.0-x\r\n\r\n", attempt_end_kind::malformed, "" },
+};
+
+}
+
+// Guards against a cut answer that is reported as whole, and against losing
+// bytes of a whole one, however the server's bytes are split.
+TEST_CASE("every way in which an answer ends has its own result")
+{
+    for (const answer_case& each : answerCases) {
+        for (const bool isSplit : { false, true }) {
+            CAPTURE(each.name);
+            CAPTURE(isSplit);
+            client_fixture test;
+            observed seen;
+            test.send(seen, test.request("POST", "order"));
+            raw_socket connection = test.server.accept();
+            REQUIRE(connection.waitFor("order"));
+            CHECK(connection.received.starts_with("POST /index HTTP/1.1\r\n"));
+            CHECK(connection.received.find("Content-Length: 5\r\n") != std::string::npos);
+            for (std::size_t i = 0; isSplit && i < each.bytes.size(); ++i) {
+                connection.send(each.bytes.substr(i, 1));
+                test.loop.runFor(200us);
+            }
+            if (!isSplit)
+                connection.send(each.bytes);
+            connection.close();
+            REQUIRE(test.waitForEnd(seen));
+            CHECK(seen.ends.size() == 1);
+            CHECK(static_cast<int>(seen.ends[0].kind) == static_cast<int>(each.end));
+            CHECK(seen.ends[0].mayHaveBeenSent);
+            CHECK(seen.body == each.body);
+            CHECK(runUntil(test.loop, [&] { return test.client.idleConnectionCount() == 0; }));
+        }
+    }
+}
+
+// Guards against "not sent" after a byte was given to a socket, and against a
+// connection error that hides that none was.
+TEST_CASE("an attempt that found no server was not sent")
+{
+    http_client_limits limits;
+    limits.connectTimeout = 50ms;
+    client_fixture test(limits);
+    observed refused;
+    http_client_request wanted = test.request("POST", "order");
+    test.server.close();
+    test.send(refused, wanted);
+    REQUIRE(test.waitForEnd(refused));
+    CHECK(refused.ends[0] == unsent);
+    CHECK_FALSE(refused.attempt->mayHaveBeenSent());
+
+    observed unknownMethod;
+    wanted.method = "BREW";
+    test.send(unknownMethod, wanted);
+    CHECK(unknownMethod.ends.empty());
+    REQUIRE(test.waitForEnd(unknownMethod));
+    CHECK(unknownMethod.ends[0] == unsent);
+}
+
+// Guards against bytes that reach a server after the core said that the grant
+// has expired.
+TEST_CASE("no byte is given to the socket when the core forbids it")
+{
+    client_fixture test;
+    observed denied;
+    bool wasAsked = false;
+    denied.maySend = [&] {
+        wasAsked = true;
+        return false;
+    };
+    test.send(denied, test.request("POST", "order"));
+    raw_socket connection = test.server.accept();
+    REQUIRE(test.waitForEnd(denied));
+    CHECK(wasAsked);
+    CHECK(denied.ends[0] == unsent);
+    REQUIRE(connection.waitForClose());
+    CHECK(connection.received.empty());
+}
+
+// Guards against a silent second send on a new connection when the server
+// closes a kept one: before the request, at its moment, and after reading it.
+TEST_CASE("a request on a kept connection that closes is never sent twice")
+{
+    for (const int moment : { 0, 1, 2, 3 }) {
+        CAPTURE(moment);
+        client_fixture test;
+        raw_socket kept = test.openKeptConnection();
+        observed seen;
+        if (moment == 0) {
+            kept.close();
+            test.loop.runFor(5ms);
+            CHECK(test.client.idleConnectionCount() == 0);
+        }
+        if (moment == 1)
+            kept.close(); // The loop has not seen it when the request starts.
+        test.send(seen, test.request("POST", "order"));
+        if (moment == 2)
+            seen.maySend = nullptr;
+        if (moment >= 2) {
+            REQUIRE(kept.waitFor("order"));
+            CHECK_FALSE(test.server.hasConnection());
+            moment == 2 ? kept.close() : kept.reset();
+            REQUIRE(test.waitForEnd(seen));
+            CHECK(seen.ends[0] == attempt_end { attempt_end_kind::resetAfterSent, true });
+            test.loop.runFor(20ms);
+            CHECK_FALSE(test.server.hasConnection());
+            continue;
+        }
+        raw_socket fresh = test.server.accept();
+        REQUIRE(fresh.waitFor("order"));
+        fresh.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(test.waitForEnd(seen));
+        CHECK(seen.ends[0].kind == attempt_end_kind::complete);
+    }
+}
+
+// Guards against the race itself: the server closes between the client's check
+// of the kept connection and the write.
+TEST_CASE("a connection that closes as bytes are given reports that they were sent")
+{
+    client_fixture test;
+    raw_socket kept = test.openKeptConnection();
+    observed seen;
+    seen.maySend = [&] {
+        kept.reset();
+        return true;
+    };
+    test.send(seen, test.request("POST", "order"));
+    REQUIRE(test.waitForEnd(seen));
+    test.loop.runFor(20ms);
+    CHECK(seen.ends.size() == 1);
+    CHECK(seen.ends[0].kind != attempt_end_kind::complete);
+    CHECK_FALSE(test.server.hasConnection());
+}
+
+// Guards against an answer that belongs to no request, or to the one before.
+TEST_CASE("unrequested bytes end a connection instead of answering a request")
+{
+    client_fixture test;
+    raw_socket kept = test.openKeptConnection();
+    kept.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil");
+    observed seen;
+    test.send(seen, test.request());
+    raw_socket fresh = test.server.accept();
+    REQUIRE(fresh.waitFor("\r\n\r\n"));
+    fresh.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngoodHTTP/1.1 200 OK\r\n\r\n");
+    REQUIRE(test.waitForEnd(seen));
+    CHECK(seen.body == "good");
+    CHECK(test.client.idleConnectionCount() == 0);
+}
+
+// Guards against memory without bound while the caller reads slowly: one huge
+// chunk, of which evhttp by itself would hold all.
+TEST_CASE("a paused attempt stops reading")
+{
+    client_fixture test;
+    observed seen;
+    test.send(seen, test.request());
+    raw_socket connection = test.server.accept();
+    REQUIRE(connection.waitFor("\r\n\r\n"));
+    connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4000000\r\nfirst");
+    REQUIRE(runUntil(test.loop, [&] { return seen.body == "first"; }));
+    seen.attempt->pause();
+    const std::string part(1024 * 1024, 'x');
+    std::size_t accepted = 0;
+    for (int i = 0; i < 20; ++i) {
+        // Only what fits the socket buffers is taken.
+        const ssize_t count = connection.sendSome(part);
+        accepted += count > 0 ? static_cast<std::size_t>(count) : 0;
+        test.loop.runFor(1ms);
+    }
+    CHECK(accepted < 16 * 1024 * 1024);
+    CHECK(seen.body.size() < 200 * 1024);
+    const std::size_t before = seen.body.size();
+    seen.attempt->resume();
+    CHECK(runUntil(test.loop, [&] { return seen.body.size() >= accepted; }));
+    CHECK(seen.body.size() > before);
+    connection.close();
+    REQUIRE(test.waitForEnd(seen));
+    CHECK(seen.ends[0].kind == attempt_end_kind::truncated);
+}
+
+// Guards against attempts that wait for ever, and against a pause that counts
+// as silence of the server.
+TEST_CASE("silent servers time out")
+{
+    http_client_limits limits;
+    limits.firstByteTimeout = 30ms;
+    limits.idleTimeout = 30ms;
+    client_fixture test(limits);
+    observed silent;
+    test.send(silent, test.request());
+    raw_socket first = test.server.accept();
+    REQUIRE(test.waitForEnd(silent));
+    CHECK(silent.ends[0] == attempt_end { attempt_end_kind::timeout, true });
+
+    observed stalled;
+    test.send(stalled, test.request());
+    raw_socket second = test.server.accept();
+    second.waitFor("\r\n\r\n");
+    second.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab");
+    REQUIRE(runUntil(test.loop, [&] { return stalled.body == "ab"; }));
+    stalled.attempt->pause();
+    test.loop.runFor(80ms);
+    CHECK(stalled.ends.empty());
+    stalled.attempt->resume();
+    REQUIRE(test.waitForEnd(stalled));
+    CHECK(stalled.ends[0].kind == attempt_end_kind::timeout);
+}
+
+// Guards against callbacks after cancel, use after free when the owner lets go
+// in a callback, and a server that works on for nobody.
+TEST_CASE("cancel at each stage closes the connection and calls nothing")
+{
+    for (const int stage : { 0, 1, 2, 3 }) {
+        CAPTURE(stage);
+        client_fixture test;
+        observed seen;
+        test.send(seen, test.request());
+        if (stage == 0) {
+            seen.attempt.reset();
+            test.loop.runFor(10ms);
+            CHECK_FALSE(test.server.hasConnection());
+            continue;
+        }
+        raw_socket connection = test.server.accept();
+        if (stage >= 2) {
+            REQUIRE(connection.waitFor("\r\n\r\n"));
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+            REQUIRE(runUntil(test.loop, [&] { return !seen.heads.empty(); }));
+        }
+        if (stage == 3) {
+            observed inBody;
+            inBody.attempt = test.client.send(test.request(),
+                { nullptr, nullptr, [&](std::string_view) { inBody.attempt.reset(); },
+                    [&](attempt_end end) { inBody.ends.push_back(end); } });
+            raw_socket other = test.server.accept();
+            other.waitFor("\r\n\r\n");
+            other.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n0\r\n\r\n");
+            CHECK(other.waitForClose());
+            CHECK(inBody.ends.empty());
+        }
+        seen.attempt->cancel();
+        CHECK(connection.waitForClose());
+        CHECK(seen.ends.empty());
+    }
+}
+
+// Guards against use after free when the client goes away under its attempts.
+TEST_CASE("attempts may outlive the client")
+{
+    event_loop loop;
+    raw_listener server(loop);
+    std::unique_ptr<http_client_attempt> attempt;
+    {
+        http_client client(loop, {});
+        attempt = client.send({ { "127.0.0.1", server.port }, "GET", "/", {}, {}, true }, {});
+        raw_socket connection = server.accept();
+        connection.waitFor("\r\n\r\n");
+    }
+    attempt->pause();
+    attempt->cancel();
+    loop.runFor(5ms);
+}
+
+// Guards against kept connections that pile up or outlive their use.
+TEST_CASE("kept connections are reused, bounded, and end after their time")
+{
+    http_client_limits limits;
+    limits.keepAliveTimeout = 50ms;
+    limits.idleConnectionsPerEndpoint = 1;
+    client_fixture test(limits);
+    raw_socket kept = test.openKeptConnection();
+    observed again;
+    observed second;
+    test.send(again, test.request());
+    test.send(second, test.request());
+    REQUIRE(kept.waitFor("\r\n\r\n"));
+    raw_socket other = test.server.accept();
+    other.waitFor("\r\n\r\n");
+    for (raw_socket* each : { &kept, &other })
+        each->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(test.waitForEnd(again));
+    REQUIRE(test.waitForEnd(second));
+    CHECK(test.client.idleConnectionCount() == 1);
+    observed fresh;
+    http_client_request wanted = test.request("POST", "order");
+    wanted.mayReuseConnection = false;
+    test.send(fresh, wanted);
+    raw_socket third = test.server.accept();
+    CHECK(third.waitFor("order"));
+    CHECK(runUntil(test.loop, [&] { return test.client.idleConnectionCount() == 0; }));
+}
--- /dev/null
+++ b/unittests/Net/HttpServerTests.cpp
@@ -0,0 +1,355 @@
+#include "pimentoladder/Net/HttpServer.h"
+
+#include "RawSocket.h"
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace pimentoladder;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A server whose handler keeps each request and answer for the test.
+struct server_fixture {
+    explicit server_fixture(http_server_limits limits = {})
+        : server(loop, limits, [this](http_request request, std::shared_ptr<http_answer> answer) {
+            requests.push_back(std::move(request));
+            answers.push_back(std::move(answer));
+            if (onRequest)
+                onRequest();
+        })
+    {
+        port = server.listen({ "127.0.0.1", 0 }).value().port;
+    }
+
+    raw_socket connect(int receiveBuffer = 0) { return raw_socket::connectTo(loop, port, receiveBuffer); }
+    bool waitForRequests(std::size_t count)
+    {
+        return runUntil(loop, [&] { return requests.size() >= count; });
+    }
+
+    event_loop loop;
+    std::vector<http_request> requests;
+    std::vector<std::shared_ptr<http_answer>> answers;
+    std::function<void()> onRequest;
+    http_server server;
+    std::uint16_t port = 0;
+};
+
+const std::string get = "GET /index HTTP/1.1\r\nHost: a\r\n\r\n";
+
+}
+
+// Guards against a body that is lost or taken for the next request, and against
+// hop-by-hop headers that reach the handler or the caller.
+TEST_CASE("requests of every framing arrive whole on one connection")
+{
+    server_fixture test;
+    test.onRequest = [&] {
+        const http_response_head head { 200, { { "X-A", "1" }, { "Connection", "X-B" }, { "X-B", "2" } } };
+        test.answers.back()->reply(head, "body of " + test.requests.back().target);
+    };
+    raw_socket caller = test.connect();
+    caller.send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nX-K: v\r\nConnection: X-Drop\r\nX-Drop: 1\r\n\r\nabc"
+                "DELETE /b HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nxy"
+                "PUT /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n12\r\n0\r\n\r\n"
+                "HEAD /d HTTP/1.1\r\nHost: a\r\n\r\n"
+        + get);
+    REQUIRE(caller.waitFor("body of /index"));
+    REQUIRE(test.requests.size() == 5);
+    CHECK(test.requests[0].body == "abc");
+    CHECK(findHeader(test.requests[0].headers, "x-k") == "v");
+    CHECK_FALSE(findHeader(test.requests[0].headers, "X-Drop"));
+    CHECK(test.requests[1].body == "xy");
+    CHECK(test.requests[2].body == "12");
+    CHECK(caller.received.find("body of /d") == std::string::npos);
+    CHECK(caller.received.find("X-A: 1") != std::string::npos);
+    CHECK(caller.received.find("X-B: 2") == std::string::npos);
+}
+
+// Guards against a pipelined request that overtakes an answer in progress.
+TEST_CASE("a pipelined request waits for the answer before it")
+{
+    server_fixture test;
+    raw_socket caller = test.connect();
+    caller.send(get + get);
+    REQUIRE(test.waitForRequests(1));
+    test.loop.runFor(20ms);
+    CHECK(test.requests.size() == 1);
+    test.answers[0]->reply({}, "first");
+    REQUIRE(test.waitForRequests(2));
+    test.answers[1]->reply({}, "second");
+    CHECK(caller.waitFor("second"));
+    CHECK(caller.received.find("first") < caller.received.find("second"));
+}
+
+// Guards against a malformed head that reaches the handler, an answer that is
+// lost to a reset, and a refusal that programs cannot read.
+TEST_CASE("a malformed request gets a readable refusal after the answers before it")
+{
+    server_fixture test;
+    test.onRequest = [&] { test.answers.back()->reply({}, "fine"); };
+    raw_socket caller = test.connect();
+    caller.send(get + "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + std::string(100000, 'x'));
+    REQUIRE(caller.waitFor("conflicting_length"));
+    caller.send(std::string(1000000, 'x'));
+    REQUIRE(caller.waitForClose());
+    CHECK_FALSE(caller.isReset);
+    CHECK(test.requests.size() == 1);
+    CHECK(caller.received.find("fine") != std::string::npos);
+    CHECK(caller.received.find("HTTP/1.1 400") != std::string::npos);
+    const nlohmann::json body = nlohmann::json::parse(caller.received.substr(caller.received.rfind("\r\n\r\n") + 4));
+    CHECK(body["kind"] == "conflicting_length");
+    CHECK(body["ran"] == false);
+    CHECK(body["retry"] == "no");
+    CHECK(runUntil(test.loop, [&] { return test.server.connectionCount() == 0; }));
+}
+
+// Guards against a cut answer that a caller takes for a whole one.
+TEST_CASE("an aborted answer lacks its end")
+{
+    server_fixture test;
+    raw_socket chunked = test.connect();
+    chunked.send(get);
+    REQUIRE(test.waitForRequests(1));
+    test.answers[0]->start({});
+    test.answers[0]->send("part");
+    test.answers[0]->abort();
+    REQUIRE(chunked.waitForClose());
+    CHECK(chunked.received.find("part") != std::string::npos);
+    CHECK(chunked.received.find("0\r\n\r\n") == std::string::npos);
+
+    raw_socket sized = test.connect();
+    sized.send(get);
+    REQUIRE(test.waitForRequests(2));
+    test.answers[1]->start({ 200, { { "Content-Length", "10" } } });
+    test.answers[1]->send("part");
+    test.answers[1]->end();
+    REQUIRE(sized.waitForClose());
+    CHECK(sized.received.ends_with("\r\n\r\npart"));
+
+    raw_socket old = test.connect();
+    old.send("GET / HTTP/1.0\r\n\r\n");
+    REQUIRE(test.waitForRequests(3));
+    test.answers[2]->start({});
+    test.answers[2]->send("part");
+    test.answers[2].reset();
+    REQUIRE(old.waitForClose());
+    CHECK(old.isReset);
+
+    raw_socket unanswered = test.connect();
+    unanswered.send(get);
+    REQUIRE(test.waitForRequests(4));
+    test.answers[3].reset();
+    REQUIRE(unanswered.waitForClose());
+    CHECK(unanswered.received.empty());
+}
+
+// Guards against work that goes on for a caller that has left, at each stage.
+TEST_CASE("the server learns when the caller leaves")
+{
+    for (const int stage : { 0, 1, 2 }) {
+        CAPTURE(stage);
+        server_fixture test;
+        raw_socket caller = test.connect();
+        caller.send(get);
+        REQUIRE(test.waitForRequests(1));
+        int left = 0;
+        test.answers[0]->whenCallerLeaves([&] { ++left; });
+        if (stage >= 1)
+            test.answers[0]->start({});
+        if (stage >= 2) {
+            test.answers[0]->send("part");
+            REQUIRE(caller.waitFor("part"));
+            caller.reset();
+        }
+        caller.close();
+        CHECK(runUntil(test.loop, [&] { return left == 1; }));
+        CHECK(test.server.connectionCount() == 0);
+        test.answers[0]->send("late");
+        test.answers[0]->end();
+        test.loop.runFor(5ms);
+        CHECK(left == 1);
+    }
+    server_fixture test;
+    raw_socket partial = test.connect();
+    partial.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab");
+    REQUIRE(runUntil(test.loop, [&] { return test.server.connectionCount() == 1; }));
+    partial.close();
+    CHECK(runUntil(test.loop, [&] { return test.server.connectionCount() == 0; }));
+    CHECK(test.requests.empty());
+}
+
+// Guards against memory without bound for a caller that reads slowly, and
+// against a caller that never reads.
+TEST_CASE("a slow reader is seen in the pending bytes and in the drained call")
+{
+    http_server_limits limits;
+    limits.writeTimeout = 200ms;
+    server_fixture test(limits);
+    raw_socket caller = test.connect(4096);
+    caller.send(get);
+    REQUIRE(test.waitForRequests(1));
+    http_answer& answer = *test.answers[0];
+    answer.start({});
+    const std::string part(64 * 1024, 'x');
+    std::size_t sent = 0;
+    std::size_t most = 0;
+    bool isDone = false;
+    std::function<void()> fill = [&] {
+        while (answer.pendingBytes() < 256 * 1024 && sent < 16 * 1024 * 1024) {
+            answer.send(part);
+            sent += part.size();
+        }
+        most = std::max(most, answer.pendingBytes());
+        if (sent < 16 * 1024 * 1024) {
+            answer.whenDrained(64 * 1024, fill);
+            return;
+        }
+        answer.end();
+        isDone = true;
+    };
+    fill();
+    REQUIRE(caller.waitFor("\r\n0\r\n\r\n", 20s));
+    CHECK(isDone);
+    CHECK(caller.received.size() > sent);
+    CHECK(most < 400 * 1024);
+
+    raw_socket stuck = test.connect(4096);
+    stuck.send(get);
+    REQUIRE(test.waitForRequests(2));
+    int left = 0;
+    test.answers[1]->whenCallerLeaves([&] { ++left; });
+    test.answers[1]->start({});
+    test.answers[1]->send(std::string(8 * 1024 * 1024, 'x'));
+    CHECK(runUntil(test.loop, [&] { return left == 1; }));
+}
+
+// Guards against connections held open by callers that send slowly or nothing.
+TEST_CASE("slow writers and idle connections are ended")
+{
+    http_server_limits limits;
+    limits.headTimeout = 50ms;
+    limits.bodyTimeout = 50ms;
+    limits.idleTimeout = 50ms;
+    server_fixture test(limits);
+    raw_socket idle = test.connect();
+    raw_socket head = test.connect();
+    head.send("GET / HTTP/1.1\r\nHo");
+    raw_socket body = test.connect();
+    body.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab");
+    CHECK(idle.waitForClose());
+    CHECK(idle.received.empty());
+    CHECK(head.waitFor("request_timeout"));
+    CHECK(body.waitFor("request_timeout"));
+    CHECK(test.requests.empty());
+}
+
+// Guards against unbounded connections, and against a caller that is cut off
+// without being told why.
+TEST_CASE("connections over the limit are refused")
+{
+    http_server_limits limits;
+    limits.connections = 2;
+    server_fixture test(limits);
+    raw_socket first = test.connect();
+    raw_socket second = test.connect();
+    REQUIRE(runUntil(test.loop, [&] { return test.server.connectionCount() == 2; }));
+    raw_socket third = test.connect();
+    CHECK(third.waitFor("too_many_connections"));
+    first.send(get);
+    CHECK(test.waitForRequests(1));
+}
+
+// Guards against a caller that waits for ever for leave to send its body.
+TEST_CASE("100-continue is granted")
+{
+    server_fixture test;
+    raw_socket caller = test.connect();
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
+    REQUIRE(caller.waitFor("HTTP/1.1 100 Continue\r\n\r\n"));
+    caller.send("ab");
+    REQUIRE(test.waitForRequests(1));
+    CHECK(test.requests[0].body == "ab");
+}
+
+// Guards against a drain that cuts answers in progress or keeps taking requests.
+TEST_CASE("draining ends idle connections and lets answers finish")
+{
+    server_fixture test;
+    raw_socket idle = test.connect();
+    raw_socket busy = test.connect();
+    busy.send(get);
+    REQUIRE(test.waitForRequests(1));
+    REQUIRE(runUntil(test.loop, [&] { return test.server.connectionCount() == 2; }));
+    test.server.drain();
+    CHECK(idle.waitForClose());
+    CHECK(test.server.connectionCount() == 1);
+    test.answers[0]->reply({}, "last");
+    REQUIRE(busy.waitForClose());
+    CHECK(busy.received.ends_with("last"));
+    raw_socket late = test.connect();
+    late.send(get);
+    CHECK(late.waitForClose());
+}
+
+// Guards against use after free when answers outlive the server or a connection
+// is destroyed in any state.
+TEST_CASE("answers may outlive the server")
+{
+    std::vector<std::shared_ptr<http_answer>> kept;
+    event_loop loop;
+    {
+        http_server server(
+            loop, {}, [&](const http_request&, std::shared_ptr<http_answer> answer) { kept.push_back(std::move(answer)); });
+        const std::uint16_t port = server.listen({ "127.0.0.1", 0 }).value().port;
+        raw_socket first = raw_socket::connectTo(loop, port);
+        raw_socket second = raw_socket::connectTo(loop, port);
+        first.send(get);
+        second.send(get);
+        REQUIRE(runUntil(loop, [&] { return kept.size() == 2; }));
+        kept[0]->start({});
+        raw_socket unread = raw_socket::connectTo(loop, port);
+    }
+    kept[0]->send("late");
+    kept[0]->end();
+    kept.clear();
+    loop.runFor(5ms);
+}
+
+// Guards against an address in use that ends the program or is passed over.
+TEST_CASE("an address in use is reported")
+{
+    server_fixture test;
+    http_server second(test.loop, {}, [](const http_request&, const std::shared_ptr<http_answer>&) {});
+    CHECK(second.listen({ "127.0.0.1", test.port }).error().kind == error_kind::unavailable);
+    CHECK(second.listen({ "localhost", 0 }).error().kind == error_kind::unavailable);
+}
+
+// Guards against crashes and stuck connections on input that nobody thought of,
+// through the whole server.
+TEST_CASE("random bytes never reach the handler as a request with a NUL")
+{
+    server_fixture test;
+    test.onRequest = [&] { test.answers.back()->reply({}, "ok"); };
+    std::mt19937 random(41);
+    const std::string base = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab" + get;
+    for (int round = 0; round < 300; ++round) {
+        std::string bytes = base;
+        for (int change = 0; change < 3; ++change)
+            bytes[random() % bytes.size()] = static_cast<char>(random() % 256);
+        raw_socket caller = test.connect();
+        caller.send(bytes);
+        test.loop.runFor(500us);
+        caller.close();
+    }
+    CHECK(runUntil(test.loop, [&] { return test.server.connectionCount() == 0; }));
+    for (const http_request& each : test.requests)
+        CHECK(each.target.find('\0') == std::string::npos);
+}
