--- a/include/pimentoladder/Net/HttpServer.h
+++ b/include/pimentoladder/Net/HttpServer.h
@@ -20,8 +20,8 @@
 
 /// Limits of one server. All apply to each connection but `connections`.
 struct http_server_limits {
-    std::size_t headBytes = 32 * 1024;
-    std::size_t bodyBytes = 8 * 1024 * 1024;
+    std::size_t headBytes = std::size_t { 32 } * 1024;
+    std::size_t bodyBytes = std::size_t { 8 } * 1024 * 1024;
     std::size_t connections = 4096;
     duration headTimeout = std::chrono::seconds(10); ///< From the first byte of a head to its end.
     duration bodyTimeout = std::chrono::seconds(60); ///< From the end of the head to the end of the body.
--- a/include/pimentoladder/Outcome/IdempotencyClaims.h
+++ b/include/pimentoladder/Outcome/IdempotencyClaims.h
@@ -140,7 +140,7 @@
 class idempotency_claims {
 public:
     static constexpr std::size_t maximumBatch = 64; ///< Rows in one transaction.
-    static constexpr std::size_t inlineBodyBytes = 16 * 1024; ///< Larger bodies go to the object store.
+    static constexpr std::size_t inlineBodyBytes = std::size_t { 16 } * 1024; ///< Larger bodies go to the object store.
     static constexpr duration claimTimeout = std::chrono::seconds(2); ///< Until a claim without an answer is given up.
     static constexpr duration tableTimeout = std::chrono::seconds(2); ///< Until a table call without an answer counts as unknown.
     static constexpr duration retryInterval = std::chrono::seconds(1); ///< Between tries to record or delete.
--- a/lib/Net/HttpClientConnection.cpp
+++ b/lib/Net/HttpClientConnection.cpp
@@ -14,7 +14,7 @@
 namespace {
 
     // Input that evhttp has not taken, while it still writes a request.
-    constexpr std::size_t unreadBytes = 128 * 1024;
+    constexpr std::size_t unreadBytes = std::size_t { 128 } * 1024;
     // The client's own timers apply; evhttp's may not fire before them.
     constexpr int noTimeoutSeconds = 24 * 60 * 60;
 
--- a/lib/Net/HttpInspector.cpp
+++ b/lib/Net/HttpInspector.cpp
@@ -11,7 +11,7 @@
 namespace {
 
     constexpr std::size_t maximumChunkLine = 256; ///< Size and extensions of one chunk.
-    constexpr std::size_t maximumTrailer = 8 * 1024;
+    constexpr std::size_t maximumTrailer = std::size_t { 8 } * 1024;
     constexpr std::string_view lineEnd = "\r\n";
     constexpr std::string_view headEnd = "\r\n\r\n";
 
--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -17,7 +17,7 @@
 namespace {
 
     // Bytes of later requests that are read while an answer is in progress.
-    constexpr std::size_t readAheadBytes = 64 * 1024;
+    constexpr std::size_t readAheadBytes = std::size_t { 64 } * 1024;
     // Connections over the limit that still get a refusal instead of a plain close.
     constexpr std::size_t refusedConnections = 64;
     constexpr std::string_view refusedRequest = "GET / HTTP/1.1\r\nHost: refused\r\nContent-Length: 0\r\n\r\n";
