--- a/lib/Router/RequestCoordinator.cpp
+++ b/lib/Router/RequestCoordinator.cpp
@@ -200,7 +200,7 @@
     if (isReset && request->runsAt)
         suspectCrash(*request->runsAt, out);
     if (end.kind == attempt_end_kind::complete)
-        m_quarantine.succeeded(now, request->lifecycle.record().print);
+        m_quarantine.succeeded(request->lifecycle.record().print);
     m_byAttempt.erase(attempt);
     perform(request, request->lifecycle.attemptEnded(now, attempt, end), now, out);
 }
