--- a/include/pimentoladder/Net/PeerLink.h
+++ b/include/pimentoladder/Net/PeerLink.h
@@ -52,12 +52,14 @@
 
 class peer_link;
 
-/// What the owner of links is told. A handler may destroy the link that calls
-/// it only from `closed` on an accepted link, or later from the event loop.
+/// What the owner of links is told. A handler may destroy the dialled link that
+/// calls it, but not the listener that owns an accepted one.
 struct peer_link_handlers {
     std::function<void(peer_link&)> opened; ///< The handshake has succeeded.
     std::function<void(peer_link&, message)> received;
-    std::function<void(peer_link&, const error&)> closed; ///< The link is down; a dialled one will reconnect.
+    /// An open link is down, or its handshake has failed; a dialled one will
+    /// reconnect. Not called when connecting fails.
+    std::function<void(peer_link&, const error&)> closed;
 };
 
 /// One stream of messages to another router.
@@ -83,7 +85,8 @@
     /// Sends a message, or queues it while the peer reads slowly.
     /// Errors: `unavailable` if the handshake has not succeeded or the link is
     /// down; `resourceExhausted` if the message is too large for a frame, or
-    /// the peer does not read, in which case the link is closed.
+    /// the peer does not read, in which case the link is closed after the
+    /// event in progress.
     virtual result<void> send(const message& source) = 0;
 
     /// Returns whether the handshake has succeeded and the link is up.
