--- a/include/pimentoladder/Daemon/MetricsReport.h
+++ b/include/pimentoladder/Daemon/MetricsReport.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "pimentoladder/Daemon/CoreDriver.h"
+#include "pimentoladder/Daemon/PeerMesh.h"
 #include "pimentoladder/Telemetry/Log.h"
 #include "pimentoladder/Telemetry/Metrics.h"
 
@@ -16,16 +17,18 @@
 class metrics_report {
 public:
     /// The references outlive the report.
-    metrics_report(core_driver& driver, metrics& values, const logger& log);
+    metrics_report(core_driver& driver, metrics& values, const peer_mesh& mesh, const logger& log);
 
     std::string text();
 
 private:
     void collectRouter();
     void collectShards();
+    void collectLinks();
 
     core_driver& m_driver;
     metrics& m_metrics;
+    const peer_mesh& m_mesh;
     const logger& m_log;
 };
 
--- a/lib/Daemon/MetricsReport.cpp
+++ b/lib/Daemon/MetricsReport.cpp
@@ -11,9 +11,10 @@
 
 }
 
-metrics_report::metrics_report(core_driver& driver, metrics& values, const logger& log)
+metrics_report::metrics_report(core_driver& driver, metrics& values, const peer_mesh& mesh, const logger& log)
     : m_driver(driver)
     , m_metrics(values)
+    , m_mesh(mesh)
     , m_log(log)
 {
 }
@@ -22,6 +23,7 @@
 {
     collectRouter();
     collectShards();
+    collectLinks();
     return m_metrics.text();
 }
 
@@ -62,4 +64,20 @@
     }
 }
 
+void metrics_report::collectLinks()
+{
+    const link_counters& counters = m_mesh.counters();
+    for (std::size_t kind = 0; kind < messageKindCount; ++kind) {
+        const std::string name(messageKindName(kind));
+        m_metrics.set("pimentoladder_peer_messages_sent", { { "kind", name } }, static_cast<double>(counters.sent[kind].messages));
+        m_metrics.set("pimentoladder_peer_bytes_sent", { { "kind", name } }, static_cast<double>(counters.sent[kind].bytes));
+        m_metrics.set("pimentoladder_peer_messages_received", { { "kind", name } }, static_cast<double>(counters.received[kind].messages));
+        m_metrics.set("pimentoladder_peer_bytes_received", { { "kind", name } }, static_cast<double>(counters.received[kind].bytes));
+    }
+    m_metrics.set("pimentoladder_peer_unknown_messages", {}, static_cast<double>(counters.unknown.messages));
+    m_metrics.set("pimentoladder_peer_links_rejected", {}, static_cast<double>(counters.rejected));
+    m_metrics.set("pimentoladder_peer_links_malformed", {}, static_cast<double>(counters.malformed));
+    m_metrics.set("pimentoladder_peer_links_overflowed", {}, static_cast<double>(counters.overflowed));
+}
+
 }
--- a/lib/Daemon/RouterProcess.cpp
+++ b/lib/Daemon/RouterProcess.cpp
@@ -9,6 +9,7 @@
 #include "pimentoladder/Daemon/DecisionLog.h"
 #include "pimentoladder/Daemon/LoadPoller.h"
 #include "pimentoladder/Daemon/MetricsReport.h"
+#include "pimentoladder/Daemon/PeerMesh.h"
 #include "pimentoladder/Daemon/PlatformAccess.h"
 #include "pimentoladder/Daemon/PlatformGateway.h"
 #include "pimentoladder/Daemon/ShutdownSequence.h"
@@ -67,6 +68,14 @@
         return limits;
     }
 
+    peer_link_settings linkSettings(const settings& configured, incarnation start)
+    {
+        peer_link_settings link;
+        link.self = { configured.vm, start };
+        link.fleetKey = configured.fleetKey;
+        return link;
+    }
+
     operator_directory operatorsOf(const settings& configured)
     {
         std::vector<operator_credential> credentials;
@@ -87,6 +96,7 @@
 
     void changeCommitted(revision at);
     void perform(const document_in_force& applied);
+    void perform(const membership_changed&) { mesh.refreshTargets(); }
     void perform(const change_incarnation& changed);
 
     event_loop& loop;
@@ -100,6 +110,7 @@
     decision_log decisions;
     caller_front callers;
     load_poller loads;
+    peer_mesh mesh;
     platform_access platform;
     platform_gateway gateway;
     admin_service administration;
@@ -121,12 +132,13 @@
     , decisions(log)
     , callers(driver, backends, log, values, configured.limits.bufferBytes)
     , loads(driver, polls, log)
+    , mesh(driver, log, linkSettings(configured, start), seed + 1)
     , platform(loop, configured.platform, seed + 2)
     , gateway(driver, log, platform.clients(), configured.vm.value() + "-" + std::to_string(start.value()))
     , administration(
           {}, operatorsOf(configured), gateway.changes(),
           [this](revision at) { changeCommitted(at); }, seed + 3)
-    , report(driver, values, log)
+    , report(driver, values, mesh, log)
     , admin(driver, administration, [this] { return report.text(); })
     , callerServer(loop, callerLimits(configured), [this](http_request request, std::shared_ptr<http_answer> answer) { callers.onRequest(std::move(request), std::move(answer)); })
     , adminServer(loop, {}, [this](const http_request& request, const std::shared_ptr<http_answer>& answer) { admin.onRequest(request, answer); })
@@ -140,7 +152,7 @@
     struct performer {
         parts& to;
 
-        void operator()(const send_message&) const { }
+        void operator()(const send_message& step) const { to.mesh.perform(step); }
         void operator()(const poll_revision& step) const { to.gateway.perform(step); }
         void operator()(const fetch_rows& step) const { to.gateway.perform(step); }
         void operator()(const commit_rows& step) const { to.gateway.perform(step); }
@@ -152,7 +164,7 @@
         void operator()(const stop_stream& step) const { to.callers.perform(step); }
         void operator()(const request_step& step) const { to.callers.perform(step); }
         void operator()(const document_in_force& step) const { to.perform(step); }
-        void operator()(const membership_changed&) const { }
+        void operator()(const membership_changed& step) const { to.perform(step); }
         void operator()(const change_incarnation& step) const { to.perform(step); }
         void operator()(const report_fault& step) const { to.decisions.perform(step); }
         void operator()(const route_decision& step) const { to.decisions.perform(step); }
@@ -170,11 +182,13 @@
 void router_process::parts::perform(const document_in_force& applied)
 {
     decisions.perform(applied);
+    mesh.refreshTargets();
 }
 
 void router_process::parts::perform(const change_incarnation& changed)
 {
     decisions.perform(changed);
+    mesh.perform(changed);
 }
 
 router_process::router_process(event_loop& loop, logger& log, const settings& configured, incarnation start, std::uint64_t seed)
@@ -187,10 +201,13 @@
 result<void> router_process::start()
 {
     const settings& configured = m_parts->configured;
+    if (const auto listening = m_parts->mesh.listen(configured.listen.peers); !listening)
+        return tl::unexpected(listening.error());
     if (const auto listening = m_parts->adminServer.listen(configured.listen.admin); !listening)
         return tl::unexpected(listening.error());
     if (const auto listening = m_parts->callerServer.listen(configured.listen.callers); !listening)
         return tl::unexpected(listening.error());
+    m_parts->mesh.refreshTargets();
     m_parts->gateway.watchVms();
     m_parts->log.write(log_level::info, "router_started", { { "vm", std::string_view(configured.vm.value()) }, { "data_centre", std::string_view(configured.dataCentre.value()) } });
     return {};
