Add the measurement program

Cause: the targets for fairness, utilisation and control need figures against the formula of the design and against routers that work alone.

--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -57,7 +57,7 @@
     request_number request;
     workspace_id workspace;
     cost_units costHint = 1;
-    fingerprint print; ///< Set only for requests under crash suspicion.
+    fingerprint print {}; ///< Set only for requests under crash suspicion.
     std::uint64_t prefixHash = 0; ///< Prompt prefix, for cache affinity; 0: none.
 };
 
--- /dev/null
+++ b/tools/measure/Main.cpp
@@ -0,0 +1,42 @@
+#include <cstdint>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include "Scenarios.h"
+
+ABSL_FLAG(std::string, what, "fairness", "what to measure: fairness, utilisation or control");
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of the simulation");
+
+namespace {
+
+using measurement = void (*)(std::uint64_t, pimentoladder::measure::figure_printer&);
+
+constexpr int exitTargetMissed = 1;
+constexpr int exitUsage = 2;
+
+}
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("measures admission in simulated time and prints JSON lines");
+    absl::ParseCommandLine(argc, argv);
+    const std::map<std::string, measurement> measurements {
+        { "fairness", &pimentoladder::measure::measureFairness },
+        { "utilisation", &pimentoladder::measure::measureUtilisation },
+        { "control", &pimentoladder::measure::measureControl },
+    };
+    const std::string what = absl::GetFlag(FLAGS_what);
+    const auto found = measurements.find(what);
+    if (found == measurements.end()) {
+        std::cerr << "unknown measurement \"" << what << "\"; use fairness, utilisation or control\n";
+        return exitUsage;
+    }
+    pimentoladder::measure::figure_printer printer(absl::GetFlag(FLAGS_seed));
+    found->second(absl::GetFlag(FLAGS_seed), printer);
+    return printer.areAllMet() ? 0 : exitTargetMissed;
+}
--- /dev/null
+++ b/tools/measure/Scenarios.cpp
@@ -0,0 +1,181 @@
+#include "Scenarios.h"
+
+#include <algorithm>
+
+#include "FleetSimulation.h"
+
+namespace pimentoladder::measure {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr std::size_t modelPool = 0;
+    constexpr std::size_t portalPool = 1;
+    constexpr std::size_t workspaceCount = 16;
+    constexpr std::size_t largeWorkspaces = 3;
+    constexpr std::size_t smallOutstanding = 40;
+    constexpr std::size_t largeOutstanding = 240;
+    constexpr std::size_t floodFactor = 50;
+    constexpr double utilisationTarget = 0.98;
+    constexpr double baselineRatioTarget = 10;
+
+    // Today's fleet: a dozen model servers and four portal servers.
+    simulation_shape today()
+    {
+        simulation_shape shape;
+        shape.pools.push_back({ "model", 12, 2, 8, 50, 800, 50ms, 2ms, 40ms });
+        shape.pools.push_back({ "portal", 4, 2, 16, 1, 1, 20ms, 10ms, 5ms });
+        for (std::size_t i = 0; i < workspaceCount; ++i) {
+            const std::size_t outstanding = i < largeWorkspaces ? largeOutstanding : smallOutstanding;
+            shape.workspaces.push_back({ { outstanding, 0 }, 1, (i * 5) % shape.routers });
+        }
+        return shape;
+    }
+
+    simulation_shape withPortal(simulation_shape shape)
+    {
+        for (workspace_load& load : shape.workspaces)
+            load.outstanding[portalPool] = load.outstanding[modelPool];
+        return shape;
+    }
+
+    // Upper bound of the cost units that a pool serves in a second.
+    double unitsPerSecond(const pool_shape& pool)
+    {
+        const double perUnit = std::chrono::duration<double>(pool.timePerUnit).count();
+        const double perRequest = std::chrono::duration<double>(pool.baseTime).count() / pool.largestCost;
+        return static_cast<double>(pool.servers * pool.ceiling) / (perUnit + perRequest);
+    }
+
+    double exchangeTerm(const simulation_shape& shape)
+    {
+        double capacity = 0;
+        for (const pool_shape& pool : shape.pools)
+            capacity += unitsPerSecond(pool);
+        return capacity * std::chrono::duration<double>(shape.exchangeInterval).count();
+    }
+
+    struct gap_case {
+        std::string name;
+        simulation_shape shape;
+        bool isSeveralOwners = false; ///< The third term of the bound applies.
+    };
+
+    void measureGap(const gap_case& measured, std::uint64_t seed, figure_printer& printer)
+    {
+        const simulation_result fair = fleet_simulation(measured.shape, seed).run();
+        const double largestCost = measured.shape.pools[modelPool].largestCost;
+        double bound = 2 * largestCost + fair.largestUnknown;
+        if (measured.isSeveralOwners)
+            bound += exchangeTerm(measured.shape);
+        const std::string prefix = "fairness." + measured.name;
+        printer.print({ prefix + ".largest_unknown", fair.largestUnknown, "units" });
+        printer.print({ prefix + ".gap", fair.gap, "units", target_kind::atMost, bound });
+        printer.print({ prefix + ".least_share_of_mean", fair.leastShare, "ratio" });
+        if (measured.shape.ownerLostAt)
+            return;
+        simulation_shape alone = measured.shape;
+        alone.kind = admission_kind::baseline;
+        const simulation_result baseline = fleet_simulation(alone, seed).run();
+        printer.print({ prefix + ".baseline_gap", baseline.gap, "units" });
+        printer.print({ prefix + ".baseline_least_share_of_mean", baseline.leastShare, "ratio" });
+        printer.print({ prefix + ".baseline_to_gap", baseline.gap / fair.gap, "ratio", target_kind::atLeast,
+            baselineRatioTarget });
+    }
+
+    gap_case flooding()
+    {
+        gap_case made { "flood", today() };
+        made.shape.workspaces[0].outstanding[modelPool] = floodFactor * smallOutstanding;
+        return made;
+    }
+
+    gap_case wrongHints()
+    {
+        gap_case made { "hints_off_by_ten", today() };
+        for (std::size_t i = 0; i < workspaceCount; ++i)
+            made.shape.workspaces[i].hintFactor = i % 2 == 0 ? 0.1 : 10;
+        return made;
+    }
+
+    gap_case ownerRestart()
+    {
+        gap_case made { "owner_restart", today(), true };
+        made.shape.ownerLostAt = 40s;
+        return made;
+    }
+
+}
+
+void measureFairness(std::uint64_t seed, figure_printer& printer)
+{
+    measureGap({ "steady", today() }, seed, printer);
+    measureGap(flooding(), seed, printer);
+    measureGap(wrongHints(), seed, printer);
+    measureGap(ownerRestart(), seed, printer);
+    measureGap({ "two_pools", withPortal(today()), true }, seed, printer);
+}
+
+void measureUtilisation(std::uint64_t seed, figure_printer& printer)
+{
+    const simulation_shape shape = withPortal(today());
+    simulation_shape alone = shape;
+    alone.kind = admission_kind::baseline;
+    const simulation_result fair = fleet_simulation(shape, seed).run();
+    const simulation_result baseline = fleet_simulation(alone, seed).run();
+    for (std::size_t pool = 0; pool < shape.pools.size(); ++pool) {
+        const std::string prefix = "utilisation." + shape.pools[pool].name;
+        printer.print({ prefix + ".granted", fair.pools[pool].granted, "ratio", target_kind::atLeast, utilisationTarget });
+        printer.print({ prefix + ".running", fair.pools[pool].running, "ratio", target_kind::atLeast, utilisationTarget });
+        printer.print({ prefix + ".above_true_limit", static_cast<double>(fair.pools[pool].mostAboveLimit), "requests",
+            target_kind::atMost, 0 });
+        printer.print({ prefix + ".baseline_running", baseline.pools[pool].running, "ratio" });
+        printer.print({ prefix + ".baseline_above_true_limit",
+            static_cast<double>(baseline.pools[pool].mostAboveLimit), "requests" });
+    }
+}
+
+namespace {
+
+    void printControl(const std::string& name, const simulation_shape& shape, std::uint64_t seed, figure_printer& printer)
+    {
+        const simulation_result result = fleet_simulation(shape, seed).run();
+        const double seconds = std::chrono::duration<double>(shape.measured).count();
+        control_count sum;
+        control_count most;
+        for (const control_count& sent : result.sentByRouter) {
+            sum.messages += sent.messages;
+            sum.entries += sent.entries;
+            most.messages = std::max(most.messages, sent.messages);
+            most.entries = std::max(most.entries, sent.entries);
+        }
+        const double routers = static_cast<double>(shape.routers);
+        const std::string prefix = "control." + name;
+        printer.print({ prefix + ".messages_per_router", static_cast<double>(sum.messages) / routers / seconds, "1/s" });
+        printer.print({ prefix + ".entries_per_router", static_cast<double>(sum.entries) / routers / seconds, "1/s" });
+        printer.print({ prefix + ".messages_busiest_router", static_cast<double>(most.messages) / seconds, "1/s" });
+        printer.print({ prefix + ".entries_busiest_router", static_cast<double>(most.entries) / seconds, "1/s" });
+        if (result.grants == 0)
+            return;
+        const double simulated = std::chrono::duration<double>(shape.warmUp + shape.measured).count();
+        printer.print({ prefix + ".grants_in_fleet", static_cast<double>(result.grants) / simulated, "1/s" });
+        const double micros = std::chrono::duration<double, std::micro>(result.ownerProcessorTime).count();
+        printer.print({ prefix + ".owner_time_per_grant", micros / static_cast<double>(result.grants), "us" });
+    }
+
+}
+
+void measureControl(std::uint64_t seed, figure_printer& printer)
+{
+    simulation_shape idle = today();
+    for (workspace_load& load : idle.workspaces)
+        load.outstanding = { 0, 0 };
+    printControl("idle", idle, seed, printer);
+    printControl("backlog_model", today(), seed, printer);
+    printControl("backlog_both_pools", withPortal(today()), seed, printer);
+    measureCapacity(seed, printer);
+    measureCausalMatrix(seed, printer);
+}
+
+}
