--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -26,6 +26,8 @@
     revision applied; ///< Revision of the document that the sender has applied.
     std::uint64_t suspendedDigest = 0; ///< Digest of the sender's set of suspended members.
     std::optional<duration> basisAge; ///< Age of the sender's freshness basis; none if not fresh.
+    /// Age of the basis for suspensions, which a table read does not advance; none if not fresh.
+    std::optional<duration> suspensionAge;
 };
 
 /// States that the table holds a revision, sent as soon as the sender knows.
@@ -46,10 +48,12 @@
     std::vector<row_change> rows;
 };
 
-/// Asks witnesses to suspend members, or states the sender's whole set.
+/// Asks witnesses to suspend members, or states the sender's whole set. A
+/// witness that agrees to a proposal answers with the same proposal.
 struct suspend {
-    std::vector<member_ref> proposed; ///< Members that the sender asks to suspend.
+    std::vector<member_ref> proposed; ///< Members that have been silent towards the sender for the removal delay.
     std::vector<member_ref> suspended; ///< Every member that the sender holds suspended.
+    revision listedBy; ///< Every member named above was in the document at or before this revision.
 };
 
 /// A waiting request for which a router asks a grant.
@@ -137,6 +141,13 @@
     std::vector<in_flight_entry> entries;
 };
 
+/// States that the sender owns a shard under `token`. Sent when it begins to
+/// own it, and to a router that asks under another token.
+struct shard_owner {
+    shard_id shard;
+    fencing_token token;
+};
+
 /// States that the sender no longer acts as owner of a shard under `token`.
 struct shard_release {
     shard_id shard;
@@ -173,6 +184,6 @@
 };
 
 using message = std::variant<heartbeat, revision_announce, config_request, config_update, suspend, acquire, grant,
-    grant_report, recall, in_flight_report, shard_release, service_counters, crash_report>;
+    grant_report, recall, in_flight_report, shard_release, service_counters, crash_report, shard_owner>;
 
 }
--- /dev/null
+++ b/include/pimentoladder/Router/FleetCoordinator.h
@@ -0,0 +1,175 @@
+/// \file
+/// This router's place in the fleet: its copy of the document, its freshness,
+/// its membership and its view of the other members.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pimentoladder/Freshness/AcceptanceTracker.h"
+#include "pimentoladder/Freshness/FreshnessTracker.h"
+#include "pimentoladder/Freshness/RosterPlanner.h"
+#include "pimentoladder/Freshness/SuspensionSet.h"
+#include "pimentoladder/Freshness/VmList.h"
+#include "pimentoladder/Membership/PeerDirectory.h"
+#include "pimentoladder/Membership/PeerMonitor.h"
+#include "pimentoladder/Membership/RemovalPlanner.h"
+#include "pimentoladder/Membership/SuspensionVotes.h"
+#include "pimentoladder/Router/Actions.h"
+#include "pimentoladder/Router/DocumentReplica.h"
+
+namespace pimentoladder {
+
+/// What a router knows of itself when it starts.
+struct router_identity {
+    member self;
+    std::vector<endpoint> seeds;
+};
+
+/// The table's answer to a read of rows.
+using rows_answer = result<config_update>;
+
+/// What a peer last stated of itself.
+struct peer_statement {
+    revision applied;
+    std::optional<duration> basisAge;
+};
+
+/// Keeps this router in step with the fleet. Events append the actions that
+/// follow. Not thread-safe; call on the loop's thread.
+class fleet_coordinator {
+public:
+    fleet_coordinator(router_identity identity, std::uint64_t seed);
+    ~fleet_coordinator();
+
+    /// Takes a frame's sender. Returns whether its messages may be used.
+    bool admit(const member_ref& from, time_point now);
+
+    void onHeartbeat(const member_ref& from, const heartbeat& beat, time_point now, router_actions& out);
+    void onAnnounce(const member_ref& from, const revision_announce& announced, time_point now, router_actions& out);
+    void onConfigRequest(const member_ref& from, const config_request& asked, router_actions& out);
+    void onConfigUpdate(const config_update& update, time_point now, router_actions& out);
+    void onSuspend(const member_ref& from, const suspend& stated, time_point now, router_actions& out);
+    void onLinkOpened(const member_ref& peer, time_point now, router_actions& out);
+    void onIdentified(const endpoint& location, const vm_id& vm);
+
+    void onRevisionPolled(const result<revision>& answer, time_point sentAt, time_point now, router_actions& out);
+    void onRowsFetched(const rows_answer& answer, time_point now, router_actions& out);
+    void onCommitted(transaction_ticket ticket, const result<revision>& answer, time_point now, router_actions& out);
+    void onVmList(const vm_list& list, time_point now);
+
+    /// Sends what is due: heartbeats, polls, fetches, registrations, removals.
+    void onTick(time_point now, router_actions& out);
+
+    /// Returns when `onTick` is due.
+    time_point nextDeadline(time_point now) const;
+
+    /// A change was committed at a revision by this router's administration API.
+    void committed(revision at, time_point now, router_actions& out);
+
+    /// Starts to leave the fleet: the member row is deleted and not written again.
+    void leave();
+
+    /// Returns whether the member row is gone, or never existed.
+    bool hasLeft() const;
+
+    const document& current() const { return m_replica.current(); }
+    member_ref self() const;
+    const router_identity& identity() const { return m_identity; }
+
+    /// Returns whether this router may take new work.
+    bool isFresh(time_point now) const;
+
+    /// Returns whether this router may act as owner: it is fresh, also for
+    /// suspensions, and listed as member under its present incarnation.
+    bool isOwnerFresh(time_point now) const;
+
+    /// Returns until when `isOwnerFresh` holds without further evidence.
+    time_point ownerFreshUntil() const;
+
+    /// Returns the age of the basis; none without one.
+    std::optional<duration> basisAge(time_point now) const;
+
+    /// Returns a time since which revision \p at has been accepted; none if it
+    /// is not known to be.
+    std::optional<time_point> acceptedAt(revision at) const;
+
+    /// Returns the highest revision known to be accepted.
+    revision accepted() const;
+
+    /// Returns since when the suspension of \p member has been accepted.
+    std::optional<time_point> suspensionAcceptedAt(const member_ref& member) const;
+
+    /// Returns the suspended members.
+    const suspension_set& suspended() const;
+
+    /// Returns the routers to keep links to.
+    std::vector<peer_target> targets() const { return m_directory.targets(); }
+
+    /// Returns where a router listens for peers.
+    std::optional<endpoint> locate(const vm_id& vm) const { return m_directory.locate(vm); }
+
+    /// Returns the members that are not suspended.
+    std::vector<member> activeMembers() const;
+
+    /// Returns what \p peer last stated; none if it has not under its present
+    /// incarnation.
+    std::optional<peer_statement> statementOf(const member_ref& peer) const;
+
+    peer_state stateOf(const vm_id& peer, time_point now) const;
+
+    /// Returns a time on the clock of \p owner that is never before its present time.
+    std::optional<time_point> latestClock(const member_ref& owner, time_point now) const;
+
+    /// Returns whether the requests of \p router may still be in progress.
+    bool mayBeRunning(const member_ref& router) const;
+
+    const vm_list& vms() const { return m_vms; }
+
+private:
+    struct tracking;
+
+    void rejoin(time_point now, router_actions& out);
+    void applyUpdate(const config_update& update, time_point now, router_actions& out);
+    void documentApplied(time_point now, router_actions& out);
+    void checkOwnRow(time_point now, router_actions& out);
+    void refreshAcceptance(time_point now);
+    void sendHeartbeat(const vm_id& peer, time_point now, router_actions& out);
+    void sendHeartbeats(time_point now, router_actions& out);
+    void sendPoll(time_point now, router_actions& out);
+    void sendFetch(time_point now, router_actions& out);
+    void writeOwnRow(time_point now, router_actions& out);
+    void writeRoster(time_point now, router_actions& out);
+    void removeLostMembers(time_point now, router_actions& out);
+    void proposeSuspension(const member_ref& lost, time_point now, router_actions& out);
+    void mergeSuspensions(const std::vector<member_ref>& members, revision listedBy, time_point now, router_actions& out);
+    void broadcast(const message& content, router_actions& out) const;
+    void commit(const std::string& key, std::optional<document_value> value, router_actions& out);
+    bool isSelfListed() const;
+
+    router_identity m_identity;
+    std::uint64_t m_seed;
+    random_source m_random;
+    document_replica m_replica;
+    peer_directory m_directory;
+    vm_list m_vms;
+    std::unique_ptr<tracking> m_tracking; ///< State of one incarnation.
+    std::map<member_ref, peer_statement> m_statements;
+    std::map<transaction_ticket, std::string> m_commits; ///< Row key of each commit in progress.
+    std::uint64_t m_lastTicket = 0;
+    duration m_backstopPoll {}; ///< Time after the last poll at which the next one is due anyway.
+    std::optional<time_point> m_ownRowTriedAt;
+    std::optional<time_point> m_rosterTriedAt;
+    bool m_isTableFailing = false; ///< The last call to the table failed.
+    bool m_wasListed = false; ///< Under the present incarnation.
+    bool m_isLeaving = false;
+    bool m_isSuperseded = false;
+};
+
+}
--- a/tools/measure/FleetSimulation.cpp
+++ b/tools/measure/FleetSimulation.cpp
@@ -209,6 +209,15 @@
     return m_random.index(m_shape.routers);
 }
 
+double fleet_simulation::hintFactor(std::size_t workspace)
+{
+    const workspace_load& load = m_shape.workspaces[workspace];
+    if (load.isHintRandom)
+        return std::pow(10, static_cast<double>(m_random.index(3)) - 1);
+    const bool isLater = m_now >= m_start + m_shape.warmUp + m_shape.measured / 2;
+    return isLater ? load.laterHintFactor : load.hintFactor;
+}
+
 void fleet_simulation::submit(std::size_t pool, std::size_t workspace)
 {
     const pool_shape& configured = m_shape.pools[pool];
@@ -216,7 +225,7 @@
     const double share = static_cast<double>(m_random.index(1001)) / 1000;
     const cost_units cost
         = std::round(configured.leastCost * std::pow(configured.largestCost / configured.leastCost, share));
-    const cost_units hint = cost * m_shape.workspaces[workspace].hintFactor;
+    const cost_units hint = cost * hintFactor(workspace);
     const request_number number(m_nextRequest++);
     const std::size_t router = routerFor(workspace);
     m_requests[number] = { pool, workspace, router, cost, hint, 0 };
--- a/tools/measure/FleetSimulation.h
+++ b/tools/measure/FleetSimulation.h
@@ -41,6 +41,8 @@
 struct workspace_load {
     std::vector<std::size_t> outstanding; ///< For each pool.
     double hintFactor = 1;
+    double laterHintFactor = 1; ///< From the middle of the measured time on.
+    bool isHintRandom = false; ///< Each hint is a tenth of the cost, the cost, or ten times the cost.
     std::size_t homeRouter = 0;
 };
 
@@ -135,6 +137,7 @@
     void replaceOwner(std::size_t pool);
     void exchangeCounters();
     void submit(std::size_t pool, std::size_t workspace);
+    double hintFactor(std::size_t workspace);
     std::size_t routerFor(std::size_t workspace);
     void turnHolder(std::size_t pool, std::size_t router);
     void wakeHolder(std::size_t pool, std::size_t router);
--- a/tools/measure/Scenarios.cpp
+++ b/tools/measure/Scenarios.cpp
@@ -28,7 +28,9 @@
         shape.pools.push_back({ "portal", 4, 2, 16, 1, 1, 20ms, 10ms, 5ms });
         for (std::size_t i = 0; i < workspaceCount; ++i) {
             const std::size_t outstanding = i < largeWorkspaces ? largeOutstanding : smallOutstanding;
-            shape.workspaces.push_back({ { outstanding, 0 }, 1, (i * 5) % shape.routers });
+            workspace_load& load = shape.workspaces.emplace_back();
+            load.outstanding = { outstanding, 0 };
+            load.homeRouter = (i * 5) % shape.routers;
         }
         return shape;
     }
@@ -58,14 +60,15 @@
 
     struct gap_case {
         std::string name;
-        simulation_shape shape;
+        simulation_shape shape {};
         bool isSeveralOwners = false; ///< The third term of the bound applies.
     };
 
     void measureGap(const gap_case& measured, std::uint64_t seed, figure_printer& printer)
     {
         const simulation_result fair = fleet_simulation(measured.shape, seed).run();
-        const double largestCost = measured.shape.pools[modelPool].largestCost;
+        const bool isModelUsed = measured.shape.workspaces.front().outstanding[modelPool] > 0;
+        const double largestCost = measured.shape.pools[isModelUsed ? modelPool : portalPool].largestCost;
         double bound = 2 * largestCost + fair.largestUnknown;
         if (measured.isSeveralOwners)
             bound += exchangeTerm(measured.shape);
@@ -94,8 +97,27 @@
     gap_case wrongHints()
     {
         gap_case made { "hints_off_by_ten", today() };
-        for (std::size_t i = 0; i < workspaceCount; ++i)
-            made.shape.workspaces[i].hintFactor = i % 2 == 0 ? 0.1 : 10;
+        for (std::size_t i = 0; i < workspaceCount; ++i) {
+            workspace_load& load = made.shape.workspaces[i];
+            load.hintFactor = i % 2 == 0 ? 0.1 : 10;
+            load.laterHintFactor = 1 / load.hintFactor;
+        }
+        return made;
+    }
+
+    gap_case randomHints()
+    {
+        gap_case made { "hints_off_by_ten_at_random", today() };
+        for (workspace_load& load : made.shape.workspaces)
+            load.isHintRandom = true;
+        return made;
+    }
+
+    gap_case portalOnly()
+    {
+        gap_case made { "portal", withPortal(today()) };
+        for (workspace_load& load : made.shape.workspaces)
+            load.outstanding[modelPool] = 0;
         return made;
     }
 
@@ -113,6 +135,8 @@
     measureGap({ "steady", today() }, seed, printer);
     measureGap(flooding(), seed, printer);
     measureGap(wrongHints(), seed, printer);
+    measureGap(randomHints(), seed, printer);
+    measureGap(portalOnly(), seed, printer);
     measureGap(ownerRestart(), seed, printer);
     measureGap({ "two_pools", withPortal(today()), true }, seed, printer);
 }
