--- a/tools/load/Runner.cpp
+++ b/tools/load/Runner.cpp
@@ -23,16 +23,14 @@
         return names.at(static_cast<std::size_t>(end));
     }
 
-    /// Returns the object that describes a refusal, or null.
+    /// Returns the body of a refusal, or null.
     json refusalIn(const client_answer& answer)
     {
         if (answer.status < firstErrorStatus)
             return nullptr;
         const json body = json::parse(answer.body, nullptr, false);
-        if (!body.is_object())
-            return nullptr;
-        const json& described = body.contains("error") && body["error"].is_object() ? body["error"] : body;
-        return described.contains("kind") && described["kind"].is_string() ? described : json(nullptr);
+        const bool isRefusal = body.is_object() && body.contains("kind") && body["kind"].is_string();
+        return isRefusal ? body : json(nullptr);
     }
 
     /// Returns the last line of a stream, or null if the stream is not whole.
@@ -70,8 +68,8 @@
         return { outcome_kind::broken, endName(answer.end) };
     const json refusal = refusalIn(answer);
     if (!refusal.is_null()) {
-        const json ran = refusal.value("ran", json(nullptr));
-        return { outcome_kind::refused, refusal["kind"].get<std::string>(), ran == false || ran == "no" || ran == "not_run" };
+        const bool isNotRun = refusal.contains("ran") && refusal["ran"] == false;
+        return { outcome_kind::refused, refusal["kind"].get<std::string>(), isNotRun };
     }
     reading whole { outcome_kind::answered, {} };
     if (!isStreaming || answer.status >= firstErrorStatus)
--- a/unittests/Load/LoadTests.cpp
+++ b/unittests/Load/LoadTests.cpp
@@ -51,7 +51,7 @@
     const reading whole = readAnswer(answerOf(200, "{\"t\":0}\n{\"end\":true,\"cost\":7}\n"), true);
     CHECK(whole.kind == outcome_kind::answered);
     CHECK(whole.cost == 7);
-    const reading notRun = readAnswer(answerOf(503, R"({"kind":"not_fresh","ran":"no"})"), false);
+    const reading notRun = readAnswer(answerOf(503, R"({"kind":"not_fresh","ran":false})"), false);
     CHECK(notRun.kind == outcome_kind::refused);
     CHECK(notRun.isNotRun);
     CHECK_FALSE(readAnswer(answerOf(502, R"({"kind":"outcome_unknown","ran":"unknown"})"), false).isNotRun);
