Let the load client submit requests again

A plan can now repeat requests without answer and duplicate answered ones, with the same idempotency key and body. Each submission has its own id, so that a refusal as not run can be checked for exactly that submission.

--- a/include/pimentoladder/Platform/TableClient.h
+++ b/include/pimentoladder/Platform/TableClient.h
@@ -32,7 +32,8 @@
 /// A transaction that can be repeated without a second effect: it both writes
 /// the row `settleKey`, with a value that no other transaction writes, and has
 /// a condition on it. So one execution at most can commit, and reading the row
-/// tells whether it did. For a change the row is `change/<id>`.
+/// tells whether it did. For a change the row is `change/<id>`. If the settling
+/// write is a deletion, the row's absence counts as this transaction's commit.
 struct table_transaction {
     std::string id;
     std::vector<row_condition> conditions;
--- a/tools/load/Plan.cpp
+++ b/tools/load/Plan.cpp
@@ -35,7 +35,7 @@
 
     workspace_load readWorkspace(const YAML::Node& source)
     {
-        refuseUnknown(source, { "name", "key", "rate", "concurrency", "method", "path", "bodyBytes", "sharedPrefixBytes", "minTokens", "maxTokens", "costHint", "streaming", "idempotencyKey", "startSeconds", "stopSeconds" });
+        refuseUnknown(source, { "name", "key", "rate", "concurrency", "method", "path", "bodyBytes", "sharedPrefixBytes", "minTokens", "maxTokens", "costHint", "streaming", "idempotencyKey", "repeats", "duplicateShare", "startSeconds", "stopSeconds" });
         workspace_load parsed;
         read(source, "name", parsed.name);
         read(source, "key", parsed.key);
@@ -50,6 +50,8 @@
         read(source, "costHint", parsed.costHint);
         read(source, "streaming", parsed.isStreaming);
         read(source, "idempotencyKey", parsed.hasIdempotencyKey);
+        read(source, "repeats", parsed.repeats);
+        read(source, "duplicateShare", parsed.duplicateShare);
         readSeconds(source, "startSeconds", parsed.startAfter);
         readSeconds(source, "stopSeconds", parsed.stopAfter);
         return parsed;
--- a/tools/load/Plan.h
+++ b/tools/load/Plan.h
@@ -29,6 +29,8 @@
     double costHint = 0; ///< Value of X-Cost-Hint; 0: none.
     bool isStreaming = false; ///< Whether a whole answer must end with the engine's last line.
     bool hasIdempotencyKey = false;
+    std::uint32_t repeats = 0; ///< How often a request that got no answer is submitted again, with the same key and body.
+    double duplicateShare = 0; ///< Share of answered requests that are submitted once more.
     duration startAfter {}; ///< From the start of the run.
     duration stopAfter {}; ///< From the start of the run; zero: its end.
 };
--- a/tools/load/RequestFactory.cpp
+++ b/tools/load/RequestFactory.cpp
@@ -4,6 +4,11 @@
 
 namespace pimentoladder::load {
 
+std::string planned_request::submissionId() const
+{
+    return submissions <= 1 ? id : id + "-again-" + std::to_string(submissions - 1);
+}
+
 request_factory::request_factory(workspace_load settings, std::string client, std::uint64_t seed)
     : m_settings(std::move(settings))
     , m_client(std::move(client))
@@ -39,6 +44,11 @@
     return text;
 }
 
+bool request_factory::drawDuplicate()
+{
+    return std::bernoulli_distribution(m_settings.duplicateShare)(m_random);
+}
+
 duration request_factory::nextGap()
 {
     std::exponential_distribution<double> seconds(m_settings.rate);
--- a/tools/load/RequestFactory.h
+++ b/tools/load/RequestFactory.h
@@ -11,11 +11,15 @@
 
 namespace pimentoladder::load {
 
-/// One request to be sent.
+/// One request, which may be submitted several times.
 struct planned_request {
-    std::string id; ///< Unique in all runs with distinct client names.
+    std::string id; ///< Unique among clients of distinct names.
     std::string idempotencyKey; ///< Empty if the plan wants none.
     std::string body;
+    std::uint32_t submissions = 0; ///< How often it has been submitted.
+
+    /// Returns the id of the present submission, which histories name.
+    std::string submissionId() const;
 };
 
 /// Not thread-safe; call on the loop's thread.
@@ -28,6 +32,9 @@
 
     planned_request next();
 
+    /// Decides whether an answered request is submitted once more.
+    bool drawDuplicate();
+
     /// Returns the time from one arrival to the next in open loop.
     duration nextGap();
 
--- a/tools/load/Runner.cpp
+++ b/tools/load/Runner.cpp
@@ -16,6 +16,7 @@
 namespace {
 
     constexpr int firstErrorStatus = 400;
+    constexpr duration repeatDelay = std::chrono::milliseconds(100);
 
     const char* endName(call_end end)
     {
@@ -111,7 +112,7 @@
 {
     const time_point now = bootTime();
     for (std::uint32_t i = 0; i < run.requests.settings().concurrency; ++i)
-        send(run, now);
+        sendNew(run, now);
     if (run.requests.settings().rate > 0)
         arrive(run, now + run.requests.nextGap());
 }
@@ -126,22 +127,27 @@
         const time_point now = bootTime();
         time_point next = due;
         for (; next <= now && next < run.endsAt; next += run.requests.nextGap())
-            send(run, next);
+            sendNew(run, next);
         arrive(run, next);
     });
 }
 
-void load_runner::send(workspace_run& run, time_point due)
+void load_runner::sendNew(workspace_run& run, time_point due)
+{
+    send(run, run.requests.next(), due);
+}
+
+void load_runner::send(workspace_run& run, planned_request planned, time_point due)
 {
     const workspace_load& settings = run.requests.settings();
-    planned_request planned = run.requests.next();
+    ++planned.submissions;
     const std::string target = m_plan.targets[m_nextTarget++ % m_plan.targets.size()];
     tools::client_request request;
     request.target = tools::parseAddress(target);
     request.method = settings.method;
     request.path = settings.path;
     request.timeout = m_plan.timeout;
-    request.headers.push_back({ "X-Load-Id", planned.id });
+    request.headers.push_back({ "X-Load-Id", planned.submissionId() });
     if (!settings.key.empty())
         request.headers.push_back({ "Authorization", "Bearer " + settings.key });
     if (!planned.idempotencyKey.empty())
@@ -150,22 +156,22 @@
         request.headers.push_back({ "X-Cost-Hint", std::to_string(settings.costHint) });
     if (!planned.body.empty())
         request.headers.push_back({ "Content-Type", "application/json" });
-    request.body = std::exchange(planned.body, {});
+    request.body = planned.body;
 
-    json event { { "id", planned.id }, { "workspace", settings.name }, { "method", settings.method }, { "path", settings.path }, { "target", target } };
+    json event { { "id", planned.submissionId() }, { "workspace", settings.name }, { "method", settings.method }, { "path", settings.path }, { "target", target } };
     if (!planned.idempotencyKey.empty())
         event["key"] = planned.idempotencyKey;
     m_history.write(bootTime(), "invoked", std::move(event));
     ++m_inFlight;
     run.figures.countSent();
-    m_client.send(request, [this, &run, planned, target, due](const client_answer& answer) { onAnswer(run, planned, target, due, answer); });
+    m_client.send(request, [this, &run, planned = std::move(planned), target, due](const client_answer& answer) { onAnswer(run, planned, target, due, answer); });
 }
 
 void load_runner::onAnswer(workspace_run& run, const planned_request& sent, const std::string& target, time_point due, const client_answer& answer)
 {
     const time_point now = bootTime();
     const reading read = readAnswer(answer, run.requests.settings().isStreaming);
-    json event { { "id", sent.id }, { "target", target }, { "status", answer.status } };
+    json event { { "id", sent.submissionId() }, { "target", target }, { "status", answer.status } };
     if (read.kind == outcome_kind::answered) {
         event["digest"] = answer.digest;
         event["bytes"] = answer.bytes;
@@ -177,11 +183,28 @@
     }
     run.figures.count({ read.kind, read.detail, now - due, answer.firstByteLatency, read.cost });
     --m_inFlight;
-    if (run.requests.settings().concurrency > 0 && now < run.endsAt)
-        send(run, now);
+    const bool isAgain = sendAgain(run, sent, read.kind);
+    if (!isAgain && run.requests.settings().concurrency > 0 && now < run.endsAt)
+        sendNew(run, now);
     checkEnd();
 }
 
+bool load_runner::sendAgain(workspace_run& run, const planned_request& sent, outcome_kind ended)
+{
+    const workspace_load& settings = run.requests.settings();
+    const bool isAnswered = ended == outcome_kind::answered;
+    const bool isRepeat = !isAnswered && sent.submissions <= settings.repeats;
+    const bool isDuplicate = isAnswered && sent.submissions == 1 && run.requests.drawDuplicate();
+    if (!isRepeat && !isDuplicate)
+        return false;
+    ++m_inFlight;
+    m_loop.callAfter(repeatDelay, [this, &run, sent] {
+        --m_inFlight;
+        send(run, sent, bootTime());
+    });
+    return true;
+}
+
 void load_runner::checkEnd()
 {
     const bool isOver = m_inFlight == 0 && bootTime() >= m_startedAt + m_plan.length;
--- a/tools/load/Runner.h
+++ b/tools/load/Runner.h
@@ -54,8 +54,11 @@
 
     void startWorkspace(workspace_run& run);
     void arrive(workspace_run& run, time_point due);
-    void send(workspace_run& run, time_point due);
+    void sendNew(workspace_run& run, time_point due);
+    void send(workspace_run& run, planned_request planned, time_point due);
     void onAnswer(workspace_run& run, const planned_request& sent, const std::string& target, time_point due, const tools::client_answer& answer);
+    /// Submits a request again if the plan says so, and returns whether it will.
+    bool sendAgain(workspace_run& run, const planned_request& sent, outcome_kind ended);
     void checkEnd();
 
     tools::loop& m_loop;
--- a/unittests/Load/LoadTests.cpp
+++ b/unittests/Load/LoadTests.cpp
@@ -5,6 +5,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <set>
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -79,7 +80,7 @@
     const auto path = std::filesystem::temp_directory_path() / ("load-" + std::to_string(bootTime().time_since_epoch().count()));
     loop events;
     history_writer history(path, "load");
-    int received = 0;
+    std::size_t received = 0;
     http_server server(events, "127.0.0.1:0", [&](const exchange_ptr& exchange) {
         ++received;
         if (received % 5 == 0) {
@@ -98,6 +99,7 @@
     work.workspaces[1].name = "closed";
     work.workspaces[1].path = "/x";
     work.workspaces[1].concurrency = 2;
+    work.workspaces[1].repeats = 1;
     load_runner runner(events, history, work, "c");
     runner.start([&] { events.stop(); });
     events.runFor(5s);
@@ -108,12 +110,17 @@
     CHECK(report["total"]["broken"]["cut"] == received / 5);
     CHECK(report["total"]["sent"] == received);
     CHECK(report["workspaces"]["open"]["latencyMs"]["p50"] >= 100);
-    int invoked = 0;
-    int ended = 0;
+    std::set<std::string> invoked;
+    std::size_t ended = 0;
     std::ifstream file(path);
-    for (std::string line; std::getline(file, line);)
-        ++(nlohmann::json::parse(line)["event"] == "invoked" ? invoked : ended);
-    CHECK(invoked == received);
+    for (std::string line; std::getline(file, line);) {
+        const auto event = nlohmann::json::parse(line);
+        if (event["event"] == "invoked")
+            CHECK(invoked.insert(event["id"].get<std::string>()).second);
+        else
+            ++ended;
+    }
+    CHECK(invoked.size() == received);
     CHECK(ended == received);
     std::filesystem::remove(path);
 }
--- a/unittests/Platform/TableClientTests.cpp
+++ b/unittests/Platform/TableClientTests.cpp
@@ -66,7 +66,7 @@
             for (const json& condition : entry["conditions"])
                 transaction.conditions.push_back({ condition["key"], condition["revision"] });
             for (const json& write : entry["writes"])
-                transaction.writes.push_back({ write["key"], write["value"].get<std::string>() });
+                transaction.writes.push_back({ write["key"], write["value"].is_null() ? std::nullopt : std::optional(write["value"].get<std::string>()) });
             const auto outcome = table.apply(transaction);
             committed += outcome.isCommitted ? 1 : 0;
             outcomes.push_back({ { "id", entry["id"] }, { "result", outcome.isCommitted ? "committed" : "conflict" }, { "key", outcome.conflictKey }, { "revision", outcome.revision } });
@@ -127,6 +127,22 @@
     CHECK(holds);
 }
 
+// Guards against a member that is removed twice, or whose removal looks lost.
+TEST_CASE("a deletion whose answer is lost counts as committed")
+{
+    fixture net({ mishap::lostAnswer });
+    net.table.apply({ "0", {}, { { "member/a", "x" } } });
+    std::optional<result<commit_outcome>> ended;
+    const table_transaction removal { "1", { { "member/a", revision(1) } }, { { "member/a", std::nullopt } }, "member/a" };
+    net.client.commit("fleet", removal, net.timers.now() + 5s, [&](const result<commit_outcome>& outcome) { ended = outcome; });
+    net.timers.runAll();
+    REQUIRE(ended);
+    REQUIRE(*ended);
+    CHECK((*ended)->isCommitted);
+    CHECK((*ended)->at == revision(2));
+    CHECK(net.committed == 1);
+}
+
 // Guards against one write for each claim, which the table's rate cannot bear.
 TEST_CASE("claims handed over together travel together and end separately")
 {
