Log the reason of every grant at the shard owner

Cause: the log line of a routed request named the grant but not why the owner gave it to this workspace and server. The scheduler now returns one decision for each grant (virtual time, charge, candidates, locality, prefix, load) and the edge logs it as grant_issued; shard, token and grant number join it to request_routed. A wider grant message was weighed and left out, because it would cost about 14 bytes a grant of control traffic.

--- a/include/pimentoladder/Admission/ShardScheduler.h
+++ b/include/pimentoladder/Admission/ShardScheduler.h
@@ -65,9 +65,23 @@
     Message message;
 };
 
+/// Why a grant went to this workspace and server.
+struct grant_decision {
+    grant_number grant;
+    vm_id router;
+    request_number request; ///< Zero for an advance grant.
+    workspace_id workspace; ///< Empty for an advance grant.
+    server_id server;
+    double virtualTime = 0; ///< Of the workspace, before the charge.
+    cost_units charged = 0;
+    std::size_t candidates = 0; ///< Eligible servers with free capacity.
+    server_candidate chosen; ///< What spoke for the server.
+};
+
 struct scheduler_actions {
     std::vector<addressed<grant>> grants;
     std::vector<addressed<recall>> recalls;
+    std::vector<grant_decision> decisions; ///< One for each grant.
 };
 
 /// Parts that a shard scheduler uses and does not own. All outlive it.
@@ -188,8 +202,8 @@
     server_mask withoutSuspects(server_mask servers) const;
     void grantWaiting(time_point now);
     void grantTo(const waiting_demand& demand, server_mask allowed, time_point now);
-    std::size_t choose(const vm_id& router, std::uint64_t prefix, server_mask allowed);
-    void issue(const vm_id& router, const grant_record& record, request_number request, time_point now);
+    server_candidate choose(const vm_id& router, std::uint64_t prefix, server_mask allowed);
+    grant_number issue(const vm_id& router, const grant_record& record, request_number request, time_point now);
     void grantAdvance(time_point now);
     server_mask advanceServers() const;
     void recallAdvance(time_point now, scheduler_actions& actions);
@@ -213,6 +227,7 @@
     std::uint64_t m_rerankedFor = 0; ///< Merge count of the ledger at the last reordering.
     time_point m_rerankedAt;
     std::map<vm_id, std::vector<grant_entry>> m_outgoing;
+    std::vector<grant_decision> m_decisions; ///< Of the grants in m_outgoing.
     std::vector<server_candidate> m_candidates; ///< Kept to avoid an allocation for each choice.
     shard_figures m_figures;
 };
--- a/include/pimentoladder/Router/Actions.h
+++ b/include/pimentoladder/Router/Actions.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "pimentoladder/Admission/ShardScheduler.h"
 #include "pimentoladder/Base/Error.h"
 #include "pimentoladder/Base/Ids.h"
 #include "pimentoladder/Base/Time.h"
@@ -119,9 +120,17 @@
     time_point grantsFrom; ///< First grant at the earliest.
 };
 
+/// This router, as owner of a shard, issued a grant.
+struct grant_issued {
+    shard_id shard;
+    fencing_token token;
+    revision at;
+    grant_decision decision;
+};
+
 using router_action = std::variant<send_message, poll_revision, fetch_rows, commit_rows, change_incarnation,
     document_in_force, membership_changed, report_fault, poll_load, start_attempt, stop_stream, request_step,
-    write_claims, read_claims, store_body, route_decision, ownership_decision>;
+    write_claims, read_claims, store_body, route_decision, ownership_decision, grant_issued>;
 using router_actions = std::vector<router_action>;
 
 }
--- a/lib/Admission/ShardScheduler.cpp
+++ b/lib/Admission/ShardScheduler.cpp
@@ -431,6 +431,7 @@
     grantAdvance(now);
     for (auto& [vm, entries] : std::exchange(m_outgoing, {}))
         actions.grants.push_back({ m_routers.at(vm).ref, { m_ownership.shard, m_ownership.token, std::move(entries) } });
+    actions.decisions = std::exchange(m_decisions, {});
     recallAdvance(now, actions);
     return actions;
 }
@@ -450,23 +451,26 @@
 void shard_scheduler::grantTo(const waiting_demand& demand, server_mask allowed, time_point now)
 {
     const workspace_id& workspace = demand.entry.workspace;
-    const std::size_t chosen = choose(demand.router, demand.entry.prefixHash, allowed);
+    const double virtualTime = m_parts.ledger.virtualTime(m_ownership.shard, workspace);
+    const server_candidate chosen = choose(demand.router, demand.entry.prefixHash, allowed);
     grant_record record;
     record.router = demand.router;
-    record.server = m_servers[chosen].configured.id;
+    record.server = m_servers[chosen.server].configured.id;
     record.demand = demand;
     record.workspace = workspace;
     record.costHint = demand.entry.costHint;
     record.charged = m_parts.estimator.estimate(workspace, m_ownership.pool, demand.entry.costHint);
     record.isSuspect = demand.isSuspect();
-    m_parts.ledger.advanceClock(m_ownership.shard, m_parts.ledger.virtualTime(m_ownership.shard, workspace));
+    m_parts.ledger.advanceClock(m_ownership.shard, virtualTime);
     settle(workspace, 0, record.charged);
     m_prefixes.note(demand.entry.prefixHash, record.server);
-    issue(demand.router, record, demand.entry.request, now);
+    const grant_number number = issue(demand.router, record, demand.entry.request, now);
+    m_decisions.push_back({ number, demand.router, demand.entry.request, workspace, record.server, virtualTime,
+        record.charged, m_candidates.size(), chosen });
     ++m_figures.granted;
 }
 
-std::size_t shard_scheduler::choose(const vm_id& router, std::uint64_t prefix, server_mask allowed)
+server_candidate shard_scheduler::choose(const vm_id& router, std::uint64_t prefix, server_mask allowed)
 {
     const data_centre_id& home = m_routers.at(router).dataCentre;
     m_candidates.clear();
@@ -478,10 +482,10 @@
         m_candidates.push_back({ i, used / server.limit.limit(), server.configured.dataCentre == home,
             m_prefixes.isAt(prefix, server.configured.id) });
     }
-    return m_candidates[m_parts.choice.choose(m_candidates, m_random)].server;
+    return m_candidates[m_parts.choice.choose(m_candidates, m_random)];
 }
 
-void shard_scheduler::issue(const vm_id& router, const grant_record& record, request_number request, time_point now)
+grant_number shard_scheduler::issue(const vm_id& router, const grant_record& record, request_number request, time_point now)
 {
     const grant_key key { m_ownership.token, grant_number(m_nextGrant++) };
     grant_record issued = record;
@@ -490,6 +494,7 @@
     if (issued.demand)
         m_issuedFor[{ router, request }] = key;
     m_outgoing[router].push_back({ key.number, record.server, request, now + m_settings.grantLifetime });
+    return key.number;
 }
 
 server_mask shard_scheduler::inService() const
@@ -525,8 +530,11 @@
                 return;
             grant_record record;
             record.router = vm;
-            record.server = m_servers[choose(vm, 0, servers)].configured.id;
-            issue(vm, record, request_number(), now);
+            const server_candidate chosen = choose(vm, 0, servers);
+            record.server = m_servers[chosen.server].configured.id;
+            const grant_number number = issue(vm, record, request_number(), now);
+            m_decisions.push_back({ number, vm, request_number(), workspace_id(), record.server, 0, 0,
+                m_candidates.size(), chosen });
             ++m_figures.advanced;
         }
     }
--- a/lib/Daemon/DecisionLog.cpp
+++ b/lib/Daemon/DecisionLog.cpp
@@ -33,6 +33,30 @@
         });
 }
 
+void decision_log::perform(const grant_issued& issued)
+{
+    const grant_decision& decided = issued.decision;
+    const bool isAdvance = decided.workspace.isEmpty();
+    m_log.write(log_level::info, "grant_issued",
+        {
+            { "shard", std::string_view(issued.shard.value()) },
+            { "token", issued.token.value() },
+            { "grant", decided.grant.value() },
+            { "router", std::string_view(decided.router.value()) },
+            { "request", decided.request.value() },
+            { "workspace", std::string_view(decided.workspace.value()) },
+            { "server", std::string_view(decided.server.value()) },
+            { "rule", std::string_view(isAdvance ? "advance" : "least_virtual_time") },
+            { "virtual_time", decided.virtualTime },
+            { "charged", decided.charged },
+            { "candidates", static_cast<std::uint64_t>(decided.candidates) },
+            { "is_local", decided.chosen.isLocal },
+            { "has_prefix", decided.chosen.hasPrefix },
+            { "load", decided.chosen.loadFraction },
+            { "revision", issued.at.value() },
+        });
+}
+
 void decision_log::perform(const document_in_force& applied)
 {
     m_log.write(log_level::info, "in_force", { { "revision", applied.at.value() } });
--- a/lib/Router/OwnerRole.cpp
+++ b/lib/Router/OwnerRole.cpp
@@ -280,6 +280,8 @@
         scheduler_actions actions = owned.scheduler->onTick(now);
         for (auto& [to, issued] : actions.grants)
             out.push_back(send_message { to.vm, std::move(issued) });
+        for (grant_decision& decision : actions.decisions)
+            out.push_back(grant_issued { id, owned.token, m_fleet.current().at, std::move(decision) });
         for (auto& [to, wanted] : actions.recalls)
             out.push_back(send_message { to.vm, std::move(wanted) });
     }
--- a/unittests/Admission/Fleet.cpp
+++ b/unittests/Admission/Fleet.cpp
@@ -158,6 +158,7 @@
     }
     const scheduler_actions actions = owner->onTick(now);
     checkNoIdleCapacity();
+    decisions.insert(decisions.end(), actions.decisions.begin(), actions.decisions.end());
     for (const auto& [to, granted] : actions.grants) {
         const std::size_t router = std::stoul(to.vm.value().substr(6));
         for (const grant_entry& entry : granted.entries)
--- a/unittests/Admission/Fleet.h
+++ b/unittests/Admission/Fleet.h
@@ -88,6 +88,7 @@
     std::map<workspace_id, cost_units> served; ///< Actual cost of requests that ended.
     std::map<workspace_id, cost_units> startedService; ///< Actual cost of requests that started.
     std::uint64_t finished = 0;
+    std::vector<grant_decision> decisions; ///< Of all owners, in order.
     std::vector<std::string> violations;
     std::function<void(const start_order&, const job&)> onStart;
 
--- a/unittests/Admission/ShardTests.cpp
+++ b/unittests/Admission/ShardTests.cpp
@@ -213,6 +213,27 @@
     checkSettled(tested);
 }
 
+// Guards against a grant whose reason is missing from the log, or is another's.
+TEST_CASE("each grant comes with its decision")
+{
+    fleet tested(2, 2, 1, 8);
+    warmUp(tested);
+    for (int i = 0; i < 100; ++i)
+        tested.request(i % 2, job(i % 5 == 0 ? small : large, 40ms, 3));
+    tested.run(5s);
+    const shard_figures figures = tested.owner->figures();
+    REQUIRE(figures.advanced > 0);
+    CHECK(tested.decisions.size() == figures.granted + figures.advanced);
+    std::uint64_t expected = 1;
+    for (const grant_decision& decided : tested.decisions) {
+        CHECK(decided.grant == grant_number(expected++));
+        CHECK(decided.candidates >= 1);
+        CHECK(decided.chosen.loadFraction < 1);
+        CHECK(decided.workspace.isEmpty() == (decided.request == request_number()));
+        CHECK(tested.view.listed.at(decided.chosen.server).id == decided.server);
+    }
+}
+
 // Guards against an innocent request that shares a server with a crashing one.
 TEST_CASE("requests under crash suspicion run on different servers")
 {
