--- a/cmake/PimentoladderTargets.cmake
+++ b/cmake/PimentoladderTargets.cmake
@@ -28,5 +28,7 @@
   add_executable(${name}Tests "${CMAKE_SOURCE_DIR}/unittests/Main.cpp" ${ARG_SOURCES})
   target_link_libraries(${name}Tests PRIVATE ${name} ${ARG_DEPENDS} pimentoladder_test_libraries)
   add_test(NAME ${name} COMMAND ${name}Tests)
-  set_tests_properties(${name} PROPERTIES TIMEOUT 120)
+  # A fixed seed gives the same verdict on every run. Call the program itself
+  # with RC_PARAMS="seed=N max_success=M" to search further.
+  set_tests_properties(${name} PROPERTIES TIMEOUT 120 ENVIRONMENT "RC_PARAMS=seed=1")
 endfunction()
