Encode parts of a URI with libevent instead of two encoders of our own

Cause: Platform and Admin each had a percent-encoder of the same form. Net now wraps evhttp_uriencode. Slashes in table and object keys are encoded as well; the fake table of the Platform tests did not decode the query and does now (the stand-in always did).

--- a/lib/Admin/CommandLine.cpp
+++ b/lib/Admin/CommandLine.cpp
@@ -9,8 +9,8 @@
 
 #include "CommandOutput.h"
 #include "ObjectKinds.h"
-#include "UrlText.h"
 #include "pimentoladder/Codec/RowJson.h"
+#include "pimentoladder/Net/UriText.h"
 
 namespace pimentoladder {
 
@@ -347,7 +347,7 @@
 
     command_result command_runner::change()
     {
-        return sendRead(makeRequest("GET", "/v1/changes/" + urlEncoded(m_command.operands[0])), formatFields);
+        return sendRead(makeRequest("GET", "/v1/changes/" + uriEncoded(m_command.operands[0])), formatFields);
     }
 
     admin_request command_runner::makeRequest(std::string method, std::string path) const
@@ -380,7 +380,7 @@
 
     std::string command_runner::objectPath() const
     {
-        return "/v1/" + m_command.operands[0] + '/' + urlEncoded(m_command.operands[1]);
+        return "/v1/" + m_command.operands[0] + '/' + uriEncoded(m_command.operands[1]);
     }
 
     std::string command_runner::queryOf(std::initializer_list<std::pair<const char*, const char*>> parameters) const
@@ -388,7 +388,7 @@
         std::string query;
         for (const auto& [option, parameter] : parameters) {
             if (m_command.has(option))
-                query += (query.empty() ? "" : "&") + std::string(parameter) + '=' + urlEncoded(m_command.option(option));
+                query += (query.empty() ? "" : "&") + std::string(parameter) + '=' + uriEncoded(m_command.option(option));
         }
         return query;
     }
--- a/lib/Admin/UrlText.cpp
+++ b/lib/Admin/UrlText.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-    constexpr std::string_view hexDigits = "0123456789ABCDEF";
-
     std::optional<unsigned> hexValue(char c)
     {
         if (c >= '0' && c <= '9')
@@ -49,12 +47,6 @@
         }
     }
 
-    bool isUnreserved(char c)
-    {
-        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_'
-            || c == '.' || c == '~';
-    }
-
 }
 
 std::vector<std::string_view> pathSegments(std::string_view path)
@@ -82,20 +74,4 @@
     return parameters;
 }
 
-std::string urlEncoded(std::string_view text)
-{
-    std::string encoded;
-    for (const char c : text) {
-        if (isUnreserved(c)) {
-            encoded += c;
-            continue;
-        }
-        const auto byte = static_cast<unsigned char>(c);
-        encoded += '%';
-        encoded += hexDigits[byte / 16];
-        encoded += hexDigits[byte % 16];
-    }
-    return encoded;
-}
-
 }
--- a/lib/Admin/UrlText.h
+++ b/lib/Admin/UrlText.h
@@ -21,7 +21,4 @@
 /// parameter occurs twice.
 result<query_parameters> parseQuery(std::string_view query);
 
-/// Encodes a value for use in a query or a path segment.
-std::string urlEncoded(std::string_view text);
-
 }
--- a/lib/Platform/ObjectClient.cpp
+++ b/lib/Platform/ObjectClient.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "PercentEncoding.h"
+#include "pimentoladder/Net/UriText.h"
 
 namespace pimentoladder {
 
@@ -14,7 +14,7 @@
 
     std::string objectPath(const std::string& key)
     {
-        return "/objects/" + percentEncoded(key);
+        return "/objects/" + uriEncoded(key);
     }
 
     tl::unexpected<error> refusal(int status)
--- a/unittests/Platform/TableClientTests.cpp
+++ b/unittests/Platform/TableClientTests.cpp
@@ -1,8 +1,11 @@
 #include "pimentoladder/Platform/TableClient.h"
 
+#include <cstdlib>
+#include <memory>
 #include <optional>
 
 #include <doctest/doctest.h>
+#include <event2/http.h>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
@@ -15,6 +18,13 @@
 
 namespace {
 
+std::string decoded(const std::string& text)
+{
+    std::size_t size = 0;
+    const std::unique_ptr<char, decltype(&std::free)> plain(evhttp_uridecode(text.c_str(), 0, &size), &std::free);
+    return { plain.get(), size };
+}
+
 /// What the network does to one call.
 enum class mishap { none,
     notSent,
@@ -53,7 +63,8 @@
     std::string carryOut(const transport_request& request)
     {
         if (request.method == "GET") {
-            const std::string prefix = request.target.substr(request.target.find("prefix=") + 7, request.target.find("&since") - request.target.find("prefix=") - 7);
+            const std::size_t begin = request.target.find("prefix=") + 7;
+            const std::string prefix = decoded(request.target.substr(begin, request.target.find("&since") - begin));
             json rows = json::array();
             for (const auto& row : table.rows(prefix, 0))
                 rows.push_back({ { "key", row.key }, { "value", *row.value }, { "revision", row.revision } });
