State the limits of servers in the owner's log

The owner of a shard now states a server's limit when it first may grant and at each change, before the grants given under it. A successor states nothing until its start-up wait is over, because the grants in use are still under the limits of its predecessor.

--- a/include/pimentoladder/Admission/ShardScheduler.h
+++ b/include/pimentoladder/Admission/ShardScheduler.h
@@ -134,6 +134,10 @@
     /// Returns when `onTick` has something to do without a further event.
     std::optional<time_point> nextDeadline() const;
 
+    /// Returns whether grants may be issued now: the start-up wait is over and
+    /// the owner is fresh.
+    bool mayGrant(time_point now) const;
+
     /// Returns the limit in force at a server; 0 for an unknown one.
     std::uint32_t limit(const server_id& server) const;
 
@@ -180,7 +184,6 @@
     void ejectIfAllowed(server_state& failed, time_point now);
 
     void expireGrants(time_point now);
-    bool mayGrant(time_point now) const;
     bool haveAllReported() const;
     bool hasFree(const server_state& server) const;
     server_mask inService() const;
--- a/include/pimentoladder/Router/Actions.h
+++ b/include/pimentoladder/Router/Actions.h
@@ -119,9 +119,16 @@
     time_point grantsFrom; ///< First grant at the earliest.
 };
 
+/// The limit of a server was set or changed by this router as the owner of its
+/// shard. Comes before the grants given under it.
+struct limit_decision {
+    server_id server;
+    std::uint32_t limit = 0; ///< 0 while the server is ejected.
+};
+
 using router_action = std::variant<send_message, poll_revision, fetch_rows, commit_rows, change_incarnation,
     document_in_force, membership_changed, report_fault, poll_load, start_attempt, stop_stream, request_step,
-    write_claims, read_claims, store_body, route_decision, ownership_decision>;
+    write_claims, read_claims, store_body, route_decision, ownership_decision, limit_decision>;
 using router_actions = std::vector<router_action>;
 
 }
--- a/include/pimentoladder/Router/OwnerRole.h
+++ b/include/pimentoladder/Router/OwnerRole.h
@@ -81,6 +81,7 @@
         std::unique_ptr<shard_scheduler> scheduler; ///< None until the change that gave the shard is accepted.
         time_point learnedAt;
         time_point grantsFrom;
+        std::map<server_id, std::uint32_t> statedLimits; ///< As last stated by a `limit_decision`.
     };
     struct watched_server {
         std::optional<time_point> polledAt;
@@ -95,6 +96,7 @@
     std::optional<time_point> acceptedSince(const owned_shard& pending) const;
     void refreshRouters(time_point now);
     std::vector<shard_router> routers() const;
+    void stateLimits(const shard_id& id, owned_shard& owned, router_actions& out) const;
     void pollLoads(time_point now, router_actions& out);
     void exchangeCounters(time_point now, router_actions& out);
     void confirmCrash(const server_id& server, watched_server& watched, time_point now, router_actions& out);
--- a/lib/Daemon/DecisionLog.cpp
+++ b/lib/Daemon/DecisionLog.cpp
@@ -33,6 +33,15 @@
         });
 }
 
+void decision_log::perform(const limit_decision& decided)
+{
+    m_log.write(log_level::info, "limit_in_force",
+        {
+            { "server", std::string_view(decided.server.value()) },
+            { "limit", static_cast<std::uint64_t>(decided.limit) },
+        });
+}
+
 void decision_log::perform(const document_in_force& applied)
 {
     m_log.write(log_level::info, "in_force", { { "revision", applied.at.value() } });
--- a/lib/Daemon/RouterProcess.cpp
+++ b/lib/Daemon/RouterProcess.cpp
@@ -169,6 +169,7 @@
         void operator()(const report_fault& step) const { to.decisions.perform(step); }
         void operator()(const route_decision& step) const { to.decisions.perform(step); }
         void operator()(const ownership_decision& step) const { to.decisions.perform(step); }
+        void operator()(const limit_decision& step) const { to.decisions.perform(step); }
     };
     std::visit(performer { *this }, action);
 }
--- a/lib/Router/OwnerRole.cpp
+++ b/lib/Router/OwnerRole.cpp
@@ -278,6 +278,10 @@
             continue;
         owned.scheduler->setFreshUntil(freshUntil);
         scheduler_actions actions = owned.scheduler->onTick(now);
+        // Until this router may grant, the grants in use are the previous
+        // owner's, under its limits.
+        if (owned.scheduler->mayGrant(now))
+            stateLimits(id, owned, out);
         for (auto& [to, issued] : actions.grants)
             out.push_back(send_message { to.vm, std::move(issued) });
         for (auto& [to, wanted] : actions.recalls)
@@ -287,6 +291,21 @@
     exchangeCounters(now, out);
 }
 
+void owner_role::stateLimits(const shard_id& id, owned_shard& owned, router_actions& out) const
+{
+    const shard* described = m_directory.shards().find(id);
+    if (!described)
+        return;
+    for (const server_id& server : described->servers) {
+        const std::uint32_t limit = owned.scheduler->limit(server);
+        const auto [stated, isNew] = owned.statedLimits.try_emplace(server, limit);
+        if (!isNew && stated->second == limit)
+            continue;
+        stated->second = limit;
+        out.push_back(limit_decision { server, limit });
+    }
+}
+
 void owner_role::pollLoads(time_point now, router_actions& out)
 {
     for (const auto& [id, owned] : m_owned) {
--- a/unittests/Router/FleetHarness.cpp
+++ b/unittests/Router/FleetHarness.cpp
@@ -421,9 +421,9 @@
         return;
     }
     ++requests[attempt->record].executions;
-    executions.push_back({ m_now, attempt->server, attempt->record });
     ++server.executions;
     ++server.inFlight;
+    executions.push_back({ m_now, attempt->server, attempt->record, server.inFlight });
     server.mostInFlight = std::max(server.mostInFlight, server.inFlight);
     if (server.isCold())
         server.mostInFlightCold = std::max(server.mostInFlightCold, server.inFlight);
@@ -500,6 +500,11 @@
     inForce.push_back({ m_now, router, m_nodes[router].self.start, step.at });
 }
 
+void fleet_harness::perform(std::size_t, const limit_decision& step)
+{
+    statedLimits.push_back({ m_now, step.server, step.limit });
+}
+
 void fleet_harness::perform(std::size_t router, const change_incarnation& step)
 {
     m_nodes[router].self.start = step.start;
--- a/unittests/Router/FleetHarness.h
+++ b/unittests/Router/FleetHarness.h
@@ -68,6 +68,14 @@
     time_point at;
     server_id server;
     std::size_t record = 0;
+    std::uint32_t inFlight = 0; ///< At the server, this one included.
+};
+
+/// A limit stated by the owner of a server's shard.
+struct limit_seen {
+    time_point at;
+    server_id server;
+    std::uint32_t limit = 0;
 };
 
 /// A document applied by a router.
@@ -119,6 +127,7 @@
     std::vector<request_record_seen> requests;
     std::vector<execution_seen> executions;
     std::vector<in_force_seen> inForce;
+    std::vector<limit_seen> statedLimits;
     std::function<bool(std::size_t record, const server_id& server)> crashesServer; ///< Asked at each execution.
     duration messageDelay = std::chrono::microseconds(700);
     double lossShare = 0; ///< Of messages between routers.
@@ -172,6 +181,7 @@
     void perform(std::size_t router, const document_in_force& step);
     void perform(std::size_t router, const change_incarnation& step);
     void perform(std::size_t router, const store_body& step);
+    void perform(std::size_t router, const limit_decision& step);
     template <typename Other>
     void perform(std::size_t, const Other&) { }
 
--- a/unittests/Router/FleetTests.cpp
+++ b/unittests/Router/FleetTests.cpp
@@ -1,6 +1,7 @@
 #include "FleetHarness.h"
 
 #include <algorithm>
+#include <optional>
 
 #include <doctest/doctest.h>
 
@@ -85,6 +86,35 @@
     checkLimits(fleet);
 }
 
+// Guards against histories in which work cannot be judged, because the limit it
+// started under was not stated or was stated too late (P3).
+TEST_CASE("the owner states each limit before work starts under it")
+{
+    constexpr duration grantWay = 1100ms; // Lifetime of a grant and its way to the server.
+    fleet_harness fleet(4, 1);
+    fleet.form();
+    configure(fleet);
+    fleet.run(6s);
+    sendReads(fleet, 2s, 2ms);
+    fleet.kill(fleet.ownerOf(0, portalShard));
+    sendReads(fleet, 10s, 5ms);
+    CHECK(fleet.statedLimits.size() > 2 * fleet.servers.size());
+    for (const execution_seen& execution : fleet.executions) {
+        std::uint32_t highest = 0;
+        std::optional<std::uint32_t> before;
+        for (const limit_seen& stated : fleet.statedLimits) {
+            if (stated.server != execution.server || stated.at > execution.at)
+                continue;
+            if (stated.at < execution.at - grantWay)
+                before = stated.limit;
+            else
+                highest = std::max(highest, stated.limit);
+        }
+        highest = std::max(highest, before.value_or(0));
+        REQUIRE(execution.inFlight <= highest);
+    }
+}
+
 // Guards against work that reaches a data centre after operators took it out (P4).
 TEST_CASE("a data centre taken out receives no new work three seconds after acceptance")
 {
