--- a/tools/support/HttpClient.cpp
+++ b/tools/support/HttpClient.cpp
@@ -98,6 +98,7 @@
     if (found == m_calls.end())
         return;
     m_loop.cancel(found->second->timeout);
+    freeLater(std::move(found->second));
     m_calls.erase(found);
 }
 
@@ -151,23 +152,25 @@
     const auto found = m_calls.find(number);
     if (found == m_calls.end())
         return;
-    const std::unique_ptr<call> ended = std::move(found->second);
+    std::unique_ptr<call> owned = std::move(found->second);
+    const call* ended = owned.get();
     m_calls.erase(found);
     m_loop.cancel(ended->timeout);
-    ended->answer.end = how;
-    ended->answer.digest = ended->digest.text();
+    owned->answer.end = how;
+    owned->answer.digest = owned->digest.text();
     if (how == call_end::answered)
-        m_idle[ended->poolKey].push_back(std::move(ended->connection));
+        m_idle[owned->poolKey].push_back(std::move(owned->connection));
     else
-        freeLater(std::move(ended->connection));
+        freeLater(std::move(owned));
     ended->onEnd(ended->answer);
 }
 
-void http_client::freeLater(connection_ptr connection)
+void http_client::freeLater(std::unique_ptr<call> ended)
 {
-    // evhttp still uses the connection after its callbacks return.
-    auto shared = std::make_shared<connection_ptr>(std::move(connection));
-    m_loop.callAfter(duration::zero(), [shared] { shared->reset(); });
+    // evhttp still uses the connection after its callbacks return, and bytes
+    // that arrived in the same turn as a timeout are still handed to the call.
+    const std::shared_ptr<call> shared = std::move(ended);
+    m_loop.callAfter(duration::zero(), [shared] { shared->connection.reset(); });
 }
 
 }
--- a/tools/support/HttpClient.h
+++ b/tools/support/HttpClient.h
@@ -103,7 +103,7 @@
     connection_ptr connectionTo(const numeric_address& target, const std::string& poolKey);
     static void takeBody(call& running, evhttp_request* request);
     void end(call_number number, call_end how);
-    void freeLater(connection_ptr connection);
+    void freeLater(std::unique_ptr<call> ended);
 
     loop& m_loop;
     call_number m_lastCall = 0;
