Add runs of real processes under faults

utils/scenarios starts a fleet, puts it under load and faults and has the history checker judge all histories and router logs.

--- a/utils/fleet.py
+++ b/utils/fleet.py
@@ -8,10 +8,12 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -22,10 +24,37 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
+# Below the ports that the kernel gives to outgoing connections, so that a
+# process that is restarted finds its port free.
+LISTEN_PORTS = range(15000, 32000)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.SystemRandom().choice(LISTEN_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+
+
+def boot_time_ns():
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+
+
+def read_events(path):
+    """Returns the events of a history or log; a line that is cut short ends it."""
+    events = []
+    with open(path) as file:
+        for line in file:
+            if not line.endswith("\n"):
+                break
+            event = json.loads(line)
+            event.setdefault("at", event.get("time_ns"))
+            events.append(event)
+    return events
 
 
 def call(port, method, path, body=None, headers=None, timeout=30):
@@ -63,7 +92,7 @@
         self.flags = flags
         self.fleet = fleet
         self.role = role
-        self.port = 0
+        self.port = free_port()
         self.start()
 
     def start(self):
@@ -71,7 +100,13 @@
         command = [self.fleet.binary("standins", "pimentoladder-standins"), f"--role={self.role}", f"--name={self.name}",
                    f"--listen={listen}", f"--history={self.history}", *self.flags]
         self.process = subprocess.Popen(command, stdout=subprocess.PIPE)
-        self.port = json.loads(self.process.stdout.readline())["port"]
+        line = {}
+        while "listening" not in line:  # A relay names its links first.
+            line = json.loads(self.process.stdout.readline())
+        self.port = line["port"]
+
+    def is_running(self):
+        return self.process.poll() is None
 
     def fault(self, **fields):
         status, _ = call_json(self.port, "POST", "/fault", fields)
@@ -92,15 +127,17 @@
         self.vm = f"entry-{index}"
         self.data_centre = data_centre
         self.callers, self.admin, self.peers = free_port(), free_port(), free_port()
+        self.advertised = self.peers  # Where the other routers connect to.
         self.process = None
-        self.log_path = os.path.join(fleet.folder, self.vm + ".log.jsonl")
+        self.log_path = os.path.join(fleet.folder, self.vm + ".jsonl")
 
     def write_settings(self):
-        seeds = "".join(f"    - {{ vm: {r.vm}, address: 127.0.0.1:{r.peers} }}\n" for r in self.fleet.routers if r is not self)
+        seeds = "".join(f"    - {{ vm: {r.vm}, address: 127.0.0.1:{r.advertised} }}\n" for r in self.fleet.routers if r is not self)
         path = os.path.join(self.fleet.folder, self.vm + ".yaml")
         with open(path, "w") as file:
             file.write(f"vm: {self.vm}\ndata_centre: {self.data_centre}\n"
                        f"listen:\n  callers: 127.0.0.1:{self.callers}\n  admin: 127.0.0.1:{self.admin}\n  peers: 127.0.0.1:{self.peers}\n"
+                       + (f"  peers_advertised: 127.0.0.1:{self.advertised}\n" if self.advertised != self.peers else "") +
                        f"platform:\n  table: 127.0.0.1:{self.fleet.platform_port}\n  objects: 127.0.0.1:{self.fleet.platform_port}\n  vms: 127.0.0.1:{self.fleet.platform_port}\n"
                        f"fleet:\n  key: fleet-key-of-the-demonstration\n" + (f"  seeds:\n{seeds}" if seeds else "") +
                        f"operators:\n  - name: operator\n    token_sha256: {sha256(OPERATOR_TOKEN)}\n"
@@ -108,6 +145,7 @@
         return path
 
     def start(self):
+        """Starts the process, for the first time or again."""
         log = open(self.log_path, "a")
         self.process = subprocess.Popen([self.fleet.binary("pimentoladder", "pimentoladder"), "run", f"--config={self.write_settings()}"], stdout=log)
         log.close()
@@ -143,21 +181,59 @@
         return values
 
 
+class Load:
+    """One process of pimentoladder-load."""
+
+    def __init__(self, fleet, name, plan, seed=1):
+        self.fleet = fleet
+        self.history = os.path.join(fleet.folder, name + ".jsonl")
+        self.report_path = os.path.join(fleet.folder, name + ".report.json")
+        plan_path = os.path.join(fleet.folder, name + ".plan.yaml")
+        with open(plan_path, "w") as file:
+            json.dump(plan, file)  # JSON is YAML.
+        self.seconds = plan["seconds"]
+        self.timeout = plan["timeoutSeconds"]
+        command = [fleet.binary("load", "pimentoladder-load"), f"--plan={plan_path}", f"--client={name}", f"--seed={seed}",
+                   f"--history={self.history}", f"--report={self.report_path}"]
+        self.started = time.monotonic()
+        self.process = subprocess.Popen(command)
+
+    def until(self, seconds):
+        """Waits until this many seconds after the start."""
+        time.sleep(max(0, self.started + seconds - time.monotonic()))
+
+    def wait(self):
+        """Waits for the end and returns the report."""
+        status = self.process.wait(timeout=self.seconds + 3 * self.timeout + 10)
+        if status != 0:
+            raise RuntimeError(f"pimentoladder-load ended with {status}")
+        with open(self.report_path) as file:
+            return json.load(file)
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+
 class Fleet:
     """Stand-ins, routers and the configuration that joins them."""
 
-    def __init__(self, build, routers=3, data_centres=2, engines=2, portals=2, workspaces=2):
+    def __init__(self, build, routers=3, data_centres=2, engines=2, portals=2, workspaces=2, has_peer_relay=False):
         self.build = build
+        self.loads = []
+        self.driver_lock = threading.Lock()
         self.folder = tempfile.mkdtemp(prefix="pimentoladder-")
         self.standins = []
         self.routers = []
         self.platform = self.standin("platform", "platform")
         self.platform_port = self.platform.port
         self.data_centres = [f"dc-{i}" for i in range(data_centres)]
-        self.engines = [self.standin("engine", f"engine-{i}", f"--data_centre=dc-{i % data_centres}") for i in range(engines)]
-        self.portals = [self.standin("portal", f"portal-{i}", f"--data_centre=dc-{i % data_centres}") for i in range(portals)]
+        self.engines = [self.server("engine", i) for i in range(engines)]
+        self.portals = [self.server("portal", i) for i in range(portals)]
         self.workspaces = [f"ws-{i}" for i in range(workspaces)]
         self.routers = [Router(self, i, self.data_centres[i % data_centres]) for i in range(routers)]
+        self.peer_relay = self.relay_peers() if has_peer_relay else None
 
     def binary(self, folder, name):
         return os.path.join(self.build, "tools", folder, name)
@@ -167,12 +243,53 @@
         self.standins.append(made)
         return made
 
+    def server(self, role, index):
+        data_centre = self.data_centres[index % len(self.data_centres)]
+        made = self.standin(role, f"{role}-{index}", f"--data_centre={data_centre}")
+        made.data_centre = data_centre
+        return made
+
+    def relay_peers(self):
+        """Puts a link that can be cut before each router's address for its peers."""
+        links = []
+        for router in self.routers:
+            router.advertised = free_port()
+            links.append(f"{router.vm}=127.0.0.1:{router.advertised}>127.0.0.1:{router.peers}")
+        return self.standin("relay", "relay", "--links=" + ",".join(links))
+
     def start(self):
         for router in self.routers:
+            self.record("router_address", router=router.vm, target=f"127.0.0.1:{router.callers}")
             router.start()
         wait_until(lambda: all(r.is_ready() for r in self.routers), 20, "readiness of all routers")
         self.configure()
 
+    def record(self, event, **fields):
+        """Writes an event of the test driver; docs/history.md lists them."""
+        with self.driver_lock, open(self.driver_history, "a") as file:
+            file.write(json.dumps({"at": boot_time_ns(), "event": event, "source": "driver", **fields}) + "\n")
+
+    @property
+    def driver_history(self):
+        return os.path.join(self.folder, "driver.jsonl")
+
+    def histories(self):
+        """Returns the files that hold events of this fleet."""
+        files = [s.history for s in self.standins] + [r.log_path for r in self.routers] + [load.history for load in self.loads]
+        return [path for path in files + [self.driver_history] if os.path.exists(path)]
+
+    def load(self, name, plan, seed=1):
+        started = Load(self, name, plan, seed)
+        self.loads.append(started)
+        return started
+
+    def check(self):
+        """Runs the history checker over all histories and returns its report."""
+        checked = subprocess.run([self.binary("history", "pimentoladder-check-history"), *self.histories()], stdout=subprocess.PIPE)
+        if checked.returncode not in (0, 1):
+            raise RuntimeError(f"pimentoladder-check-history ended with {checked.returncode}")
+        return json.loads(checked.stdout)
+
     def put(self, kind, name, value, router=0):
         """Creates an object, or replaces it, and returns the answer."""
         port = self.routers[router].admin
@@ -181,6 +298,8 @@
         if status == 409:
             headers["If-Match"] = "*"
             status, answer = call_json(port, "PUT", f"/v1/{kind}/{name}", value, headers)
+        if status in (200, 201):
+            self.record("accepted", revision=answer["revision"])
         return status, answer
 
     def delete(self, kind, name, router=0):
@@ -213,6 +332,8 @@
         return call(self.routers[router].callers, method, path, body, merged, timeout)
 
     def stop(self):
+        for load in self.loads:
+            load.stop()
         for router in self.routers:
             router.kill()
         for standin in self.standins:
