Replay recorded bodies that lie in the object store

caller_front::replay sent only the body kept in the claim's row. A repeat whose recorded body was moved to the object store got an empty answer with the recorded status. The body is now read first. If it cannot be read, the repeat is refused with the new kind outcome_unreadable (503, ran: elsewhere, retry: later), because the first request ran and this one did not. A body that arrives after the caller left or after a shutdown cut the request is dropped.

--- a/include/pimentoladder/Daemon/CallerFront.h
+++ b/include/pimentoladder/Daemon/CallerFront.h
@@ -5,7 +5,9 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -24,9 +26,13 @@
 /// its caller with back-pressure. Not thread-safe; call on the loop's thread.
 class caller_front {
 public:
+    /// Reads the body of a recorded outcome by the name of its object, and hands
+    /// over nothing if it cannot be read.
+    using body_reader = std::function<void(const std::string& object, std::function<void(std::optional<std::string>)> onEnd)>;
+
     /// The references outlive the front. \p bufferBytes is the most unsent
     /// answer bytes of one request before reading from the server pauses.
-    caller_front(core_driver& driver, http_client& client, logger& log, metrics& values, std::size_t bufferBytes);
+    caller_front(core_driver& driver, http_client& client, logger& log, metrics& values, body_reader readBody, std::size_t bufferBytes);
     ~caller_front();
     caller_front(const caller_front&) = delete;
     caller_front& operator=(const caller_front&) = delete;
@@ -62,12 +68,14 @@
     void countLines(exchange& target);
     void refuse(const exchange_ref& target, refusal_kind kind);
     void replay(const exchange_ref& target, const recorded_outcome& outcome);
+    void replayStored(const exchange_ref& target, http_response_head head, const std::string& object);
     void finish(const exchange_ref& target);
 
     core_driver& m_driver;
     http_client& m_client;
     logger& m_log;
     metrics& m_metrics;
+    body_reader m_readBody;
     std::size_t m_bufferBytes;
     std::unordered_map<request_number, exchange_ref> m_exchanges;
     std::unordered_map<std::string, std::string> m_digests; ///< SHA-256 of keys seen, to spare the hashing.
--- a/include/pimentoladder/Daemon/PlatformGateway.h
+++ b/include/pimentoladder/Daemon/PlatformGateway.h
@@ -3,8 +3,10 @@
 
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
--- a/include/pimentoladder/Outcome/Refusal.h
+++ b/include/pimentoladder/Outcome/Refusal.h
@@ -40,6 +40,7 @@
     claimUnavailable,
     claimInProgress,
     keyReused,
+    outcomeUnreadable,
     // The request was given to a backend server.
     outcomeUnknown,
     serverFailed,
--- a/lib/Daemon/CallerFront.cpp
+++ b/lib/Daemon/CallerFront.cpp
@@ -100,11 +100,12 @@
     void operator()(const Step&) const { }
 };
 
-caller_front::caller_front(core_driver& driver, http_client& client, logger& log, metrics& values, std::size_t bufferBytes)
+caller_front::caller_front(core_driver& driver, http_client& client, logger& log, metrics& values, body_reader readBody, std::size_t bufferBytes)
     : m_driver(driver)
     , m_client(client)
     , m_log(log)
     , m_metrics(values)
+    , m_readBody(std::move(readBody))
     , m_bufferBytes(bufferBytes)
 {
 }
@@ -303,10 +304,31 @@
         if (!isSameHeaderName(field.name, "Content-Length"))
             head.headers.push_back({ field.name, field.value });
     }
+    if (!outcome.bodyObject.empty()) {
+        replayStored(target, std::move(head), outcome.bodyObject);
+        return;
+    }
     target->answer->reply(head, outcome.body);
     finish(target);
 }
 
+void caller_front::replayStored(const exchange_ref& target, http_response_head head, const std::string& object)
+{
+    m_readBody(object, [this, number = target->number, head = std::move(head)](const std::optional<std::string>& body) {
+        // The caller may have left, or a shutdown may have cut the request.
+        const auto found = m_exchanges.find(number);
+        if (found == m_exchanges.end())
+            return;
+        const exchange_ref waiting = found->second;
+        if (!body) {
+            refuse(waiting, refusal_kind::outcomeUnreadable);
+            return;
+        }
+        waiting->answer->reply(head, *body);
+        finish(waiting);
+    });
+}
+
 void caller_front::finish(const exchange_ref& target)
 {
     m_exchanges.erase(target->number);
--- a/lib/Daemon/RouterProcess.cpp
+++ b/lib/Daemon/RouterProcess.cpp
@@ -108,11 +108,11 @@
     router_core core;
     core_driver driver;
     decision_log decisions;
+    platform_access platform;
+    platform_gateway gateway;
     caller_front callers;
     load_poller loads;
     peer_mesh mesh;
-    platform_access platform;
-    platform_gateway gateway;
     admin_service administration;
     metrics_report report;
     admin_front admin;
@@ -130,11 +130,14 @@
     , core(identityOf(configured, start), lifecycleLimits(configured), seed)
     , driver(loop, core)
     , decisions(log)
-    , callers(driver, backends, log, values, configured.limits.bufferBytes)
-    , loads(driver, polls, log)
-    , mesh(driver, log, linkSettings(configured, start), seed + 1)
     , platform(loop, configured.platform, seed + 2)
     , gateway(driver, log, platform.clients(), configured.vm.value() + "-" + std::to_string(start.value()))
+    , callers(
+          driver, backends, log, values,
+          [this](const std::string& object, std::function<void(std::optional<std::string>)> onEnd) { gateway.readBody(object, std::move(onEnd)); },
+          configured.limits.bufferBytes)
+    , loads(driver, polls, log)
+    , mesh(driver, log, linkSettings(configured, start), seed + 1)
     , administration(
           {}, operatorsOf(configured), gateway.changes(),
           [this](revision at) { changeCommitted(at); }, seed + 3)
--- a/lib/Outcome/Refusal.cpp
+++ b/lib/Outcome/Refusal.cpp
@@ -45,6 +45,8 @@
         { claimUnavailable, "claim_unavailable", 503, notRun, later, "the idempotency key could not be claimed; send it again" },
         { claimInProgress, "in_progress", 409, elsewhere, later, "a request with this idempotency key is in progress" },
         { keyReused, "key_reused", 422, notRun, no, "this idempotency key belongs to a different request; use another" },
+        { outcomeUnreadable, "outcome_unreadable", 503, elsewhere, later,
+            "this idempotency key was answered before, but the recorded answer cannot be read; send it again" },
         { outcomeUnknown, "outcome_unknown", 502, run_state::unknown, afterCheck,
             "the request may have run; find out before sending it again" },
         { serverFailed, "server_failed", 502, run_state::unknown, later,
--- /dev/null
+++ b/unittests/Daemon/ShutdownSequenceTests.cpp
@@ -0,0 +1,122 @@
+#include "pimentoladder/Daemon/ShutdownSequence.h"
+
+#include <doctest/doctest.h>
+
+#include "DaemonFixture.h"
+#include "pimentoladder/Admin/AdminService.h"
+
+using namespace pimentoladder;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A table that is never asked.
+struct no_changes : change_store {
+    void submit(change_transaction, std::function<void(submit_result)>) override { }
+    void readChange(std::string, std::function<void(result<change_lookup>)>) override { }
+    void readHistory(std::size_t, std::string, std::function<void(result<std::vector<stored_row>>)>) override { }
+};
+
+struct fixture {
+    explicit fixture(shutdown_settings limits)
+        : administration(
+            {}, *operator_directory::create({}), changes, [](revision) {}, 1)
+        , admin(router.driver, administration, [] { return std::string(); })
+        , callerServer(router.loop, {}, [](const http_request&, const std::shared_ptr<http_answer>&) {})
+        , shutdown({ router.driver, admin, router.front, callerServer, router.log }, limits)
+    {
+    }
+
+    /// Runs until the sequence stops the loop; returns its reason.
+    std::string runToEnd()
+    {
+        loop_timer guard(router.loop, [this] { router.loop.stop(); });
+        guard.arm(testLimit);
+        router.loop.run();
+        const auto ended = router.logged("shutdown_ended");
+        return ended.empty() ? "none" : ended.back()["reason"].get<std::string>();
+    }
+
+    daemon_fixture router;
+    no_changes changes;
+    admin_service administration;
+    admin_front admin;
+    http_server callerServer;
+    shutdown_sequence shutdown;
+};
+
+/// A server that accepts a request and never answers it.
+struct silent_engine {
+    explicit silent_engine(event_loop& loop)
+        : server(loop, {}, [this](const http_request&, std::shared_ptr<http_answer> answer) { answers.push_back(std::move(answer)); })
+    {
+        port = server.listen({ "127.0.0.1", 0 }).value().port;
+    }
+
+    std::vector<std::shared_ptr<http_answer>> answers;
+    http_server server;
+    std::uint16_t port = 0;
+};
+
+std::uint64_t requestsCut(const fixture& test)
+{
+    return test.router.logged("shutdown_ended").back()["requests_cut"].get<std::uint64_t>();
+}
+
+}
+
+// Guards against a load balancer that still sends requests to a router which
+// already refuses them: it must be unready before it drains.
+TEST_CASE("a router is unready at once and drains after the grace")
+{
+    fixture test({ 200ms, 10s });
+    REQUIRE(test.router.serve(1));
+    test.shutdown.begin();
+    const auto ready = std::make_shared<seen_answer>();
+    test.admin.onRequest({ "GET", "/readyz", {}, {} }, std::make_shared<kept_answer>(ready));
+    CHECK(ready->head.value().status == 503);
+    CHECK_FALSE(test.router.core.isDraining());
+    CHECK(test.runToEnd() == "idle");
+    CHECK(test.router.core.isDraining());
+    CHECK(requestsCut(test) == 0);
+}
+
+// Guards against a graceful shutdown that interrupts a request in progress.
+TEST_CASE("a request in progress ends before the router does")
+{
+    fixture test({ 1ms, 10s });
+    silent_engine engine(test.router.loop);
+    REQUIRE(test.router.serve(engine.port));
+    const auto seen = test.router.request("POST", "/v1/generate", "{}");
+    REQUIRE(runUntil(test.router.loop, [&] { return !engine.answers.empty(); }));
+    test.shutdown.begin();
+    test.router.loop.runFor(300ms);
+    CHECK(test.router.logged("shutdown_ended").empty());
+    CHECK(test.router.request("GET", "/x")->refused == refusal_kind::draining);
+    engine.answers.front()->reply({ 200, {} }, "done\n");
+    CHECK(test.runToEnd() == "idle");
+    CHECK(seen->body == "done\n");
+    CHECK(seen->isEnded);
+    CHECK(requestsCut(test) == 0);
+}
+
+// Guards against a shutdown that hangs on a request without end, and against
+// cutting it without a trace.
+TEST_CASE("the deadline and a second signal cut what is left")
+{
+    for (const bool isSecondSignal : { false, true }) {
+        CAPTURE(isSecondSignal);
+        fixture test({ 1ms, isSecondSignal ? 10s : 300ms });
+        silent_engine engine(test.router.loop);
+        REQUIRE(test.router.serve(engine.port));
+        const auto seen = test.router.request("POST", "/v1/generate", "{}");
+        REQUIRE(runUntil(test.router.loop, [&] { return !engine.answers.empty(); }));
+        test.shutdown.begin();
+        loop_timer second(test.router.loop, [&] { test.shutdown.begin(); });
+        if (isSecondSignal)
+            second.arm(50ms);
+        CHECK(test.runToEnd() == (isSecondSignal ? "second signal" : "deadline"));
+        CHECK(seen->isAborted);
+        CHECK(requestsCut(test) == 1);
+    }
+}
