--- a/include/pimentoladder/Router/OwnerRole.h
+++ b/include/pimentoladder/Router/OwnerRole.h
@@ -97,6 +97,7 @@
     void refreshRouters(time_point now);
     std::vector<shard_router> routers() const;
     void stateLimits(const shard_id& id, owned_shard& owned, router_actions& out) const;
+    void noteLostRouters(time_point now);
     void pollLoads(time_point now, router_actions& out);
     void exchangeCounters(time_point now, router_actions& out);
     void confirmCrash(const server_id& server, watched_server& watched, time_point now, router_actions& out);
@@ -116,6 +117,7 @@
     std::map<vm_id, member_ref> m_linked; ///< Routers whose links have opened, members or not.
     std::set<member_ref> m_lost;
     std::optional<time_point> m_exchangedAt;
+    std::optional<time_point> m_housekeptAt; ///< When routers and servers were last looked through.
 };
 
 }
