--- a/unittests/Router/FleetHarness.cpp
+++ b/unittests/Router/FleetHarness.cpp
@@ -12,6 +12,7 @@
 
     constexpr duration tableDelay = 1ms;
     constexpr duration serverDelay = 500us;
+    constexpr duration lateAnswerDelay = 15ms; ///< Of bytes that arrive after a reset.
 
 }
 
@@ -94,6 +95,8 @@
 {
     for (const router_action& action : event(*m_nodes[router].core, m_now))
         std::visit([&](const auto& step) { perform(router, step); }, action);
+    if (afterEvent)
+        afterEvent(router);
 }
 
 void fleet_harness::later(std::size_t router, duration delay, core_event event)
@@ -126,17 +129,21 @@
 void fleet_harness::openLinks(std::size_t router)
 {
     for (std::size_t other = 0; other < m_nodes.size(); ++other) {
-        if (other == router || !m_nodes[other].isUp || !isConnected(router, other))
-            continue;
-        const member_ref left { m_nodes[router].self.vm, m_nodes[router].self.start };
-        const member_ref right { m_nodes[other].self.vm, m_nodes[other].self.start };
-        const endpoint leftAt = m_nodes[router].self.peerLocation;
-        const endpoint rightAt = m_nodes[other].self.peerLocation;
-        later(router, messageDelay, [right, rightAt](router_core& core, time_point now) { return core.onLinkOpened(now, right, rightAt); });
-        later(other, messageDelay, [left, leftAt](router_core& core, time_point now) { return core.onLinkOpened(now, left, leftAt); });
+        if (other != router && m_nodes[other].isUp && isConnected(router, other))
+            openLink(router, other);
     }
 }
 
+void fleet_harness::openLink(std::size_t router, std::size_t other)
+{
+    const member_ref left { m_nodes[router].self.vm, m_nodes[router].self.start };
+    const member_ref right { m_nodes[other].self.vm, m_nodes[other].self.start };
+    const endpoint leftAt = m_nodes[router].self.peerLocation;
+    const endpoint rightAt = m_nodes[other].self.peerLocation;
+    later(router, messageDelay, [right, rightAt](router_core& core, time_point now) { return core.onLinkOpened(now, right, rightAt); });
+    later(other, messageDelay, [left, leftAt](router_core& core, time_point now) { return core.onLinkOpened(now, left, leftAt); });
+}
+
 void fleet_harness::tick(std::size_t router, std::uint64_t generation)
 {
     onNode(router, generation, [this, router, generation] {
@@ -176,11 +183,21 @@
     return committed;
 }
 
+result<revision> fleet_harness::commit(std::size_t router, const commit_rows& asked)
+{
+    if (!m_nodes[router].isUp || m_nodes[router].isFrozen || !reachesTable(router))
+        return makeError(error_kind::unavailable, "router does not reach the table; retry");
+    const auto committed = table.commit(asked);
+    if (committed && !table.losesAnswers)
+        later(router, tableDelay, [at = *committed](router_core& core, time_point now) { return core.onChangeCommitted(now, at); });
+    return committed;
+}
+
 std::size_t fleet_harness::send(std::size_t router, const std::string& workspace, const std::string& method,
     const std::string& path, const std::string& key, std::uint64_t content)
 {
     const std::size_t record = requests.size();
-    requests.push_back({ router, key, m_now, {}, {}, false, false, false, 0 });
+    requests.push_back({ router, key, m_now, {}, {}, false, false, false, !isIdempotentMethod(method), 0, {} });
     if (!m_nodes[router].isUp || m_nodes[router].isFrozen) {
         requests[record].isAborted = true;
         requests[record].endedAt = m_now;
@@ -279,10 +296,14 @@
     if (!target || !m_nodes[*target].isUp || !isConnected(router, *target))
         return;
     const bool isLost = lossShare > 0 && static_cast<double>(m_random.index(10000)) < lossShare * 10000;
-    if (isLost)
+    if (isLost) {
+        openLink(router, *target);
         return;
+    }
+    time_point& arrival = m_lastArrivals[{ router, *target }];
+    arrival = std::max(arrival, m_now + messageDelay);
     const member_ref from { m_nodes[router].self.vm, m_nodes[router].self.start };
-    at(m_now + messageDelay, [this, router, target = *target, generation = m_nodes[*target].generation, from, content = step.content] {
+    at(arrival, [this, router, target = *target, generation = m_nodes[*target].generation, from, content = step.content] {
         if (!isConnected(router, target))
             return;
         onNode(target, generation, [this, target, from, content] {
@@ -400,6 +421,7 @@
             finishAttempt(attempt, { attempt_end_kind::notSent, false });
             return;
         }
+        attempt->serverStart = servers[attempt->server].start;
         onNode(attempt->router, attempt->generation, [this, attempt] {
             if (!attempt->isOpen)
                 return;
@@ -416,7 +438,7 @@
 void fleet_harness::execute(const std::shared_ptr<attempt_seen>& attempt)
 {
     fake_server& server = servers[attempt->server];
-    if (!server.isUp) {
+    if (!server.isUp || server.start != attempt->serverStart) {
         finishAttempt(attempt, { attempt_end_kind::resetAfterSent, true });
         return;
     }
@@ -427,6 +449,8 @@
     server.mostInFlight = std::max(server.mostInFlight, server.inFlight);
     if (server.isCold())
         server.mostInFlightCold = std::max(server.mostInFlightCold, server.inFlight);
+    if (onExecution)
+        onExecution(executions.back());
     if (crashesServer && crashesServer(attempt->record, attempt->server)) {
         crash(attempt->server);
         return;
@@ -438,17 +462,22 @@
         --served.inFlight;
         ++served.finishedSinceCold;
         at(m_now + serverDelay, [this, attempt] {
-            onNode(attempt->router, attempt->generation, [this, attempt] {
-                if (!attempt->isOpen)
-                    return;
-                post(attempt->router, [&](router_core& core, time_point now) { return core.onHead(now, attempt->number, { { 200, false, {} }, {} }); });
-                post(attempt->router, [&](router_core& core, time_point now) { return core.onBytes(now, attempt->number, "answer\n"); });
-            });
+            deliverAnswer(attempt);
             finishAttempt(attempt, { attempt_end_kind::complete, true });
         });
     });
 }
 
+void fleet_harness::deliverAnswer(const std::shared_ptr<attempt_seen>& attempt)
+{
+    // An attempt that has ended delivers too: the core must drop its bytes.
+    onNode(attempt->router, attempt->generation, [this, attempt] {
+        post(attempt->router, [&](router_core& core, time_point now) { return core.onHead(now, attempt->number, { { 200, false, {} }, {} }); });
+        m_arriving = answerTo(attempt->record);
+        post(attempt->router, [&](router_core& core, time_point now) { return core.onBytes(now, attempt->number, m_arriving); });
+    });
+}
+
 void fleet_harness::finishAttempt(const std::shared_ptr<attempt_seen>& attempt, attempt_end end)
 {
     onNode(attempt->router, attempt->generation, [this, attempt, end] {
@@ -471,8 +500,10 @@
         if (attempt->server == server && attempt->isOpen)
             broken.push_back(attempt);
     }
-    for (const auto& attempt : broken)
+    for (const auto& attempt : broken) {
         at(m_now + serverDelay, [this, attempt] { finishAttempt(attempt, { attempt_end_kind::resetAfterSent, true }); });
+        at(m_now + lateAnswerDelay, [this, attempt] { deliverAnswer(attempt); });
+    }
 }
 
 void fleet_harness::perform(std::size_t router, const request_step& step)
@@ -486,6 +517,10 @@
     seen.isAnswered = seen.isAnswered || std::holds_alternative<end_answer>(step.step);
     seen.isAborted = seen.isAborted || std::holds_alternative<abort_answer>(step.step);
     seen.isReplayed = seen.isReplayed || std::holds_alternative<replay_outcome>(step.step);
+    if (std::holds_alternative<forward_bytes>(step.step))
+        seen.body += m_arriving;
+    if (const auto* replayed = std::get_if<replay_outcome>(&step.step))
+        seen.body = replayed->outcome.body;
     if (const auto* cancelled = std::get_if<cancel_attempt>(&step.step)) {
         if (const auto attempt = m_attempts.find({ router, cancelled->attempt }); attempt != m_attempts.end())
             attempt->second->isOpen = false;
@@ -506,6 +541,11 @@
     openLinks(router);
 }
 
+std::string answerTo(std::size_t record)
+{
+    return "answer to " + std::to_string(record) + "\n";
+}
+
 std::string keyDigestOf(const std::string& workspace)
 {
     return std::string(64 - workspace.size(), '0') + workspace;
--- a/unittests/Router/FleetHarness.h
+++ b/unittests/Router/FleetHarness.h
@@ -60,7 +60,9 @@
     bool isAnswered = false;
     bool isAborted = false;
     bool isReplayed = false;
+    bool isOrder = false; ///< Its method is not idempotent.
     std::uint32_t executions = 0;
+    std::string body; ///< Bytes that the caller received, also of a recorded outcome.
 };
 
 /// One execution at a server.
@@ -89,6 +91,10 @@
     /// Writes rows as an operator would, and tells \p router about the commit.
     revision change(std::size_t router, const std::vector<document_value>& values);
 
+    /// Writes rows as an operator would through \p router. Errors: `unavailable`
+    /// if the router does not reach the table, `conflict` as the table says.
+    result<revision> commit(std::size_t router, const commit_rows& asked);
+
     /// Moves time, carrying out everything that is due.
     void run(duration length);
 
@@ -103,7 +109,10 @@
     void cut(std::size_t left, std::size_t right, bool isCut);
     void cutFromTable(std::size_t router, bool isCut) { m_nodes[router].isCutFromTable = isCut; }
 
+    bool isFrozen(std::size_t router) const { return m_nodes[router].isFrozen; }
+
     /// Ends the server's process: its requests break, and it starts again cold.
+    /// Bytes of the broken answers arrive late, after the break was seen.
     void crash(const server_id& server);
 
     router_core& core(std::size_t router) { return *m_nodes[router].core; }
@@ -121,7 +130,9 @@
     std::vector<in_force_seen> inForce;
     std::function<bool(std::size_t record, const server_id& server)> crashesServer; ///< Asked at each execution.
     duration messageDelay = std::chrono::microseconds(700);
-    double lossShare = 0; ///< Of messages between routers.
+    double lossShare = 0; ///< Of messages between routers; each loss ends the link, which opens again.
+    std::function<void(std::size_t router)> afterEvent; ///< Called after each event of a core.
+    std::function<void(const execution_seen&)> onExecution; ///< Called when a server starts a request.
 
 private:
     struct node {
@@ -145,6 +156,7 @@
         attempt_number number;
         std::size_t record = 0;
         server_id server;
+        incarnation serverStart; ///< Of the process that the attempt is connected to.
         bool isOpen = true;
     };
     using core_event = std::function<router_actions(router_core&, time_point)>;
@@ -156,6 +168,7 @@
     void start(std::size_t router);
     void tick(std::size_t router, std::uint64_t generation);
     void openLinks(std::size_t router);
+    void openLink(std::size_t router, std::size_t other);
     bool isConnected(std::size_t from, std::size_t to) const;
     bool reachesTable(std::size_t router) const { return table.isUp && !m_nodes[router].isCutFromTable; }
     std::optional<std::size_t> find(const vm_id& vm) const;
@@ -177,12 +190,15 @@
 
     void execute(const std::shared_ptr<attempt_seen>& attempt);
     void finishAttempt(const std::shared_ptr<attempt_seen>& attempt, attempt_end end);
+    void deliverAnswer(const std::shared_ptr<attempt_seen>& attempt);
 
     std::vector<node> m_nodes;
     std::priority_queue<timed_event, std::vector<timed_event>, std::greater<>> m_events;
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
+    std::map<std::pair<std::size_t, std::size_t>, time_point> m_lastArrivals; ///< A link keeps the order of its messages.
     std::map<std::pair<std::size_t, request_number>, std::size_t> m_records;
     std::map<std::pair<std::size_t, attempt_number>, std::shared_ptr<attempt_seen>> m_attempts;
+    std::string m_arriving; ///< Bytes of the event that a core handles.
     random_source m_random;
     std::uint64_t m_seed;
     std::uint64_t m_order = 0;
@@ -194,6 +210,9 @@
 /// centres and rules that let every workspace reach every server.
 std::vector<document_value> smallDocument(std::size_t dataCentres, std::size_t workspaces);
 
+/// Returns the answer that a server gives to the request of a record.
+std::string answerTo(std::size_t record);
+
 /// Returns the digest of a test workspace's key.
 std::string keyDigestOf(const std::string& workspace);
 
