Keep the number of drawn schedules when only a seed is given

Cause: CTest sets RC_PARAMS=seed=1, and the test took any RC_PARAMS for a longer run: 100 schedules, over the timeout of 120 s under sanitizers. Seed and number now have their defaults apart.

--- a/unittests/Router/FleetScheduleTests.cpp
+++ b/unittests/Router/FleetScheduleTests.cpp
@@ -14,6 +14,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <sstream>
+#include <string_view>
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -724,10 +725,12 @@
 TEST_CASE("drawn schedules of requests and faults keep the promises")
 {
     rc::detail::TestParams params = rc::detail::configuration().testParams;
-    if (!std::getenv("RC_PARAMS")) {
+    const char* const set = std::getenv("RC_PARAMS");
+    const std::string_view given = set ? set : "";
+    if (given.find("seed=") == std::string_view::npos)
         params.seed = defaultSeed;
+    if (given.find("max_success=") == std::string_view::npos)
         params.maxSuccess = defaultSchedules;
-    }
     std::cerr << "RC_PARAMS=\"seed=" << params.seed << " max_success=" << params.maxSuccess << "\"\n";
     const auto property = [] {
         const auto steps = *rc::gen::scale(0.4, rc::gen::container<std::vector<schedule_step>>(anyStep()));
