Keep as many connections to a server as run requests there

With 64 requests in flight to one server, every second connection was closed at its end and opened again, because 32 unused ones were kept. perf showed inet_hash_connect and tcp_child_process under the router.

--- a/include/pimentoladder/Net/HttpClient.h
+++ b/include/pimentoladder/Net/HttpClient.h
@@ -21,7 +21,7 @@
 /// Limits and timeouts of a client.
 struct http_client_limits {
     std::size_t headBytes = std::size_t { 64 } * 1024;
-    std::size_t idleConnectionsPerEndpoint = 32;
+    std::size_t idleConnectionsPerEndpoint = 512; ///< Fewer than a server's requests in flight would close and reopen connections under load.
     duration connectTimeout = std::chrono::seconds(1);
     duration firstByteTimeout = std::chrono::seconds(60); ///< From the last byte of the request that the socket took to the first byte of the head.
     duration idleTimeout = std::chrono::seconds(30); ///< Between two parts of an answer, while reading is not paused.
