--- a/lib/Router/OwnerRole.cpp
+++ b/lib/Router/OwnerRole.cpp
@@ -268,7 +268,7 @@
 {
     if (!m_housekeptAt || now - *m_housekeptAt >= housekeepingInterval) {
         m_housekeptAt = now;
-        noteLostRouters(now);
+        watchRouters(now);
         pollLoads(now, out);
     }
     openAccepted(now, out);
@@ -307,10 +307,16 @@
     }
 }
 
-void owner_role::noteLostRouters(time_point now)
+void owner_role::watchRouters(time_point now)
 {
+    bool hasReturned = false;
     for (const auto& [vm, router] : m_linked) {
-        if (m_fleet.stateOf(vm, now) != peer_state::lost || !m_lost.insert(router).second)
+        if (m_fleet.stateOf(vm, now) != peer_state::lost) {
+            // A router that was paused comes back on the link that it had.
+            hasReturned = m_lost.erase(router) > 0 || hasReturned;
+            continue;
+        }
+        if (!m_lost.insert(router).second)
             continue;
         m_ledger->adoptCounters(router);
         for (auto& [id, owned] : m_owned) {
@@ -318,6 +324,8 @@
                 owned.scheduler->onRouterLost(router, now);
         }
     }
+    if (hasReturned)
+        refreshRouters(now);
 }
 
 void owner_role::pollLoads(time_point now, router_actions& out)
