--- a/include/pimentoladder/Admission/DemandQueues.h
+++ b/include/pimentoladder/Admission/DemandQueues.h
@@ -41,6 +41,15 @@
     server_mask allowed = 0;
 };
 
+/// Demand for one model at a shard.
+struct model_demand {
+    model_id model;
+    cost_units waiting = 0; ///< Sum of the cost hints of waiting requests.
+    cost_units granted = 0; ///< Sum of the charges at grant since this ownership began.
+    server_mask reachable = 0; ///< Servers that the workspaces with waiting requests may use.
+    server_mask stranded = 0; ///< Of these, the servers of workspaces that reach none with the model loaded.
+};
+
 /// Waiting demands by workspace, ranked by a service order. Not thread-safe;
 /// call on the loop's thread.
 class demand_queues {
@@ -53,6 +62,14 @@
     /// Reads servers, access and weights again.
     void readView(const shard_view& view);
 
+    /// Sets the servers that have each model loaded. A workspace whose requests
+    /// all waited for models loaded nowhere is lifted once one of them is
+    /// loaded, as if it returned from idle.
+    void setLoaded(std::map<model_id, server_mask> loaded);
+
+    /// Adds the waiting demand for each named model to \p demands.
+    void addModelDemands(std::map<model_id, model_demand>& demands) const;
+
     /// Adds a demand unless it waits already. A workspace that had none waiting
     /// is lifted to the least virtual time of those that wait for its servers.
     void add(const vm_id& router, const demand_entry& entry, const shard_view& view);
@@ -75,7 +92,7 @@
     /// or one of \p freeForSuspects if it is under crash suspicion.
     std::optional<selected_demand> next(server_mask free, server_mask freeForSuspects) const;
 
-    /// Returns every server that some waiting demand may use.
+    /// Returns every server that some waiting demand may use, with its model loaded.
     server_mask contested() const;
 
     /// Returns the servers that \p workspace may use.
@@ -86,21 +103,28 @@
 
 private:
     using arrivals = std::map<std::uint64_t, waiting_demand>;
-    struct queue {
-        workspace_id workspace;
+    struct lane {
         arrivals plain;
         arrivals suspects;
+
+        bool isEmpty() const { return plain.empty() && suspects.empty(); }
+        std::uint64_t oldestArrival() const;
+    };
+    struct queue {
+        workspace_id workspace;
+        std::map<model_id, lane> lanes; ///< Waiting requests by model, none of them empty.
         server_mask eligible = 0;
         bool isEligibleKnown = false;
         bool isRanked = false;
         double rank = 0;
         std::uint64_t rankedArrival = 0;
 
-        bool isEmpty() const { return plain.empty() && suspects.empty(); }
+        bool isEmpty() const { return lanes.empty(); }
         std::uint64_t oldestArrival() const;
     };
     struct place {
         queue* in = nullptr;
+        model_id model;
         std::uint64_t arrival = 0;
         bool isSuspect = false;
     };
@@ -119,6 +143,8 @@
     void readEligible(queue& reread, const shard_view& view);
     void insert(queue& into, const waiting_demand& demand);
     void returnFromIdle(const queue& returning);
+    server_mask holders(const model_id& model) const;
+    server_mask usable(const queue& asked) const;
     void rank(queue& ranked);
     void unrank(queue& ranked);
 
@@ -129,6 +155,7 @@
     std::set<ranked_queue> m_ranked; ///< Backlogged workspaces, the next to serve first.
     std::map<demand_key, place> m_places;
     std::vector<server_id> m_servers;
+    std::map<model_id, server_mask> m_loaded;
     std::uint64_t m_nextArrival = 1;
 };
 
--- a/include/pimentoladder/Admission/GrantBook.h
+++ b/include/pimentoladder/Admission/GrantBook.h
@@ -69,6 +69,7 @@
     /// Returns a record that may be read and whose charge may be changed; null
     /// if there is none.
     grant_record* find(const grant_key& key);
+    const grant_record* find(const grant_key& key) const;
 
     /// Marks a grant as started, also one that had expired.
     void start(const grant_key& key);
--- a/include/pimentoladder/Admission/ShardScheduler.h
+++ b/include/pimentoladder/Admission/ShardScheduler.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "pimentoladder/Admission/DemandQueues.h"
@@ -57,6 +58,7 @@
     std::uint32_t inFlight = 0;
     bool isCold = false;
     time_point takenAt; ///< Owner's clock, not after the state was taken; a known lag is subtracted.
+    std::set<model_id> models = {}; ///< Loaded models and adapters.
 };
 
 template <typename Message>
@@ -128,6 +130,19 @@
     /// until a load report shows that the work has ended.
     void onRouterLost(const member_ref& router, time_point now);
 
+    /// Sets the models that a server has loaded. Requests that name a model are
+    /// granted only on servers that have it.
+    void setLoadedModels(const server_id& server, const std::set<model_id>& models);
+
+    /// Drops the limit of a server to its floor, because it loads a model.
+    void setCold(const server_id& server, time_point now);
+
+    /// Returns the demand for each model that requests have named.
+    std::map<model_id, model_demand> modelDemands() const;
+
+    /// Returns the servers in the order of `server_mask`.
+    std::vector<shard_server> servers() const;
+
     /// Releases expired grants and returns the grants and recalls to send.
     scheduler_actions onTick(time_point now);
 
@@ -140,6 +155,10 @@
     /// Returns the grants that count as in use at a server.
     std::uint32_t inUse(const server_id& server) const;
 
+    /// Returns whether a server runs no request and holds no unused grant for
+    /// a named request.
+    bool isIdle(const server_id& server) const;
+
     shard_figures figures() const;
 
 private:
@@ -179,6 +198,7 @@
     void settle(const workspace_id& workspace, cost_units charged, cost_units actual);
     void ejectIfAllowed(server_state& failed, time_point now);
 
+    void refreshLoaded();
     void expireGrants(time_point now);
     bool mayGrant(time_point now) const;
     bool haveAllReported() const;
@@ -208,6 +228,8 @@
     demand_queues m_queues;
     grant_book m_book;
     prefix_memory m_prefixes;
+    std::map<server_id, std::set<model_id>> m_loadedModels;
+    std::map<model_id, cost_units> m_grantedCosts; ///< Charges at grant, by model.
     std::map<demand_key, grant_key> m_issuedFor; ///< Unreported grant of each demand.
     std::uint64_t m_nextGrant = 1;
     std::uint64_t m_rerankedFor = 0; ///< Merge count of the ledger at the last reordering.
--- a/include/pimentoladder/Base/Ids.h
+++ b/include/pimentoladder/Base/Ids.h
@@ -70,6 +70,8 @@
 using data_centre_id = strong_name<struct data_centre_tag>;
 using vm_id = strong_name<struct vm_tag>;
 using rule_id = strong_name<struct rule_tag>;
+/// Names a model or an adapter that engines load.
+using model_id = strong_name<struct model_tag>;
 /// Names a shard: the pool and the shard's index, as "pool#index".
 using shard_id = strong_name<struct shard_tag>;
 
--- a/lib/Admission/DemandQueues.cpp
+++ b/lib/Admission/DemandQueues.cpp
@@ -13,7 +13,7 @@
 {
 }
 
-std::uint64_t demand_queues::queue::oldestArrival() const
+std::uint64_t demand_queues::lane::oldestArrival() const
 {
     std::uint64_t oldest = UINT64_MAX;
     if (!plain.empty())
@@ -23,6 +23,68 @@
     return oldest;
 }
 
+std::uint64_t demand_queues::queue::oldestArrival() const
+{
+    std::uint64_t oldest = UINT64_MAX;
+    for (const auto& [model, waiting] : lanes)
+        oldest = std::min(oldest, waiting.oldestArrival());
+    return oldest;
+}
+
+server_mask demand_queues::holders(const model_id& model) const
+{
+    if (model.isEmpty())
+        return ~server_mask { 0 };
+    const auto found = m_loaded.find(model);
+    return found == m_loaded.end() ? 0 : found->second;
+}
+
+server_mask demand_queues::usable(const queue& asked) const
+{
+    server_mask servers = 0;
+    for (const auto& [model, waiting] : asked.lanes)
+        servers |= asked.eligible & holders(model);
+    return servers;
+}
+
+void demand_queues::setLoaded(std::map<model_id, server_mask> loaded)
+{
+    if (loaded == m_loaded)
+        return;
+    std::vector<queue*> blocked;
+    for (const ranked_queue& entry : m_ranked) {
+        if (usable(*entry.ranked) == 0)
+            blocked.push_back(entry.ranked);
+    }
+    m_loaded = std::move(loaded);
+    for (queue* each : blocked) {
+        if (usable(*each) == 0)
+            continue;
+        returnFromIdle(*each);
+        rank(*each);
+    }
+}
+
+void demand_queues::addModelDemands(std::map<model_id, model_demand>& demands) const
+{
+    for (const ranked_queue& entry : m_ranked) {
+        const queue& asking = *entry.ranked;
+        for (const auto& [model, waiting] : asking.lanes) {
+            if (model.isEmpty())
+                continue;
+            model_demand& demand = demands[model];
+            demand.model = model;
+            demand.reachable |= asking.eligible;
+            if ((asking.eligible & holders(model)) == 0)
+                demand.stranded |= asking.eligible;
+            for (const auto& [arrival, each] : waiting.plain)
+                demand.waiting += each.entry.costHint;
+            for (const auto& [arrival, each] : waiting.suspects)
+                demand.waiting += each.entry.costHint;
+        }
+    }
+}
+
 void demand_queues::readView(const shard_view& view)
 {
     m_servers.clear();
@@ -81,9 +143,10 @@
 
 void demand_queues::insert(queue& into, const waiting_demand& demand)
 {
-    arrivals& kind = demand.isSuspect() ? into.suspects : into.plain;
+    lane& waiting = into.lanes[demand.entry.model];
+    arrivals& kind = demand.isSuspect() ? waiting.suspects : waiting.plain;
     kind.emplace(demand.arrival, demand);
-    m_places[demand_key { demand.router, demand.entry.request }] = { &into, demand.arrival, demand.isSuspect() };
+    m_places[demand_key { demand.router, demand.entry.request }] = { &into, demand.entry.model, demand.arrival, demand.isSuspect() };
     rank(into);
 }
 
@@ -91,7 +154,10 @@
 {
     // Workspaces that share no server with the returning one may be far behind
     // or ahead; aligning with them would give or take credit.
-    const auto shares = [&](const ranked_queue& entry) { return (entry.ranked->eligible & returning.eligible) != 0; };
+    // A workspace that waits only for models loaded nowhere counts as idle.
+    const auto shares = [&](const ranked_queue& entry) {
+        return entry.ranked != &returning && (usable(*entry.ranked) & returning.eligible) != 0;
+    };
     const auto first = std::ranges::find_if(m_ranked, shares);
     const double target = first == m_ranked.end() ? m_ledger.clock(m_shard)
                                                   : m_ledger.virtualTime(m_shard, first->ranked->workspace);
@@ -104,8 +170,11 @@
     if (found == m_places.end())
         return std::nullopt;
     queue& from = *found->second.in;
-    arrivals& kind = found->second.isSuspect ? from.suspects : from.plain;
+    const auto waiting = from.lanes.find(found->second.model);
+    arrivals& kind = found->second.isSuspect ? waiting->second.suspects : waiting->second.plain;
     auto node = kind.extract(found->second.arrival);
+    if (waiting->second.isEmpty())
+        from.lanes.erase(waiting);
     m_places.erase(found);
     rank(from);
     return std::move(node.mapped());
@@ -160,15 +229,21 @@
 {
     for (const ranked_queue& entry : m_ranked) {
         const queue& candidate = *entry.ranked;
-        const server_mask plainServers = candidate.plain.empty() ? 0 : candidate.eligible & free;
-        const server_mask suspectServers = candidate.suspects.empty() ? 0 : candidate.eligible & freeForSuspects;
-        if ((plainServers | suspectServers) == 0)
-            continue;
-        const bool isSuspectOlder = suspectServers != 0
-            && (plainServers == 0 || candidate.suspects.begin()->first < candidate.plain.begin()->first);
-        const waiting_demand& chosen = isSuspectOlder ? candidate.suspects.begin()->second : candidate.plain.begin()->second;
-        return selected_demand { { chosen.router, chosen.entry.request },
-            isSuspectOlder ? suspectServers : plainServers };
+        const waiting_demand* chosen = nullptr;
+        server_mask allowed = 0;
+        const auto consider = [&](const arrivals& kind, server_mask servers) {
+            if (kind.empty() || servers == 0 || (chosen && chosen->arrival < kind.begin()->first))
+                return;
+            chosen = &kind.begin()->second;
+            allowed = servers;
+        };
+        for (const auto& [model, waiting] : candidate.lanes) {
+            const server_mask servers = candidate.eligible & holders(model);
+            consider(waiting.plain, servers & free);
+            consider(waiting.suspects, servers & freeForSuspects);
+        }
+        if (chosen)
+            return selected_demand { { chosen->router, chosen->entry.request }, allowed };
     }
     return std::nullopt;
 }
@@ -177,7 +252,7 @@
 {
     server_mask servers = 0;
     for (const ranked_queue& entry : m_ranked)
-        servers |= entry.ranked->eligible;
+        servers |= usable(*entry.ranked);
     return servers;
 }
 
--- a/lib/Admission/GrantBook.cpp
+++ b/lib/Admission/GrantBook.cpp
@@ -63,6 +63,12 @@
     return found == m_records.end() ? nullptr : &found->second;
 }
 
+const grant_record* grant_book::find(const grant_key& key) const
+{
+    const auto found = m_records.find(key);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
 void grant_book::start(const grant_key& key)
 {
     grant_record* record = find(key);
--- a/lib/Admission/ShardScheduler.cpp
+++ b/lib/Admission/ShardScheduler.cpp
@@ -133,6 +133,54 @@
     }
     m_servers = std::move(servers);
     m_queues.readView(m_parts.view);
+    refreshLoaded();
+}
+
+void shard_scheduler::setLoadedModels(const server_id& server, const std::set<model_id>& models)
+{
+    std::set<model_id>& known = m_loadedModels[server];
+    if (known == models)
+        return;
+    known = models;
+    refreshLoaded();
+}
+
+void shard_scheduler::refreshLoaded()
+{
+    std::map<model_id, server_mask> loaded;
+    for (std::size_t i = 0; i < m_servers.size(); ++i) {
+        const auto known = m_loadedModels.find(m_servers[i].configured.id);
+        if (known == m_loadedModels.end())
+            continue;
+        for (const model_id& model : known->second)
+            loaded[model] |= maskOf(i);
+    }
+    m_queues.setLoaded(std::move(loaded));
+}
+
+void shard_scheduler::setCold(const server_id& server, time_point now)
+{
+    if (server_state* found = findServer(server))
+        found->limit.setCold(now);
+}
+
+std::map<model_id, model_demand> shard_scheduler::modelDemands() const
+{
+    std::map<model_id, model_demand> demands;
+    for (const auto& [model, cost] : m_grantedCosts) {
+        demands[model].model = model;
+        demands[model].granted = cost;
+    }
+    m_queues.addModelDemands(demands);
+    return demands;
+}
+
+std::vector<shard_server> shard_scheduler::servers() const
+{
+    std::vector<shard_server> listed;
+    for (const server_state& server : m_servers)
+        listed.push_back(server.configured);
+    return listed;
 }
 
 void shard_scheduler::onShardRelease(const shard_release& released)
@@ -461,6 +509,8 @@
     record.isSuspect = demand.isSuspect();
     m_parts.ledger.advanceClock(m_ownership.shard, m_parts.ledger.virtualTime(m_ownership.shard, workspace));
     settle(workspace, 0, record.charged);
+    if (!demand.entry.model.isEmpty())
+        m_grantedCosts[demand.entry.model] += record.charged;
     m_prefixes.note(demand.entry.prefixHash, record.server);
     issue(demand.router, record, demand.entry.request, now);
     ++m_figures.granted;
@@ -568,6 +618,15 @@
     return m_book.use(server).total;
 }
 
+bool shard_scheduler::isIdle(const server_id& server) const
+{
+    const auto isNamed = [&](const auto& entry) {
+        const grant_record* record = m_book.find(entry.second);
+        return record && record->server == server;
+    };
+    return m_book.use(server).started == 0 && std::ranges::none_of(m_issuedFor, isNamed);
+}
+
 shard_figures shard_scheduler::figures() const
 {
     shard_figures figures = m_figures;
--- a/lib/Wire/MessageDecoder.cpp
+++ b/lib/Wire/MessageDecoder.cpp
@@ -139,7 +139,8 @@
     {
         return { fields.requiredNumber<request_number>(source.request(), "request"),
             fields.requiredName<workspace_id>(source.workspace(), "workspace"),
-            fields.amount(source.cost_hint(), "cost_hint"), fingerprint(source.print()), source.prefix_hash() };
+            fields.amount(source.cost_hint(), "cost_hint"), fingerprint(source.print()), source.prefix_hash(),
+            model_id(source.model() ? source.model()->str() : std::string()) };
     }
 
     grant_entry read(const wire::GrantEntry& source, field_reader& fields)
--- a/lib/Wire/MessageEncoder.cpp
+++ b/lib/Wire/MessageEncoder.cpp
@@ -62,8 +62,10 @@
 
     Offset<wire::Demand> write(FlatBufferBuilder& builder, const demand_entry& source)
     {
-        return wire::CreateDemand(builder, source.request.value(), writeName(builder, source.workspace),
-            source.costHint, source.print.value(), source.prefixHash);
+        const auto workspace = writeName(builder, source.workspace);
+        const Offset<flatbuffers::String> model = source.model.isEmpty() ? 0 : writeName(builder, source.model);
+        return wire::CreateDemand(builder, source.request.value(), workspace, source.costHint, source.print.value(),
+            source.prefixHash, model);
     }
 
     Offset<wire::GrantEntry> write(FlatBufferBuilder& builder, const grant_entry& source)
--- a/unittests/Admission/Fleet.cpp
+++ b/unittests/Admission/Fleet.cpp
@@ -47,7 +47,7 @@
 {
     const request_number number(m_nextRequest++);
     m_jobs[router][number] = wanted;
-    holders[router]->onRequest({ number, wanted.workspace, wanted.cost * wanted.hintFactor, print }, now);
+    holders[router]->onRequest({ number, wanted.workspace, wanted.cost * wanted.hintFactor, print, 0, wanted.model }, now);
     return number;
 }
 
@@ -124,7 +124,7 @@
 
 void fleet::checkNoIdleCapacity()
 {
-    if (owner->figures().waiting == 0 || now < m_grantsFrom || !view.denied.empty())
+    if (owner->figures().waiting == 0 || now < m_grantsFrom || !view.denied.empty() || !owner->modelDemands().empty())
         return;
     for (const shard_server& server : view.listed) {
         if (server.isInService && owner->inUse(server.id) < owner->limit(server.id))
--- a/unittests/Admission/Fleet.h
+++ b/unittests/Admission/Fleet.h
@@ -48,6 +48,7 @@
         duration service;
         bool isFailing = false;
         double hintFactor = 1;
+        model_id model = {};
     };
     struct server_fake {
         std::set<grant_key> running;
--- a/unittests/Admission/ShardTests.cpp
+++ b/unittests/Admission/ShardTests.cpp
@@ -54,6 +54,59 @@
     CHECK(tested.violations.empty());
 }
 
+// Guards against a request for a model on an engine that does not have it, and
+// against a queue that stands still behind such a request.
+TEST_CASE("a request for a model is granted only where it is loaded, and delays no other request")
+{
+    fleet tested(2, 2, 1, 4);
+    warmUp(tested);
+    const model_id model("bulletin");
+    std::vector<server_id> used;
+    tested.onStart = [&](const start_order& started, const fleet::job& running) {
+        if (running.model == model)
+            used.push_back(started.server);
+    };
+    fleet::job wanted = job(large, 20ms);
+    wanted.model = model;
+    for (int i = 0; i < 5; ++i)
+        tested.request(0, wanted);
+    for (int i = 0; i < 5; ++i) {
+        tested.request(0, job(large, 20ms));
+        tested.request(1, job(small, 20ms));
+    }
+    const std::uint64_t before = tested.finished;
+    tested.run(1s);
+    CHECK(tested.finished == before + 10);
+    CHECK(tested.owner->modelDemands().at(model).waiting == 5);
+    CHECK(tested.owner->modelDemands().at(model).stranded == 3);
+    tested.owner->setLoadedModels(tested.view.listed[1].id, { model });
+    tested.run(1s);
+    CHECK(tested.finished == before + 15);
+    CHECK(used == std::vector(5, tested.view.listed[1].id));
+}
+
+// Guards against a workspace that collects credit while its model is loaded
+// nowhere, and then keeps the others from their share.
+TEST_CASE("waiting for a model that is loaded nowhere gives no credit")
+{
+    fleet tested(2, 1, 1, 1);
+    const model_id model("bulletin");
+    fleet::job wanted = job(small, 10ms);
+    wanted.model = model;
+    for (int i = 0; i < 100; ++i)
+        tested.request(0, wanted);
+    for (int i = 0; i < 300; ++i)
+        tested.request(1, job(large, 10ms));
+    tested.run(2s);
+    tested.owner->setLoadedModels(tested.view.listed[0].id, { model });
+    const cost_units smallBefore = tested.served[small];
+    const cost_units largeBefore = tested.served[large];
+    CHECK(largeBefore > 50);
+    tested.run(500ms);
+    CHECK(tested.served[small] - smallBefore <= tested.served[large] - largeBefore + 3);
+    CHECK(tested.served[small] > smallBefore + 5);
+}
+
 // Guards against a server that turns cold without notice and is driven into collapse.
 TEST_CASE("a server that is suddenly slow falls to its floor")
 {
--- a/unittests/Wire/MessageCodecTests.cpp
+++ b/unittests/Wire/MessageCodecTests.cpp
@@ -29,7 +29,7 @@
         config_update { revision(81234), revision(81235),
             { { "member/router-0007", row, revision(81235) }, { "member/router-0008", std::nullopt, revision(81235) } } },
         suspend { { peer }, { peer }, revision(81234) },
-        acquire { shard, token, { { request_number(42), workspace_id("uv-alerts"), 120, {}, 0x1122334455667788 } },
+        acquire { shard, token, { { request_number(42), workspace_id("uv-alerts"), 120, {}, 0x1122334455667788, model_id("bulletin") } },
             { request_number(41) }, 2 },
         grant { shard, token,
             { { grant_number(977), server_id("engine-3"), request_number(42), time_point(123456790123456789ns) } } },
@@ -84,6 +84,7 @@
     CHECK(std::get<config_update>(*decodeKnown(encodeMessage(sent[3]))).rows == std::get<config_update>(sent[3]).rows);
     const auto acquired = std::get<acquire>(*decodeKnown(encodeMessage(sent[5])));
     CHECK(acquired.waiting.at(0).prefixHash == 0x1122334455667788);
+    CHECK(acquired.waiting.at(0).model == model_id("bulletin"));
     CHECK(acquired.withdrawn == std::vector { request_number(41) });
     CHECK(acquired.advanceWanted == 2);
     const auto reported = std::get<grant_report>(*decodeKnown(encodeMessage(sent[7])));
