Answer a peer's request for rows when they arrive

A change was in force on the other routers 500 ms after its writer had it. The writer announces the commit before it has read the rows; the peers ask it at once, it had nothing newer and dropped the request, and they tried another source only after the timeout of a fetch (500 ms). Ruled out: slow table (the writer applied the change 5 ms after the commit) and lost messages (always 500 ms). The request is now kept and answered when the rows are here.

--- a/include/pimentoladder/Router/FleetCoordinator.h
+++ b/include/pimentoladder/Router/FleetCoordinator.h
@@ -161,6 +161,7 @@
     vm_list m_vms;
     std::unique_ptr<tracking> m_tracking; ///< State of one incarnation.
     std::map<member_ref, peer_statement> m_statements;
+    std::map<vm_id, revision> m_waitingForUpdate; ///< Peers that asked for rows which this router has not read yet, and what they have.
     std::map<transaction_ticket, std::string> m_commits; ///< Row key of each commit in progress.
     std::uint64_t m_lastTicket = 0;
     duration m_backstopPoll {}; ///< Time after the last poll at which the next one is due anyway.
--- a/lib/Router/FleetCoordinator.cpp
+++ b/lib/Router/FleetCoordinator.cpp
@@ -95,8 +95,13 @@
 
 void fleet_coordinator::onConfigRequest(const member_ref& from, const config_request& asked, router_actions& out)
 {
-    if (asked.have < current().at)
+    if (asked.have < current().at) {
         out.push_back(send_message { from.vm, m_replica.updateSince(asked.have) });
+        return;
+    }
+    // A change is announced before this router has read its rows. The peer is
+    // answered as soon as they are here and need not wait for its timeout.
+    m_waitingForUpdate[from.vm] = asked.have;
 }
 
 void fleet_coordinator::onConfigUpdate(const config_update& update, time_point now, router_actions& out)
@@ -310,6 +315,8 @@
         return listed == current().members.end() || refOf(listed->second) != entry.first;
     });
     out.push_back(document_in_force { current().at });
+    for (const auto& [peer, have] : std::exchange(m_waitingForUpdate, {}))
+        out.push_back(send_message { peer, m_replica.updateSince(have) });
     // A heartbeat acknowledges the revision at once, so that it is accepted
     // without waiting for the next regular heartbeat.
     for (const vm_id& peer : m_directory.neighbours())
--- a/unittests/Router/FleetTests.cpp
+++ b/unittests/Router/FleetTests.cpp
@@ -115,6 +115,20 @@
     }
 }
 
+// Guards against a change that reaches the other routers only after the timeout
+// of a fetch, because its writer announced it before it had read the rows itself.
+TEST_CASE("a change is in force on every router well before a fetch times out")
+{
+    fleet_harness fleet(4, 7);
+    fleet.form();
+    configure(fleet);
+    fleet.run(6s);
+    const revision changed = fleet.change(1, { service_rule { rule_id("out"), *selector::parse("site=dc-2") } });
+    fleet.run(100ms);
+    for (std::size_t router = 0; router < fleet.size(); ++router)
+        CHECK(fleet.core(router).fleet().current().at >= changed);
+}
+
 // Guards against work that reaches a data centre after operators took it out (P4).
 TEST_CASE("a data centre taken out receives no new work three seconds after acceptance")
 {
