Do not count a withheld attempt as a retry or a failure

The requesting router had the change before the shard's owner and gave no byte to the withdrawn server. The attempt's end counted as a failed connection: the server's limit fell to the floor, a retry was spent, and after two more grants of the same server the request was refused. Ruled out: the servers, which accepted every connection. The grant is now returned and the request waits again, until the queue timeout at most.

--- a/include/pimentoladder/Outcome/RequestLifecycle.h
+++ b/include/pimentoladder/Outcome/RequestLifecycle.h
@@ -192,6 +192,11 @@
     /// socket. Asked by the client with the connection open.
     send_decision mayGiveBytes(time_point now, attempt_number attempt);
 
+    /// The router may not give bytes to this attempt, because its server left
+    /// service or the router is not fresh. Its end is then neither a failure of
+    /// the server nor a retry: the request waits for another grant.
+    void withhold(attempt_number attempt);
+
     request_actions headArrived(time_point now, attempt_number attempt, const answer_facts& facts);
     request_actions bytesArrived(time_point now, attempt_number attempt, std::size_t count);
     request_actions attemptEnded(time_point now, attempt_number attempt, attempt_end end);
@@ -213,6 +218,13 @@
         settled, ///< Released, recorded, or not obtained.
     };
 
+    /// Why the current attempt may not give bytes.
+    enum class denial {
+        none,
+        grantExpired,
+        withheld, ///< See `withhold`.
+    };
+
     bool isCurrent(attempt_number attempt) const;
     bool isRetryAllowed(time_point now);
     void openAttempt(std::optional<stream_position> resume, request_actions& actions);
@@ -240,7 +252,7 @@
     stream_position m_position;
     int m_retries = 0;
     bool m_isWaiting = false; ///< A grant has been asked for and neither came nor was withdrawn.
-    bool m_wasDenied = false; ///< The current attempt may not give bytes.
+    denial m_denial = denial::none; ///< Of the current attempt.
     bool m_hasEverSent = false; ///< A byte of any attempt may have been given to a socket.
     bool m_awaitsHead = false; ///< The current attempt has not delivered a head.
     bool m_isResuming = false; ///< The current attempt continues a stream.
--- a/lib/Outcome/RequestLifecycle.cpp
+++ b/lib/Outcome/RequestLifecycle.cpp
@@ -127,7 +127,7 @@
     if (m_phase != request_phase::connecting)
         return {};
     if (now >= m_grant->usableUntil) {
-        m_wasDenied = true;
+        m_denial = denial::grantExpired;
         return {};
     }
     m_phase = request_phase::sent;
@@ -137,6 +137,12 @@
     return decision;
 }
 
+void request_lifecycle::withhold(attempt_number attempt)
+{
+    if (isCurrent(attempt) && m_phase == request_phase::connecting)
+        m_denial = denial::withheld;
+}
+
 request_actions request_lifecycle::headArrived(time_point now, attempt_number attempt, const answer_facts& facts)
 {
     request_actions actions;
@@ -262,7 +268,7 @@
 void request_lifecycle::openAttempt(std::optional<stream_position> resume, request_actions& actions)
 {
     m_attempt = m_attempts.next();
-    m_wasDenied = false;
+    m_denial = denial::none;
     m_awaitsHead = true;
     m_isResuming = resume.has_value();
     if (!m_isResuming)
@@ -289,7 +295,12 @@
 void request_lifecycle::endUnsent(time_point now, request_actions& actions)
 {
     m_phase = request_phase::connecting; // The end proves that the attempt never passed it.
-    reportGrant(m_wasDenied ? grant_event::returned : grant_event::failed, actions);
+    reportGrant(m_denial == denial::none ? grant_event::failed : grant_event::returned, actions);
+    if (m_denial == denial::withheld && !m_hasCallerLeft) {
+        // Nothing was tried at the server. The queue timeout goes on, so this ends.
+        requeue(actions);
+        return;
+    }
     if (m_retries >= m_limits.furtherAttempts) {
         refuse(refusal_kind::serverUnreachable, actions);
         return;
--- a/lib/Router/RequestCoordinator.cpp
+++ b/lib/Router/RequestCoordinator.cpp
@@ -158,8 +158,10 @@
     // The last check before the point of no return: this router may have become
     // stale, or the server may have left service, since the grant was taken.
     const bool isServerUsable = request->runsAt && m_directory.access().isInService(*request->runsAt);
-    if (!m_fleet.isFresh(now) || !isServerUsable)
+    if (!m_fleet.isFresh(now) || !isServerUsable) {
+        request->lifecycle.withhold(attempt);
         return false;
+    }
     send_decision decision = request->lifecycle.mayGiveBytes(now, attempt);
     if (decision.maySend && request->cost == 0)
         request->cost = request->meter->costWhenSent(request->costBasis);
--- a/unittests/Outcome/RequestLifecycleTests.cpp
+++ b/unittests/Outcome/RequestLifecycleTests.cpp
@@ -350,6 +350,24 @@
     CHECK(test.send());
 }
 
+// Guards against requests that fail, and servers that count as failing, because a
+// grant names a server that operators have just taken out of service.
+TEST_CASE("a withheld attempt costs no retry and is no failure of the server")
+{
+    harness test(method_kind::plain);
+    test.advanceTo(request_phase::queued);
+    for (int i = 0; i < 10; ++i) {
+        test.grant();
+        test.request.withhold(test.attempt);
+        test.end(notSent);
+        CHECK(test.lastEvent == grant_event::returned);
+        CHECK(test.isWaiting);
+    }
+    test.now += 31s;
+    test.apply(test.request.deadlinePassed(test.now));
+    CHECK(test.refusals == std::vector { refusal_kind::queueTimeout });
+}
+
 // Guards against a grant that waits for a slow claim until its owner gives it
 // to another request.
 TEST_CASE("a grant is returned when the claim takes longer than its lifetime")
