Measure the service gap where and when requests are granted

The formula of design.md 4.5 charges at the grant and at its owner; the measurement counted requests at their start on the routers, every 50 ms. The gap at the start remains as a figure. U now ends when the owner has the report instead of when the answer ends, and streams report progress as the product's do.

The gap over an interval contains the errors of two workspaces at two instants, the formula's U those of one workspace at one.

--- a/tools/measure/FleetSimulation.cpp
+++ b/tools/measure/FleetSimulation.cpp
@@ -11,7 +11,6 @@
 namespace {
 
     constexpr duration sampleInterval = 2ms;
-    constexpr duration gapInterval = 50ms;
 
     workspace_id workspaceName(std::size_t number)
     {
@@ -80,10 +79,12 @@
     , m_random(seed)
 {
     const std::size_t workspaces = m_shape.workspaces.size();
-    m_service.resize(workspaces);
     m_unknown.resize(workspaces);
-    m_leastLead.assign(workspaces, std::vector<double>(workspaces));
-    m_mostLead = m_leastLead;
+    m_atOwners.service.resize(workspaces);
+    m_atOwners.leastLead.assign(workspaces, std::vector<double>(workspaces));
+    m_atOwners.mostLead = m_atOwners.leastLead;
+    m_atStart = m_atOwners;
+    m_errors = m_atOwners;
     m_result.sentByRouter.resize(m_shape.routers);
     for (std::size_t number = 0; number < m_shape.pools.size(); ++number) {
         const pool_shape& configured = m_shape.pools[number];
@@ -277,6 +278,11 @@
     for (const start_order& order : actions.starts)
         start(pool, router, order);
     if (actions.report) {
+        // A charge stays wrong until the owner has the report.
+        if (const router_owner* owner = ownerOf(pool, router))
+            at(m_now + delay(router, owner->router), [=, this, report = *actions.report] { noteReported(pool, router, report); });
+        else
+            noteReported(pool, router, *actions.report);
         sendToOwner(pool, router, *actions.report, actions.report->entries.size(),
             [this](router_owner& owner, const member_ref& from, const grant_report& sent) {
                 owner.scheduler.onGrantReport(from, sent, m_now);
@@ -304,18 +310,10 @@
         const stopwatch timed(m_result.ownerProcessorTime);
         actions = owner.scheduler.onTick(m_now);
     }
+    noteGranted(pool, owner, actions);
     for (const auto& [to, granted] : actions.grants) {
         const std::size_t router = numberIn(to.vm.value(), "router");
         m_result.grants += granted.entries.size();
-        for (const grant_entry& entry : granted.entries) {
-            const auto found = m_requests.find(entry.request);
-            if (found == m_requests.end())
-                continue;
-            request_state& request = found->second;
-            request.charged = owner.estimator.estimate(
-                workspaceName(request.workspace), pool_id(m_shape.pools[pool].name), request.hint);
-            noteUnknown(request, 1);
-        }
         if (router != owner.router)
             count(owner.router, granted.entries.size());
         at(m_now + delay(owner.router, router), [=, this, sent = granted] {
@@ -350,12 +348,76 @@
 {
     if (request.charged == 0)
         return;
+    noteService(m_errors, request.workspace, sign * (request.charged - request.cost));
     double& sum = m_unknown[request.workspace];
     sum += sign * std::abs(request.charged - request.cost);
     if (isMeasuring())
         m_result.largestUnknown = std::max(m_result.largestUnknown, sum);
 }
 
+void fleet_simulation::noteGranted(std::size_t pool, const router_owner& owner, const scheduler_actions& actions)
+{
+    // The grants of one turn are grouped by router; they were decided in the
+    // order of their numbers.
+    std::map<grant_number, std::pair<fencing_token, grant_entry>> ordered;
+    for (const auto& [to, granted] : actions.grants) {
+        for (const grant_entry& entry : granted.entries)
+            ordered[entry.number] = { granted.token, entry };
+    }
+    for (const auto& [number, decided] : ordered) {
+        const auto& [token, entry] = decided;
+        const auto found = m_requests.find(entry.request);
+        if (found == m_requests.end())
+            continue;
+        request_state& request = found->second;
+        if (request.isGranted)
+            noteUnknown(request, -1);
+        request.charged = owner.estimator.estimate(
+            workspaceName(request.workspace), pool_id(m_shape.pools[pool].name), request.hint);
+        noteUnknown(request, 1);
+        m_pools[pool].granted[{ ownerSlot(pool, owner.router), token, number }] = entry.request;
+        if (!request.isGranted)
+            noteService(m_atOwners, request.workspace, request.cost);
+        request.isGranted = true;
+    }
+}
+
+void fleet_simulation::noteReported(std::size_t pool, std::size_t router, const grant_report& report)
+{
+    for (const grant_report_entry& entry : report.entries) {
+        const auto found = m_pools[pool].granted.find({ ownerSlot(pool, router), entry.issuedUnder, entry.number });
+        const auto named = found == m_pools[pool].granted.end() ? m_requests.end() : m_requests.find(found->second);
+        if (named == m_requests.end())
+            continue;
+        request_state& request = named->second;
+        if (entry.event == grant_event::progress && entry.cost > request.charged) {
+            noteUnknown(request, -1);
+            request.charged = entry.cost;
+            noteUnknown(request, 1);
+        }
+        if (entry.event != grant_event::finished)
+            continue;
+        noteUnknown(request, -1);
+        m_requests.erase(named);
+        m_pools[pool].granted.erase(found);
+    }
+}
+
+void fleet_simulation::noteProgress(std::size_t pool, request_number number, time_point startedAt, duration time)
+{
+    // A stream shows its cost while it runs.
+    const time_point next = m_now + m_shape.exchangeInterval;
+    if (next >= startedAt + time)
+        return;
+    at(next, [=, this] {
+        const request_state& request = m_requests.at(number);
+        const double share = std::chrono::duration<double>(m_now - startedAt) / std::chrono::duration<double>(time);
+        m_pools[pool].holders[request.router]->onProgress(number, request.cost * share);
+        turnHolder(pool, request.router);
+        noteProgress(pool, number, startedAt, time);
+    });
+}
+
 void fleet_simulation::start(std::size_t pool, std::size_t, const start_order& order)
 {
     pool_state& state = m_pools[pool];
@@ -364,7 +426,7 @@
     const std::size_t number = numberIn(order.server.value(), "server");
     server_state& server = state.servers[number];
     ++server.running;
-    m_service[request.workspace] += request.cost;
+    noteService(m_atStart, request.workspace, request.cost);
     double slowness = 1;
     if (server.running > configured.ceiling) {
         const std::uint32_t above = server.running - configured.ceiling;
@@ -377,6 +439,7 @@
                                                 static_cast<double>(nominal.count()) * slowness)),
         0.1);
     at(m_now + time, [=, this] { end(pool, number, order.request); });
+    noteProgress(pool, order.request, m_now, time);
 }
 
 void fleet_simulation::end(std::size_t pool, std::size_t server, request_number number)
@@ -384,8 +447,6 @@
     pool_state& state = m_pools[pool];
     --state.servers[server].running;
     const request_state request = m_requests.at(number);
-    noteUnknown(request, -1);
-    m_requests.erase(number);
     state.holders[request.router]->onEnded(
         number, grant_event::finished, request.cost, m_random.jittered(m_shape.pools[pool].firstByte, 0.2));
     turnHolder(pool, request.router);
@@ -421,24 +482,35 @@
     }
 }
 
-void fleet_simulation::sampleGap()
+void fleet_simulation::sampleGaps()
 {
-    at(m_now + gapInterval, [this] { sampleGap(); });
-    if (!isMeasuring())
-        return;
-    const bool isFirst = m_serviceAtWarmUp.empty();
-    if (isFirst)
-        m_serviceAtWarmUp = m_service;
-    for (std::size_t a = 0; a < m_service.size(); ++a) {
-        for (std::size_t b = 0; b < a; ++b) {
-            const double lead = m_service[a] - m_service[b];
-            m_leastLead[a][b] = isFirst ? lead : std::min(m_leastLead[a][b], lead);
-            m_mostLead[a][b] = isFirst ? lead : std::max(m_mostLead[a][b], lead);
-            m_result.gap = std::max(m_result.gap, m_mostLead[a][b] - m_leastLead[a][b]);
+    m_serviceAtWarmUp = m_atStart.service;
+    for (service_gap* measured : { &m_atOwners, &m_atStart, &m_errors }) {
+        measured->isMeasuring = true;
+        for (std::size_t a = 0; a < measured->service.size(); ++a) {
+            for (std::size_t b = 0; b < measured->service.size(); ++b)
+                measured->leastLead[a][b] = measured->mostLead[a][b] = measured->service[a] - measured->service[b];
         }
     }
 }
 
+void fleet_simulation::noteService(service_gap& measured, std::size_t workspace, cost_units cost)
+{
+    measured.service[workspace] += cost;
+    if (!measured.isMeasuring)
+        return;
+    for (std::size_t other = 0; other < measured.service.size(); ++other) {
+        if (other == workspace)
+            continue;
+        const std::size_t a = std::min(workspace, other);
+        const std::size_t b = std::max(workspace, other);
+        const double lead = measured.service[a] - measured.service[b];
+        measured.leastLead[a][b] = std::min(measured.leastLead[a][b], lead);
+        measured.mostLead[a][b] = std::max(measured.mostLead[a][b], lead);
+        measured.largest = std::max(measured.largest, measured.mostLead[a][b] - measured.leastLead[a][b]);
+    }
+}
+
 simulation_result fleet_simulation::run()
 {
     for (std::size_t pool = 0; pool < m_pools.size(); ++pool) {
@@ -451,7 +523,7 @@
     }
     exchangeCounters();
     sample();
-    sampleGap();
+    at(m_start + m_shape.warmUp, [this] { sampleGaps(); });
     if (m_shape.ownerLostAt)
         at(m_start + *m_shape.ownerLostAt, [this] { loseOwner(0); });
     const time_point stop = m_start + m_shape.warmUp + m_shape.measured;
@@ -463,12 +535,15 @@
     }
     double sum = 0;
     double least = INFINITY;
-    for (std::size_t i = 0; i < m_service.size(); ++i) {
-        const double served = m_service[i] - m_serviceAtWarmUp[i];
+    for (std::size_t i = 0; i < m_atStart.service.size(); ++i) {
+        const double served = m_atStart.service[i] - m_serviceAtWarmUp[i];
         sum += served;
         least = std::min(least, served);
     }
-    m_result.leastShare = sum > 0 ? least * static_cast<double>(m_service.size()) / sum : 0;
+    m_result.leastShare = sum > 0 ? least * static_cast<double>(m_atStart.service.size()) / sum : 0;
+    m_result.gap = m_atOwners.largest;
+    m_result.errorGap = m_errors.largest;
+    m_result.gapAtStart = m_atStart.largest;
     for (pool_state& state : m_pools) {
         if (state.limitTime > 0) {
             state.result.granted = state.grantedTime / state.limitTime;
--- a/tools/measure/FleetSimulation.h
+++ b/tools/measure/FleetSimulation.h
@@ -76,8 +76,10 @@
 };
 
 struct simulation_result {
-    double gap = 0; ///< Largest gap between two workspaces over any interval measured.
+    double gap = 0; ///< Largest gap between two workspaces over any interval measured, at the owners.
+    double gapAtStart = 0; ///< The same at the routers, where requests start after the grant's transit.
     double largestUnknown = 0; ///< U of the bound: largest sum of |charged - actual| in flight.
+    double errorGap = 0; ///< Over any interval, change of the difference of (charged - actual) in flight of two workspaces.
     double leastShare = 0; ///< Least service of a workspace divided by the mean.
     std::vector<pool_result> pools;
     std::vector<control_count> sentByRouter;
@@ -103,6 +105,7 @@
         cost_units cost = 0;
         cost_units hint = 0;
         cost_units charged = 0;
+        bool isGranted = false; ///< Its cost counts as service since.
     };
     struct event {
         time_point at;
@@ -116,6 +119,12 @@
     struct server_state {
         std::uint32_t running = 0;
     };
+    struct grant_place {
+        std::size_t owner = 0; ///< Router of the owner in the baseline; zero otherwise.
+        fencing_token token;
+        grant_number number;
+        auto operator<=>(const grant_place&) const = default;
+    };
     struct pool_state {
         std::unique_ptr<pool_view> view;
         std::vector<std::unique_ptr<router_owner>> owners; ///< One, or one for each router in the baseline.
@@ -127,6 +136,7 @@
         double runningTime = 0;
         double limitTime = 0;
         pool_result result;
+        std::map<grant_place, request_number> granted; ///< Not yet reported as ended.
     };
 
     void at(time_point when, std::function<void()> run);
@@ -147,8 +157,14 @@
     void start(std::size_t pool, std::size_t router, const start_order& order);
     void end(std::size_t pool, std::size_t server, request_number request);
     void noteUnknown(const request_state& request, double sign);
+    void noteGranted(std::size_t pool, const router_owner& owner, const scheduler_actions& actions);
+    std::size_t ownerSlot(std::size_t pool, std::size_t router) const { return m_pools[pool].owners.size() == 1 ? 0 : router; }
+    void noteReported(std::size_t pool, std::size_t router, const grant_report& report);
+    void noteProgress(std::size_t pool, request_number number, time_point startedAt, duration time);
     void sample();
-    void sampleGap();
+    void sampleGaps();
+    struct service_gap;
+    void noteService(service_gap& measured, std::size_t workspace, cost_units cost);
     bool isMeasuring() const { return m_now >= m_start + m_shape.warmUp; }
     void count(std::size_t router, std::size_t entries);
 
@@ -161,10 +177,17 @@
     std::vector<pool_state> m_pools;
     std::map<request_number, request_state> m_requests;
     std::uint64_t m_nextRequest = 1;
-    std::vector<cost_units> m_service; ///< Actual cost of started requests of each workspace.
+    struct service_gap {
+        std::vector<cost_units> service; ///< Actual cost of each workspace's requests.
+        std::vector<std::vector<double>> leastLead; ///< For each pair, over the measured time.
+        std::vector<std::vector<double>> mostLead;
+        double largest = 0;
+        bool isMeasuring = false;
+    };
+    service_gap m_atOwners; ///< Requests count when they are granted.
+    service_gap m_errors; ///< charged - actual of the requests in flight, in place of service.
+    service_gap m_atStart; ///< Requests count when they start.
     std::vector<cost_units> m_serviceAtWarmUp;
-    std::vector<std::vector<double>> m_leastLead; ///< For each pair, over the measured time.
-    std::vector<std::vector<double>> m_mostLead;
     std::vector<double> m_unknown; ///< Sum of |charged - actual| in flight of each workspace.
     simulation_result m_result;
     std::uint64_t m_incarnations = 1;
--- a/tools/measure/Scenarios.cpp
+++ b/tools/measure/Scenarios.cpp
@@ -75,6 +75,12 @@
         const std::string prefix = "fairness." + measured.name;
         printer.print({ prefix + ".largest_unknown", fair.largestUnknown, "units" });
         printer.print({ prefix + ".gap", fair.gap, "units", target_kind::atMost, bound });
+        // What follows from serving the least charged first, whatever the signs
+        // of the errors: a grant goes to a while service(a) + error(a) is at most
+        // service(b) + error(b).
+        if (!measured.isSeveralOwners)
+            printer.print({ prefix + ".gap_by_error", fair.gap, "units", target_kind::atMost, 2 * largestCost + fair.errorGap });
+        printer.print({ prefix + ".gap_at_start", fair.gapAtStart, "units" });
         printer.print({ prefix + ".least_share_of_mean", fair.leastShare, "ratio" });
         if (measured.shape.ownerLostAt)
             return;
