--- a/include/pimentoladder/Fairness/CostEstimator.h
+++ b/include/pimentoladder/Fairness/CostEstimator.h
@@ -10,7 +10,8 @@
 
 namespace pimentoladder {
 
-/// Keeps the ratio of actual cost to hint for each workspace and pool.
+/// Keeps the ratio of actual cost to hint for each workspace, pool and size
+/// class of the hint, a factor of two.
 /// Not thread-safe; call on the loop's thread.
 class cost_estimator {
 public:
@@ -29,9 +30,12 @@
     static constexpr cost_units maxHint = 1e9;
 
 private:
+    static constexpr int allSizes = 1 << 20; ///< No size class of a hint.
+
     struct key {
         workspace_id workspace;
         pool_id pool;
+        int size = allSizes; ///< Size class of the hints.
         auto operator<=>(const key&) const = default;
     };
     struct sums {
@@ -39,6 +43,8 @@
         cost_units actual = 0;
     };
 
+    static double ratioOf(const sums& learned);
+
     std::map<key, sums> m_sums;
 };
 
--- a/lib/Fairness/CostEstimator.cpp
+++ b/lib/Fairness/CostEstimator.cpp
@@ -20,11 +20,26 @@
         return std::clamp(hint, cost_estimator::minHint, cost_estimator::maxHint);
     }
 
+    // Hints of one size class differ by less than a factor of two.
+    int sizeClass(cost_units hint)
+    {
+        return std::ilogb(hint);
+    }
+
+}
+
+double cost_estimator::ratioOf(const sums& learned)
+{
+    // The quotient of sums keeps the expected total charge equal to the total
+    // cost; a mean of ratios would not.
+    return std::max(learned.actual / learned.hinted, 1 / largestRatio);
 }
 
 cost_units cost_estimator::estimate(const workspace_id& workspace, const pool_id& pool, cost_units hint) const
 {
-    return boundedHint(hint) * ratio(workspace, pool);
+    const cost_units bounded = boundedHint(hint);
+    const auto found = m_sums.find(key { workspace, pool, sizeClass(bounded) });
+    return bounded * (found == m_sums.end() ? ratio(workspace, pool) : ratioOf(found->second));
 }
 
 void cost_estimator::observe(const workspace_id& workspace, const pool_id& pool, cost_units hint, cost_units actual)
@@ -32,19 +47,19 @@
     if (!std::isfinite(actual) || actual < 0)
         return;
     const cost_units bounded = boundedHint(hint);
-    sums& learned = m_sums[key { workspace, pool }];
-    learned.hinted = learned.hinted * decay + bounded;
-    learned.actual = learned.actual * decay + std::min(actual, bounded * largestRatio);
+    for (const int size : { allSizes, sizeClass(bounded) }) {
+        sums& learned = m_sums[key { workspace, pool, size }];
+        learned.hinted = learned.hinted * decay + bounded;
+        learned.actual = learned.actual * decay + std::min(actual, bounded * largestRatio);
+    }
 }
 
 double cost_estimator::ratio(const workspace_id& workspace, const pool_id& pool) const
 {
-    const auto found = m_sums.find(key { workspace, pool });
+    const auto found = m_sums.find(key { workspace, pool, allSizes });
     if (found == m_sums.end())
         return 1;
-    // The quotient of sums keeps the expected total charge equal to the total
-    // cost; a mean of ratios would not.
-    return std::max(found->second.actual / found->second.hinted, 1 / largestRatio);
+    return ratioOf(found->second);
 }
 
 }
--- a/unittests/Fairness/CostEstimatorTests.cpp
+++ b/unittests/Fairness/CostEstimatorTests.cpp
@@ -57,3 +57,15 @@
     CHECK(estimator.ratio(workspace_id("school"), pool) == 1);
     CHECK(estimator.ratio(riga, pool_id("portal")) == 1);
 }
+
+// Guards against charges far off for hints that are wrong by a factor which goes with their size.
+TEST_CASE("the ratio of small hints does not change the charge of large ones")
+{
+    cost_estimator estimator;
+    for (int i = 0; i < 20; ++i) {
+        estimator.observe(riga, pool, 10, 100);
+        estimator.observe(riga, pool, 1000, 100);
+    }
+    CHECK(std::abs(estimator.estimate(riga, pool, 10) - 100) < 1);
+    CHECK(std::abs(estimator.estimate(riga, pool, 1000) - 100) < 1);
+}
