Send service counters only to the owners that need them

A workspace is now stated to all owners when it begins to wait, and its counters then go to the owners that have stated it; lifts, clocks and everything else go to the router that owns the shard next.

--- a/include/pimentoladder/Admission/DemandQueues.h
+++ b/include/pimentoladder/Admission/DemandQueues.h
@@ -81,6 +81,9 @@
     /// Returns the servers that \p workspace may use.
     server_mask eligible(const workspace_id& workspace, const shard_view& view);
 
+    /// Adds the workspaces that have a demand waiting to \p workspaces.
+    void addBacklogged(std::set<workspace_id>& workspaces) const;
+
     std::size_t waitingCount() const { return m_places.size(); }
     std::size_t backloggedCount() const { return m_ranked.size(); }
 
--- a/include/pimentoladder/Admission/ShardScheduler.h
+++ b/include/pimentoladder/Admission/ShardScheduler.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "pimentoladder/Admission/DemandQueues.h"
@@ -142,6 +143,9 @@
 
     shard_figures figures() const;
 
+    /// Adds the workspaces with a waiting request to \p workspaces.
+    void addBacklogged(std::set<workspace_id>& workspaces) const { m_queues.addBacklogged(workspaces); }
+
 private:
     struct server_state {
         shard_server configured;
--- a/include/pimentoladder/Fairness/ServiceLedger.h
+++ b/include/pimentoladder/Fairness/ServiceLedger.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <unordered_map>
 
 #include "pimentoladder/Base/Ids.h"
@@ -57,6 +58,22 @@
     /// counters of other owners included.
     service_counters takeChanges(const member_ref& peer);
 
+    /// Begins a round of exchange; every owner is then asked for with `takeNeeded`.
+    void beginRound() { ++m_round; }
+
+    /// Like `takeChanges`, but leaves out what \p peer does not need now.
+    ///
+    /// A counter is needed by an owner that counts the same workspace: one that
+    /// has stated its own counter of it within `interestRounds`. A workspace in
+    /// \p waiting is stated to every owner when it begins to wait, and again every
+    /// `statementRounds`, so owners at which it waits learn of each other in one
+    /// round. \p isSuccessor says that the peer takes over a shard of this router
+    /// if it is lost; it gets every counter, and alone the lifts and clocks.
+    service_counters takeNeeded(const member_ref& peer, const std::set<workspace_id>& waiting, bool isSuccessor);
+
+    static constexpr std::uint64_t statementRounds = 32; ///< 8 s.
+    static constexpr std::uint64_t interestRounds = 80; ///< 20 s; two statements may be lost.
+
     /// Makes the next `takeChanges` for \p peer return everything. Call when
     /// the link to it was replaced.
     void restateTo(const member_ref& peer);
@@ -91,6 +108,11 @@
         double value = 0;
         std::uint64_t changedAt = 0;
     };
+    struct peer_needs {
+        std::map<workspace_id, std::uint64_t> statedBy; ///< Round of the peer's latest statement.
+        std::map<workspace_id, std::uint64_t> statedTo; ///< Round of the latest statement to the peer.
+        std::set<workspace_id> owed; ///< Own counters to send, because interest has begun.
+    };
     using counter_map = std::map<counter_key, counter>;
     using lift_map = std::map<lift_key, lift>;
     struct account {
@@ -104,6 +126,7 @@
     lift_map::pointer raiseLift(const shard_id& shard, const workspace_id& workspace, double value);
     void noteChange(counter_map::reference changed);
     void noteChange(lift_map::reference changed);
+    void noteStatement(const service_counter& received);
     void mergeCounter(const service_counter& received);
 
     member_ref m_self;
@@ -113,6 +136,8 @@
     std::map<std::uint64_t, counter_map::const_pointer> m_counterChanges; ///< By version; the latest change of each counter.
     std::map<std::uint64_t, lift_map::const_pointer> m_liftChanges;
     std::map<member_ref, std::uint64_t> m_sentUpTo;
+    std::map<member_ref, peer_needs> m_needs;
+    std::uint64_t m_round = 0;
     std::uint64_t m_version = 0;
     std::uint64_t m_mergeCount = 0;
 };
--- a/include/pimentoladder/Router/OwnerRole.h
+++ b/include/pimentoladder/Router/OwnerRole.h
@@ -95,6 +95,7 @@
     std::optional<time_point> acceptedSince(const owned_shard& pending) const;
     void refreshRouters(time_point now);
     std::vector<shard_router> routers() const;
+    void findSuccessors();
     void noteLostRouters(time_point now);
     void pollLoads(time_point now, router_actions& out);
     void exchangeCounters(time_point now, router_actions& out);
@@ -110,6 +111,7 @@
     cost_estimator m_estimator;
     member_ref m_self; ///< Incarnation under which shards are owned.
     std::map<shard_id, owned_shard> m_owned;
+    std::set<member_ref> m_successors; ///< Routers that own these shards next if this one is lost.
     std::map<shard_id, shard_release> m_releases; ///< Releases received before the shard was opened here.
     std::map<server_id, watched_server> m_watched;
     std::map<vm_id, member_ref> m_linked; ///< Routers whose links have opened, members or not.
--- a/lib/Admission/DemandQueues.cpp
+++ b/lib/Admission/DemandQueues.cpp
@@ -173,6 +173,12 @@
     return std::nullopt;
 }
 
+void demand_queues::addBacklogged(std::set<workspace_id>& workspaces) const
+{
+    for (const ranked_queue& entry : m_ranked)
+        workspaces.insert(entry.ranked->workspace);
+}
+
 server_mask demand_queues::contested() const
 {
     server_mask servers = 0;
--- a/lib/Fairness/ServiceLedger.cpp
+++ b/lib/Fairness/ServiceLedger.cpp
@@ -116,6 +116,7 @@
 {
     if (received.owner == m_self)
         return;
+    noteStatement(received);
     counter& known = m_counters[counter_key { received.owner, received.workspace }];
     const cost_units charged = std::max(known.charged, received.charged);
     const cost_units credited = std::max(known.credited, received.credited);
@@ -161,6 +162,56 @@
     return changes;
 }
 
+void service_ledger::noteStatement(const service_counter& received)
+{
+    peer_needs& needs = m_needs[received.owner];
+    const auto [stated, isFirst] = needs.statedBy.try_emplace(received.workspace, m_round);
+    if (isFirst || m_round - stated->second > interestRounds)
+        needs.owed.insert(received.workspace);
+    stated->second = m_round;
+}
+
+service_counters service_ledger::takeNeeded(
+    const member_ref& peer, const std::set<workspace_id>& waiting, bool isSuccessor)
+{
+    const auto sent = m_sentUpTo.find(peer);
+    if (sent == m_sentUpTo.end())
+        return takeChanges(peer);
+    peer_needs& needs = m_needs[peer];
+    for (const workspace_id& workspace : waiting) {
+        const auto [stated, isFirst] = needs.statedTo.try_emplace(workspace, m_round);
+        if (!isFirst && m_round - stated->second < statementRounds)
+            continue;
+        stated->second = m_round;
+        needs.owed.insert(workspace);
+    }
+    std::erase_if(needs.statedBy, [this](const auto& entry) { return m_round - entry.second > interestRounds; });
+    std::erase_if(needs.statedTo, [this](const auto& entry) { return m_round - entry.second > statementRounds; });
+
+    service_counters changes;
+    const auto addCounter = [&](counter_map::const_reference entry) {
+        const auto& [key, value] = entry;
+        changes.entries.push_back({ key.owner, key.workspace, value.charged, value.credited });
+    };
+    for (auto entry = m_counterChanges.upper_bound(sent->second); entry != m_counterChanges.end(); ++entry) {
+        const counter_key& key = entry->second->first;
+        const bool isNeeded = isSuccessor || key.owner != m_self || needs.statedBy.contains(key.workspace);
+        if (!isNeeded)
+            continue;
+        needs.owed.erase(key.workspace);
+        addCounter(*entry->second);
+    }
+    for (const workspace_id& workspace : std::exchange(needs.owed, {})) {
+        const auto found = m_counters.find(counter_key { m_self, workspace });
+        if (found != m_counters.end())
+            addCounter(*found);
+    }
+    for (auto entry = m_liftChanges.upper_bound(sent->second); isSuccessor && entry != m_liftChanges.end(); ++entry)
+        changes.lifts.push_back({ entry->second->first.shard, entry->second->first.workspace, entry->second->second.value });
+    sent->second = m_version;
+    return changes;
+}
+
 void service_ledger::restateTo(const member_ref& peer)
 {
     m_sentUpTo.erase(peer);
--- a/lib/Router/OwnerRole.cpp
+++ b/lib/Router/OwnerRole.cpp
@@ -1,6 +1,7 @@
 #include "pimentoladder/Router/OwnerRole.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pimentoladder {
 
@@ -66,10 +67,29 @@
         if (owned.scheduler)
             owned.scheduler->onDocumentChanged(now);
     }
+    findSuccessors();
     refreshRouters(now);
     openAccepted(now, out);
 }
 
+void owner_role::findSuccessors()
+{
+    const std::vector<member_ref> suspended = m_fleet.suspended().members();
+    std::set<member_ref> excluded(suspended.begin(), suspended.end());
+    excluded.insert(m_self);
+    const std::set<member_ref> before = std::exchange(m_successors, {});
+    for (const auto& [id, owned] : m_owned) {
+        const member_ref next = shardOwner(id, m_fleet.current(), excluded);
+        if (!next.vm.isEmpty())
+            m_successors.insert(next);
+    }
+    // A new successor lacks what was left out while it was a plain owner.
+    for (const member_ref& successor : m_successors) {
+        if (!before.contains(successor))
+            m_ledger->restateTo(successor);
+    }
+}
+
 void owner_role::takeOver(const shard& taken, time_point now)
 {
     owned_shard owned;
@@ -321,13 +341,19 @@
     if (m_exchangedAt && now - *m_exchangedAt < exchangeInterval)
         return;
     m_exchangedAt = now;
-    std::set<member_ref> owners;
+    std::set<member_ref> owners = m_successors;
     for (const shard& described : m_directory.shards().shards()) {
         if (described.owner != m_self && !described.owner.vm.isEmpty())
             owners.insert(described.owner);
     }
+    std::set<workspace_id> waiting;
+    for (const auto& [id, owned] : m_owned) {
+        if (owned.scheduler)
+            owned.scheduler->addBacklogged(waiting);
+    }
+    m_ledger->beginRound();
     for (const member_ref& owner : owners) {
-        service_counters changes = m_ledger->takeChanges(owner);
+        service_counters changes = m_ledger->takeNeeded(owner, waiting, m_successors.contains(owner));
         if (!changes.entries.empty() || !changes.lifts.empty())
             out.push_back(send_message { owner.vm, std::move(changes) });
     }
--- a/unittests/Fairness/ServiceLedgerTests.cpp
+++ b/unittests/Fairness/ServiceLedgerTests.cpp
@@ -1,6 +1,7 @@
 #include "pimentoladder/Fairness/ServiceLedger.h"
 
 #include <algorithm>
+#include <set>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -120,3 +121,56 @@
     });
     CHECK(isHeld);
 }
+
+// Guards against owners that rank a workspace which waits at both without each other's service.
+TEST_CASE("owners at which a workspace waits exchange its counter every round")
+{
+    service_ledger left(owner("a", 1));
+    service_ledger right(owner("b", 1));
+    const auto exchange = [&](const std::set<workspace_id>& waiting) {
+        left.beginRound();
+        right.beginRound();
+        const service_counters sent = left.takeNeeded(owner("b", 1), waiting, false);
+        right.merge(sent);
+        left.merge(right.takeNeeded(owner("a", 1), waiting, false));
+        return sent;
+    };
+    exchange({});
+    // Served at both, waiting at none: nobody needs the counters.
+    left.charge(riga, 5);
+    right.charge(riga, 7);
+    CHECK(exchange({}).entries.empty());
+    CHECK(right.service(riga) == 7);
+
+    exchange({ riga });
+    CHECK(left.service(riga) == 12);
+    CHECK(right.service(riga) == 12);
+    for (std::uint64_t round = 0; round < 3 * service_ledger::statementRounds; ++round) {
+        left.charge(riga, 1);
+        right.charge(riga, 1);
+        exchange({ riga });
+        CHECK(left.service(riga) == right.service(riga));
+    }
+    // Long after it last waited the exchange ends.
+    for (std::uint64_t round = 0; round <= 2 * service_ledger::interestRounds; ++round)
+        exchange({});
+    left.charge(riga, 1);
+    CHECK(exchange({}).entries.empty());
+}
+
+// Guards against a lost owner whose lifts and counters nobody has kept.
+TEST_CASE("the successor gets every counter and lift")
+{
+    service_ledger ledger(owner("a", 1));
+    ledger.takeNeeded(owner("b", 1), {}, true);
+    ledger.takeNeeded(owner("c", 1), {}, false);
+    ledger.charge(school, 2);
+    ledger.liftTo(shard, riga, 3);
+    ledger.beginRound();
+    const service_counters kept = ledger.takeNeeded(owner("b", 1), {}, true);
+    CHECK(kept.entries.size() == 1);
+    CHECK(kept.lifts.size() == 1);
+    const service_counters spared = ledger.takeNeeded(owner("c", 1), {}, false);
+    CHECK(spared.entries.empty());
+    CHECK(spared.lifts.empty());
+}
