--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -63,7 +63,7 @@
     cost_units costHint = 1;
     fingerprint print {}; ///< Set only for requests under crash suspicion.
     std::uint64_t prefixHash = 0; ///< Prompt prefix, for cache affinity; 0: none.
-    model_id model; ///< Only servers that have it loaded serve the request; empty: any server.
+    model_id model {}; ///< Only servers that have it loaded serve the request; empty: any server.
 };
 
 /// Asks the owner of a shard for grants, and withdraws earlier requests.
