--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -45,7 +45,10 @@
     if (!config)
         throw std::runtime_error("libevent refuses a configuration");
     // The coarse clock would fire timers up to a tick early.
-    event_config_set_flag(config, EVENT_BASE_FLAG_NOLOCK | EVENT_BASE_FLAG_PRECISE_TIMER);
+    // evhttp disables and enables reading for each message; the change list drops
+    // pairs of changes that cancel out within one turn. No descriptor is duplicated,
+    // which the list would not bear.
+    event_config_set_flag(config, EVENT_BASE_FLAG_NOLOCK | EVENT_BASE_FLAG_PRECISE_TIMER | EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
     m_base = event_base_new_with_config(config);
     event_config_free(config);
     if (!m_base)
