Keep received grants in vectors and move settled actions

Each turn exchanged two deques of grants, and a deque allocates even when it is empty: 3.4 % of the router's samples (perf, 14,990/s). settle copied each action that it passed on: 1.7 %.

AdmissionTests and RouterTests pass.

--- a/include/pimentoladder/Admission/GrantHolder.h
+++ b/include/pimentoladder/Admission/GrantHolder.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -132,8 +131,8 @@
     fencing_token m_token;
     waiting_map m_waiting;
     std::map<request_number, running_request> m_running;
-    std::deque<held_grant> m_arrived; ///< Grants for a named request, not yet used.
-    std::deque<held_grant> m_advance; ///< Unused advance grants.
+    std::vector<held_grant> m_arrived; ///< Grants for a named request, not yet used.
+    std::vector<held_grant> m_advance; ///< Unused advance grants.
     std::set<grant_number> m_seen; ///< Latest grants of this owner, so that a repeated message gives nothing.
     std::vector<request_number> m_unstated; ///< Waiting requests to state in the next acquire.
     std::vector<request_number> m_withdrawn;
--- a/lib/Admission/GrantHolder.cpp
+++ b/lib/Admission/GrantHolder.cpp
@@ -146,7 +146,7 @@
 
 void grant_holder::useAdvanceGrants(time_point ownerClock, holder_actions& actions)
 {
-    std::deque<held_grant> kept;
+    std::vector<held_grant> kept;
     for (const held_grant& held : std::exchange(m_advance, {})) {
         if (ownerClock >= held.entry.expiresAt) {
             returnGrant(held);
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -125,6 +125,7 @@
 {
     turn(now, events);
     router_actions settled;
+    settled.reserve(events.size());
     // Messages to this router itself are delivered at once; each delivery may
     // give rise to further actions, which are appended and settled in turn.
     for (std::size_t i = 0; i < events.size(); ++i) {
@@ -134,7 +135,7 @@
         const bool changesDirectory = std::holds_alternative<document_in_force>(action)
             || std::holds_alternative<membership_changed>(action) || std::holds_alternative<change_incarnation>(action);
         if (!isToSelf)
-            settled.push_back(action);
+            settled.push_back(std::move(action));
         if (isToSelf)
             dispatch(m_fleet.self(), sent->content, now, events);
         if (changesDirectory)
