Write log lines without building a JSON document

Each line was built as an ordered_json object and then dumped: 5.2 % of the router's samples. It is now appended to one kept string; text with quotes, control characters or bytes above ASCII still goes through the JSON library.

TelemetryTests and DaemonTests pass.

--- a/include/pimentoladder/Telemetry/Log.h
+++ b/include/pimentoladder/Telemetry/Log.h
@@ -62,6 +62,7 @@
     log_level m_threshold;
     log_sink m_sink;
     std::function<time_point()> m_now;
+    std::string m_line; ///< Kept to spare allocations.
     std::uint64_t m_droppedLines = 0;
 };
 
--- a/lib/Telemetry/Log.cpp
+++ b/lib/Telemetry/Log.cpp
@@ -1,8 +1,12 @@
 #include "pimentoladder/Telemetry/Log.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <charconv>
 #include <climits>
+#include <concepts>
+#include <string>
 
 #include <poll.h>
 #include <sys/uio.h>
@@ -40,6 +44,49 @@
 
     logger* activeLogger = nullptr;
 
+    bool isPlain(char c)
+    {
+        return c >= ' ' && c < '\x7f' && c != '"' && c != '\\';
+    }
+
+    void appendValue(std::string& line, std::string_view text)
+    {
+        if (std::ranges::all_of(text, isPlain)) {
+            line.append(1, '"').append(text).append(1, '"');
+            return;
+        }
+        // Text from callers may hold invalid UTF-8, which would otherwise throw.
+        line += nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+
+    void appendValue(std::string& line, bool value)
+    {
+        line += value ? "true" : "false";
+    }
+
+    void appendValue(std::string& line, double value)
+    {
+        // Infinity and not-a-number have no form in JSON.
+        line += nlohmann::json(value).dump();
+    }
+
+    template <std::integral Number>
+    void appendValue(std::string& line, Number value)
+    {
+        std::array<char, 24> digits {};
+        const auto [end, code] = std::to_chars(digits.data(), digits.data() + digits.size(), value);
+        line.append(digits.data(), end);
+    }
+
+    template <typename Value>
+    void appendField(std::string& line, std::string_view name, const Value& value)
+    {
+        line += ',';
+        appendValue(line, name);
+        line += ':';
+        appendValue(line, value);
+    }
+
 }
 
 /// Passes each line from the log library to the active logger's sink.
@@ -104,15 +151,14 @@
 {
     if (level < m_threshold)
         return;
-    nlohmann::ordered_json line;
-    line["time_ns"] = m_now().time_since_epoch().count();
-    line["level"] = describe(level).name;
-    line["event"] = event;
+    m_line = "{\"time_ns\":";
+    appendValue(m_line, static_cast<std::int64_t>(m_now().time_since_epoch().count()));
+    appendField(m_line, "level", describe(level).name);
+    appendField(m_line, "event", event);
     for (const log_field& field : fields)
-        std::visit([&](const auto& value) { line[std::string(field.name)] = value; }, field.value);
-    // Text from callers may hold invalid UTF-8, which would otherwise throw.
-    const std::string text = line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
-    el::base::Writer(describe(level).libraryLevel, __FILE__, __LINE__, ELPP_FUNC).construct(1, loggerName) << text;
+        std::visit([&](const auto& value) { appendField(m_line, field.name, value); }, field.value);
+    m_line += '}';
+    el::base::Writer(describe(level).libraryLevel, __FILE__, __LINE__, ELPP_FUNC).construct(1, loggerName) << m_line;
 }
 
 void logger::emit(std::string_view line)
