Order loads and unloads from the shard owner and read their effect

The owner role plans placement for each model shard, sends an order only while fresh and after its predecessor's window, checks both again at the first byte, and counts the effect only when it has been read back. Requests name a model with X-Model. The fleet harness no longer keeps references to ended events for frozen routers.

--- a/include/pimentoladder/Daemon/DecisionLog.h
+++ b/include/pimentoladder/Daemon/DecisionLog.h
@@ -19,6 +19,7 @@
 
     void perform(const route_decision& decided);
     void perform(const ownership_decision& decided);
+    void perform(const placement_decision& decided);
     void perform(const document_in_force& applied);
     void perform(const change_incarnation& changed);
     void perform(const report_fault& reported);
--- a/include/pimentoladder/Daemon/MetricsReport.h
+++ b/include/pimentoladder/Daemon/MetricsReport.h
@@ -24,6 +24,7 @@
 private:
     void collectRouter();
     void collectShards();
+    void collectPlacement();
     void collectLinks();
 
     core_driver& m_driver;
--- a/include/pimentoladder/Outcome/Refusal.h
+++ b/include/pimentoladder/Outcome/Refusal.h
@@ -27,6 +27,7 @@
     noPool,
     noEligibleServer,
     invalidCostHint,
+    invalidModel,
     // The request was not given to a backend server.
     queueFull,
     queueTimeout,
--- a/include/pimentoladder/Placement/OrderBook.h
+++ b/include/pimentoladder/Placement/OrderBook.h
@@ -73,6 +73,10 @@
 public:
     explicit order_book(order_book_settings settings = {});
 
+    /// Sets the engines of the shard. Each is read before its first order,
+    /// because it may still load what an earlier owner ordered.
+    void setServers(const std::set<server_id>& servers);
+
     /// An order is about to be sent. Precondition: `mayOrder` holds for its server.
     void begin(const placement_order& order, time_point now);
 
@@ -94,6 +98,12 @@
     /// Returns the order in progress at \p server; null if there is none.
     const placement_order* pending(const server_id& server) const;
 
+    /// Returns whether \p server loads \p model, or is ordered to.
+    bool isLoading(const server_id& server, const model_id& model) const;
+
+    /// Returns whether \p server loads any model, or is ordered to.
+    bool isLoadingAny(const server_id& server) const;
+
     /// Returns the models that requests may use at \p server: loaded ones
     /// without an order to unload them.
     std::set<model_id> usable(const server_id& server) const;
@@ -119,16 +129,18 @@
         placement_order order;
         time_point sentAt;
         progress state = progress::sent;
-        std::optional<time_point> readAt;
     };
     struct known_engine {
         std::set<model_id> loaded;
+        std::optional<std::set<model_id>> loading; ///< None before the engine was first read.
         std::map<model_id, time_point> since;
+        std::optional<time_point> readAt;
         time_point takenAt;
         bool isStated = false;
         time_point retryAt;
     };
 
+    bool isReadDue(const server_id& server, const known_engine& known, time_point now) const;
     void drop(const server_id& server, time_point now);
 
     order_book_settings m_settings;
--- a/include/pimentoladder/Router/Actions.h
+++ b/include/pimentoladder/Router/Actions.h
@@ -15,6 +15,8 @@
 #include "pimentoladder/Config/Rows.h"
 #include "pimentoladder/Outcome/IdempotencyClaims.h"
 #include "pimentoladder/Outcome/RequestLifecycle.h"
+#include "pimentoladder/Placement/OrderBook.h"
+#include "pimentoladder/Placement/PlacementPlanner.h"
 #include "pimentoladder/Protocol/Messages.h"
 
 namespace pimentoladder {
@@ -119,9 +121,32 @@
     time_point grantsFrom; ///< First grant at the earliest.
 };
 
+/// Send an order to an engine, if `router_core::mayGiveOrder` holds at the
+/// first byte. Its call must end within the grant lifetime (1 s).
+struct order_server {
+    placement_order order;
+    endpoint location;
+};
+
+/// Read the models of an engine that has an order in progress.
+struct read_models {
+    server_id server;
+    endpoint location;
+};
+
+/// An order was decided: the record of one placement decision.
+struct placement_decision {
+    shard_id shard;
+    placement_order order;
+    cost_units demand = 0; ///< Smoothed demand for the model that is to be loaded.
+    cost_units capacity = 0; ///< Of the servers that have that model or load it.
+    placement_reason reason = placement_reason::notLoaded;
+};
+
 using router_action = std::variant<send_message, poll_revision, fetch_rows, commit_rows, change_incarnation,
     document_in_force, membership_changed, report_fault, poll_load, start_attempt, stop_stream, request_step,
-    write_claims, read_claims, store_body, route_decision, ownership_decision>;
+    write_claims, read_claims, store_body, route_decision, ownership_decision,
+    order_server, read_models, placement_decision>;
 using router_actions = std::vector<router_action>;
 
 }
--- a/include/pimentoladder/Router/OwnerRole.h
+++ b/include/pimentoladder/Router/OwnerRole.h
@@ -16,6 +16,7 @@
 #include "pimentoladder/Router/Actions.h"
 #include "pimentoladder/Router/FleetCoordinator.h"
 #include "pimentoladder/Router/ShardDirectory.h"
+#include "pimentoladder/Router/ShardPlacement.h"
 
 namespace pimentoladder {
 
@@ -25,7 +26,8 @@
 class owner_role {
 public:
     /// \p fleet and \p directory outlive the role.
-    owner_role(const fleet_coordinator& fleet, const shard_directory& directory, std::uint64_t seed);
+    owner_role(const fleet_coordinator& fleet, const shard_directory& directory, std::uint64_t seed,
+        const placement_settings& placement = {});
     ~owner_role();
 
     /// The document, the suspended members or the own incarnation changed, and
@@ -47,6 +49,13 @@
     /// A backend server did not answer a load poll.
     void onLoadFailed(const server_id& server, time_point now, router_actions& out);
 
+    /// An engine answered an order, or stated its models.
+    void onOrderAnswered(const server_id& server, order_number number, order_outcome outcome, time_point now);
+    void onModelsRead(const engine_state& state, time_point now);
+
+    /// Returns whether the first byte of an order may be given to its socket.
+    bool mayGiveOrder(const server_id& server, order_number number, time_point now) const;
+
     /// A router lost its connection to a server while the named requests ran
     /// there. The loss counts once the server proves to have restarted.
     void onSuspectedCrash(const crash_report& received, time_point now);
@@ -71,6 +80,13 @@
     };
     std::vector<server_figures> serverFigures() const;
 
+    /// Placement in one owned shard, for metrics.
+    struct owned_placement {
+        shard_id shard;
+        placement_figures figures;
+    };
+    std::vector<owned_placement> placementFigures() const;
+
     const service_ledger& ledger() const { return *m_ledger; }
 
 private:
@@ -79,6 +95,7 @@
         revision since; ///< The document that gave the shard to this router.
         std::unique_ptr<directory_shard_view> view;
         std::unique_ptr<shard_scheduler> scheduler; ///< None until the change that gave the shard is accepted.
+        std::unique_ptr<shard_placement> placement; ///< Only for pools of model engines, with the scheduler.
         time_point learnedAt;
         time_point grantsFrom;
     };
@@ -98,11 +115,19 @@
     void pollLoads(time_point now, router_actions& out);
     void exchangeCounters(time_point now, router_actions& out);
     void confirmCrash(const server_id& server, watched_server& watched, time_point now, router_actions& out);
+    void placeModels(time_point now, router_actions& out);
+    void refreshBudgets(time_point now);
+    bool mayOrder(const owned_shard& owned, time_point now) const;
+    const owned_shard* homeOf(const server_id& server) const;
     shard_scheduler* openScheduler(const shard_id& id, fencing_token token);
 
     const fleet_coordinator& m_fleet;
     const shard_directory& m_directory;
     std::uint64_t m_seed;
+    placement_settings m_placement;
+    std::uint64_t m_lastOrder = 0;
+    revision m_appliedRevision;
+    time_point m_appliedAt; ///< When `m_appliedRevision` was applied.
     least_virtual_time m_order;
     local_then_prefix m_choice;
     std::unique_ptr<service_ledger> m_ledger;
--- a/include/pimentoladder/Router/RequestCoordinator.h
+++ b/include/pimentoladder/Router/RequestCoordinator.h
@@ -33,6 +33,7 @@
     std::uint64_t contentHash = 0; ///< Of query and body.
     std::uint64_t prefixHash = 0; ///< Of the start of the body; zero: none.
     std::size_t bodyBytes = 0;
+    std::optional<std::string> model; ///< Name of a model or adapter, as sent.
 };
 
 /// Head of a backend server's answer.
--- a/include/pimentoladder/Router/RouterCore.h
+++ b/include/pimentoladder/Router/RouterCore.h
@@ -22,7 +22,8 @@
 /// in order. Times must not go back. Not thread-safe; call on the loop's thread.
 class router_core {
 public:
-    router_core(router_identity identity, lifecycle_limits limits, std::uint64_t seed);
+    router_core(router_identity identity, lifecycle_limits limits, std::uint64_t seed,
+        const placement_settings& placement = {});
     ~router_core();
     router_core(const router_core&) = delete;
     router_core& operator=(const router_core&) = delete;
@@ -40,6 +41,11 @@
     router_actions onLoadReport(time_point now, const server_load& load);
     router_actions onLoadFailed(time_point now, const server_id& server);
 
+    /// Decides whether the first byte of an order may be given to its socket.
+    bool mayGiveOrder(time_point now, const server_id& server, order_number number) const;
+    router_actions onOrderAnswered(time_point now, const server_id& server, order_number number, order_outcome outcome);
+    router_actions onModelsRead(time_point now, const engine_state& state);
+
     // Other routers.
 
     router_actions onMessage(time_point now, const member_ref& from, const message& received);
--- /dev/null
+++ b/include/pimentoladder/Router/ShardPlacement.h
@@ -0,0 +1,97 @@
+/// \file
+/// Placement of models on the engines of one owned shard.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "pimentoladder/Admission/ShardScheduler.h"
+#include "pimentoladder/Placement/DemandMeter.h"
+#include "pimentoladder/Placement/OrderBook.h"
+#include "pimentoladder/Placement/PlacementPlanner.h"
+#include "pimentoladder/Placement/WeightBudget.h"
+
+namespace pimentoladder {
+
+/// An order that is to be sent, with the reason for it.
+struct placement_step {
+    placement_order order;
+    placement_choice choice;
+};
+
+/// Figures of one shard, for metrics.
+struct placement_figures {
+    struct model_figures {
+        model_id model;
+        cost_units demand = 0;
+        std::size_t loadedServers = 0;
+    };
+    order_counters orders;
+    bool isStopped = false;
+    double loadsPerSecond = 0; ///< Share of the weight store's rate.
+    std::vector<model_figures> models;
+};
+
+/// Joins the demand meter, the planner, the order book and the budget of one
+/// ownership. Not thread-safe; call on the loop's thread.
+class shard_placement {
+public:
+    /// \p scheduler outlives the object. The servers that the shard holds now
+    /// may be ordered under \p ownership from its `grantsFrom` on.
+    shard_placement(const shard_ownership& ownership, shard_scheduler& scheduler, cost_units requestCost,
+        const placement_settings& settings, time_point now);
+
+    /// The document changed. A server that has joined the shard since is
+    /// ordered under \p token, because its engine may have seen the token of
+    /// the owner of the shard that it left.
+    void onDocumentChanged(fencing_token token, revision at, time_point now);
+
+    /// Sets the number of shards that share the weight store's rate.
+    void setShards(std::size_t shards, bool isSettled, time_point now) { m_budget.setShards(shards, isSettled, now); }
+
+    void onState(const engine_state& state, time_point now);
+    void onAnswer(const server_id& server, order_number number, order_outcome outcome, time_point now);
+
+    /// Returns the order to send now, if there is one. Precondition: the owner
+    /// is fresh, on evidence from \p basis. \p acceptedAt tells since when a
+    /// revision has been accepted.
+    std::optional<placement_step> onTick(time_point basis,
+        const std::function<std::optional<time_point>(revision)>& acceptedAt, order_number next, time_point now);
+
+    /// Returns the engines whose models are to be read now.
+    std::vector<server_id> takeReadsDue(time_point now) { return m_orders.takeReadsDue(now); }
+
+    /// Returns whether the order is still in progress and its server may be ordered.
+    bool mayGive(const server_id& server, order_number number, time_point now) const;
+
+    placement_figures figures() const;
+
+private:
+    struct member_server {
+        fencing_token token;
+        revision since; ///< Document with which the server joined; zero: with the ownership.
+        time_point learnedAt;
+        std::optional<time_point> ordersFrom;
+    };
+
+    std::vector<placement_server> describeServers(time_point now) const;
+    void setOrderServers();
+    void refresh(const server_id& server, time_point now);
+
+    shard_ownership m_ownership;
+    shard_scheduler& m_scheduler;
+    cost_units m_requestCost;
+    placement_settings m_settings;
+    demand_meter m_meter;
+    order_book m_orders;
+    placement_planner m_planner;
+    weight_budget m_budget;
+    std::map<server_id, member_server> m_servers;
+    std::optional<time_point> m_plannedAt;
+};
+
+}
--- a/include/pimentoladder/Settings/Settings.h
+++ b/include/pimentoladder/Settings/Settings.h
@@ -61,6 +61,12 @@
     std::chrono::nanoseconds deadline = std::chrono::seconds(60); ///< Work in progress is cut after this.
 };
 
+/// Placement of models; must be the same on all routers.
+struct placement_limits {
+    std::uint64_t loadsPerMinute = 60; ///< That the weight store bears from the whole fleet.
+    std::uint64_t modelsPerServer = 4; ///< That one engine holds at once.
+};
+
 struct settings {
     vm_id vm;
     data_centre_id dataCentre;
@@ -72,6 +78,7 @@
     limit_settings limits;
     timeout_settings timeouts;
     shutdown_settings shutdown;
+    placement_limits placement;
     std::string logLevel = "info";
 };
 
--- a/lib/Daemon/CallerFront.cpp
+++ b/lib/Daemon/CallerFront.cpp
@@ -131,6 +131,8 @@
         described.keyDigest = digestOf(authorization->substr(bearerPrefix.size()));
     if (const auto hint = findHeader(received.headers, "X-Cost-Hint"))
         described.costHint = std::string(*hint);
+    if (const auto model = findHeader(received.headers, "X-Model"))
+        described.model = std::string(*model);
     if (const auto key = findHeader(received.headers, "Idempotency-Key"))
         described.idempotencyKeyHash = sha256Hex(*key);
     const std::uint64_t targetHash = XXH3_64bits(received.target.data(), received.target.size());
--- a/lib/Daemon/DecisionLog.cpp
+++ b/lib/Daemon/DecisionLog.cpp
@@ -33,6 +33,22 @@
         });
 }
 
+void decision_log::perform(const placement_decision& decided)
+{
+    m_log.write(log_level::info, "placement_decided",
+        {
+            { "shard", std::string_view(decided.shard.value()) },
+            { "order", decided.order.number.value() },
+            { "server", std::string_view(decided.order.server.value()) },
+            { "action", placementActionName(decided.order.action) },
+            { "model", std::string_view(decided.order.model.value()) },
+            { "token", decided.order.token.value() },
+            { "demand", decided.demand },
+            { "loaded_capacity", decided.capacity },
+            { "why", placementReasonName(decided.reason) },
+        });
+}
+
 void decision_log::perform(const document_in_force& applied)
 {
     m_log.write(log_level::info, "in_force", { { "revision", applied.at.value() } });
--- a/lib/Daemon/MetricsReport.cpp
+++ b/lib/Daemon/MetricsReport.cpp
@@ -23,6 +23,7 @@
 {
     collectRouter();
     collectShards();
+    collectPlacement();
     collectLinks();
     return m_metrics.text();
 }
@@ -64,6 +65,24 @@
     }
 }
 
+void metrics_report::collectPlacement()
+{
+    for (const auto& [shard, figures] : m_driver.core().owner().placementFigures()) {
+        const std::vector<metric_label> labels { { "shard", shard.value() } };
+        m_metrics.set("pimentoladder_placement_orders", labels, static_cast<double>(figures.orders.sent));
+        m_metrics.set("pimentoladder_placement_orders_confirmed", labels, static_cast<double>(figures.orders.confirmed));
+        m_metrics.set("pimentoladder_placement_orders_lost", labels, static_cast<double>(figures.orders.lost));
+        m_metrics.set("pimentoladder_placement_orders_refused", labels, static_cast<double>(figures.orders.refused));
+        m_metrics.set("pimentoladder_placement_stopped", labels, figures.isStopped ? 1 : 0);
+        m_metrics.set("pimentoladder_placement_loads_per_second", labels, figures.loadsPerSecond);
+        for (const auto& [model, demand, loadedServers] : figures.models) {
+            const std::vector<metric_label> modelLabels { { "shard", shard.value() }, { "model", model.value() } };
+            m_metrics.set("pimentoladder_model_demand_cost_units", modelLabels, demand);
+            m_metrics.set("pimentoladder_model_loaded_servers", modelLabels, static_cast<double>(loadedServers));
+        }
+    }
+}
+
 void metrics_report::collectLinks()
 {
     const link_counters& counters = m_mesh.counters();
--- a/lib/Daemon/RouterProcess.cpp
+++ b/lib/Daemon/RouterProcess.cpp
@@ -9,6 +9,7 @@
 #include "pimentoladder/Daemon/DecisionLog.h"
 #include "pimentoladder/Daemon/LoadPoller.h"
 #include "pimentoladder/Daemon/MetricsReport.h"
+#include "pimentoladder/Daemon/OrderSender.h"
 #include "pimentoladder/Daemon/PeerMesh.h"
 #include "pimentoladder/Daemon/PlatformAccess.h"
 #include "pimentoladder/Daemon/PlatformGateway.h"
@@ -39,6 +40,15 @@
         return limits;
     }
 
+    placement_settings placementOf(const settings& configured)
+    {
+        constexpr double secondsPerMinute = 60;
+        placement_settings placement;
+        placement.loadsPerSecond = static_cast<double>(configured.placement.loadsPerMinute) / secondsPerMinute;
+        placement.modelsPerServer = configured.placement.modelsPerServer;
+        return placement;
+    }
+
     http_client_limits backendLimits(const settings& configured)
     {
         http_client_limits limits;
@@ -110,6 +120,7 @@
     decision_log decisions;
     caller_front callers;
     load_poller loads;
+    order_sender orders;
     peer_mesh mesh;
     platform_access platform;
     platform_gateway gateway;
@@ -127,11 +138,12 @@
     , configured(from)
     , backends(loop, backendLimits(configured))
     , polls(loop, pollLimits())
-    , core(identityOf(configured, start), lifecycleLimits(configured), seed)
+    , core(identityOf(configured, start), lifecycleLimits(configured), seed, placementOf(configured))
     , driver(loop, core)
     , decisions(log)
     , callers(driver, backends, log, values, configured.limits.bufferBytes)
     , loads(driver, polls, log)
+    , orders(driver, polls, log)
     , mesh(driver, log, linkSettings(configured, start), seed + 1)
     , platform(loop, configured.platform, seed + 2)
     , gateway(driver, log, platform.clients(), configured.vm.value() + "-" + std::to_string(start.value()))
@@ -169,6 +181,9 @@
         void operator()(const report_fault& step) const { to.decisions.perform(step); }
         void operator()(const route_decision& step) const { to.decisions.perform(step); }
         void operator()(const ownership_decision& step) const { to.decisions.perform(step); }
+        void operator()(const placement_decision& step) const { to.decisions.perform(step); }
+        void operator()(const order_server& step) const { to.orders.perform(step); }
+        void operator()(const read_models& step) const { to.orders.perform(step); }
     };
     std::visit(performer { *this }, action);
 }
--- a/lib/Placement/OrderBook.cpp
+++ b/lib/Placement/OrderBook.cpp
@@ -15,10 +15,19 @@
 {
 }
 
+void order_book::setServers(const std::set<server_id>& servers)
+{
+    const auto hasLeft = [&](const auto& entry) { return !servers.contains(entry.first); };
+    std::erase_if(m_engines, hasLeft);
+    std::erase_if(m_pending, hasLeft);
+    for (const server_id& server : servers)
+        m_engines.try_emplace(server);
+}
+
 void order_book::begin(const placement_order& order, time_point now)
 {
     assert(mayOrder(order.server, now) && "one order at a time for each engine");
-    m_pending[order.server] = { order, now, progress::sent, std::nullopt };
+    m_pending[order.server] = { order, now, progress::sent };
     ++m_counters.sent;
 }
 
@@ -47,18 +56,27 @@
 void order_book::drop(const server_id& server, time_point now)
 {
     ++m_counters.lost;
-    m_engines[server].retryAt = now + m_settings.retryAfter;
+    m_engines.at(server).retryAt = now + m_settings.retryAfter;
     m_pending.erase(server);
 }
 
 void order_book::onState(const engine_state& state, time_point now)
 {
-    known_engine& known = m_engines[state.server];
+    const auto engine = m_engines.find(state.server);
+    if (engine == m_engines.end())
+        return;
+    known_engine& known = engine->second;
     if (known.isStated && state.takenAt < known.takenAt)
         return;
     known.isStated = true;
     known.takenAt = state.takenAt;
     known.loaded = state.loaded;
+    if (state.loading)
+        known.loading = state.loading;
+    for (const model_id& model : state.loaded) {
+        if (known.loading)
+            known.loading->erase(model);
+    }
     for (const model_id& model : state.loaded)
         known.since.try_emplace(model, now);
     std::erase_if(known.since, [&](const auto& entry) { return !state.loaded.contains(entry.first); });
@@ -90,8 +108,26 @@
 bool order_book::mayOrder(const server_id& server, time_point now) const
 {
     const auto known = m_engines.find(server);
-    return !m_stoppedAt && !m_pending.contains(server)
-        && (known == m_engines.end() || now >= known->second.retryAt);
+    return !m_stoppedAt && !m_pending.contains(server) && known != m_engines.end() && known->second.loading
+        && known->second.loading->empty() && now >= known->second.retryAt;
+}
+
+bool order_book::isLoading(const server_id& server, const model_id& model) const
+{
+    const placement_order* order = pending(server);
+    if (order && order->action == placement_action::load && order->model == model)
+        return true;
+    const auto known = m_engines.find(server);
+    return known != m_engines.end() && known->second.loading && known->second.loading->contains(model);
+}
+
+bool order_book::isLoadingAny(const server_id& server) const
+{
+    const placement_order* order = pending(server);
+    if (order && order->action == placement_action::load)
+        return true;
+    const auto known = m_engines.find(server);
+    return known != m_engines.end() && known->second.loading && !known->second.loading->empty();
 }
 
 const placement_order* order_book::pending(const server_id& server) const
@@ -124,14 +160,22 @@
     return since == known->second.since.end() ? std::nullopt : std::optional(since->second);
 }
 
+bool order_book::isReadDue(const server_id& server, const known_engine& known, time_point now) const
+{
+    const auto pending = m_pending.find(server);
+    const bool isWanted = pending != m_pending.end() || !known.loading || !known.loading->empty();
+    const bool isRecent = known.readAt && now < *known.readAt + m_settings.readInterval;
+    const bool isJustSent = pending != m_pending.end() && now < pending->second.sentAt + m_settings.readInterval;
+    return isWanted && !isRecent && !isJustSent;
+}
+
 std::vector<server_id> order_book::takeReadsDue(time_point now)
 {
     std::vector<server_id> due;
-    for (auto& [server, pending] : m_pending) {
-        const time_point lastStep = std::max(pending.sentAt, pending.readAt.value_or(pending.sentAt));
-        if (now < lastStep + m_settings.readInterval)
+    for (auto& [server, known] : m_engines) {
+        if (!isReadDue(server, known, now))
             continue;
-        pending.readAt = now;
+        known.readAt = now;
         due.push_back(server);
     }
     return due;
--- a/lib/Placement/PlacementPlanner.cpp
+++ b/lib/Placement/PlacementPlanner.cpp
@@ -28,9 +28,8 @@
     server_mask found = 0;
     for (std::size_t i = 0; i < seen.servers.size(); ++i) {
         const server_id& server = seen.servers[i].id;
-        const placement_order* order = seen.orders.pending(server);
-        const bool isOrdered = order && order->action == placement_action::load && order->model == model;
-        if (seen.servers[i].isOrderable && (isOrdered || seen.orders.usable(server).contains(model)))
+        const bool isHolder = seen.orders.isLoading(server, model) || seen.orders.usable(server).contains(model);
+        if (seen.servers[i].isOrderable && isHolder)
             found |= maskOf(i);
     }
     return found;
--- a/lib/Router/OwnerRole.cpp
+++ b/lib/Router/OwnerRole.cpp
@@ -24,10 +24,12 @@
 
 }
 
-owner_role::owner_role(const fleet_coordinator& fleet, const shard_directory& directory, std::uint64_t seed)
+owner_role::owner_role(const fleet_coordinator& fleet, const shard_directory& directory, std::uint64_t seed,
+    const placement_settings& placement)
     : m_fleet(fleet)
     , m_directory(directory)
     , m_seed(seed)
+    , m_placement(placement)
     , m_ledger(std::make_unique<service_ledger>(fleet.self()))
     , m_self(fleet.self())
 {
@@ -59,9 +61,16 @@
         if (described.owner == m_self && !m_owned.contains(described.id))
             takeOver(described, now);
     }
+    const fencing_token joined = tokenAt(m_fleet.current().at, m_fleet.suspended().members().size());
     for (auto& [id, owned] : m_owned) {
         if (owned.scheduler)
             owned.scheduler->onDocumentChanged(now);
+        if (owned.placement)
+            owned.placement->onDocumentChanged(joined, m_fleet.current().at, now);
+    }
+    if (m_appliedRevision != m_fleet.current().at) {
+        m_appliedRevision = m_fleet.current().at;
+        m_appliedAt = now;
     }
     refreshRouters(now);
     openAccepted(now, out);
@@ -120,6 +129,10 @@
         if (const auto released = m_releases.find(id); released != m_releases.end())
             owned.scheduler->onShardRelease(released->second);
         m_releases.erase(id);
+        const auto& pools = m_directory.access().source().pools;
+        const auto served = pools.find(described->pool);
+        if (served != pools.end() && served->second.kind == pool_kind::model)
+            owned.placement = std::make_unique<shard_placement>(ownership, *owned.scheduler, served->second.defaultCost, m_placement, now);
         out.push_back(ownership_decision { id, owned.token, true, owned.grantsFrom });
         const shard_owner claimed { id, owned.token };
         out.push_back(send_message { m_self.vm, claimed });
@@ -230,6 +243,8 @@
         confirmCrash(received.server, watched, now, out);
     watched.start = std::max(watched.start, received.start);
     owned->second.scheduler->onLoadReport(received, now);
+    if (owned->second.placement)
+        owned->second.placement->onState({ received.server, received.models, std::nullopt, received.takenAt }, now);
 }
 
 void owner_role::onLoadFailed(const server_id& server, time_point now, router_actions& out)
@@ -283,10 +298,84 @@
         for (auto& [to, wanted] : actions.recalls)
             out.push_back(send_message { to.vm, std::move(wanted) });
     }
+    placeModels(now, out);
     pollLoads(now, out);
     exchangeCounters(now, out);
 }
 
+bool owner_role::mayOrder(const owned_shard& owned, time_point now) const
+{
+    // An early release by the predecessor does not count: an engine that ignores
+    // tokens may still receive an order that the predecessor sent before it.
+    return owned.placement && now >= owned.grantsFrom && m_fleet.isOwnerFresh(now);
+}
+
+const owner_role::owned_shard* owner_role::homeOf(const server_id& server) const
+{
+    const shard* home = m_directory.shards().shardOf(server);
+    const auto owned = home ? m_owned.find(home->id) : m_owned.end();
+    return owned == m_owned.end() ? nullptr : &owned->second;
+}
+
+void owner_role::refreshBudgets(time_point now)
+{
+    const auto& pools = m_directory.access().source().pools;
+    const auto isModelShard = [&](const shard& described) {
+        const auto served = pools.find(described.pool);
+        return served != pools.end() && served->second.kind == pool_kind::model;
+    };
+    const auto count = static_cast<std::size_t>(std::ranges::count_if(m_directory.shards().shards(), isModelShard));
+    // By then every fresh owner has applied the document.
+    const auto accepted = m_fleet.acceptedAt(m_appliedRevision);
+    const bool isSettled = accepted && now >= std::max(*accepted, m_appliedAt) + freshnessWindow + grantLifetime;
+    for (auto& [id, owned] : m_owned) {
+        if (owned.placement)
+            owned.placement->setShards(count, isSettled, now);
+    }
+}
+
+void owner_role::placeModels(time_point now, router_actions& out)
+{
+    refreshBudgets(now);
+    const time_point basis = m_fleet.ownerFreshUntil() - freshnessWindow;
+    const auto acceptedAt = [this](revision at) { return m_fleet.acceptedAt(at); };
+    for (auto& [id, owned] : m_owned) {
+        if (!mayOrder(owned, now))
+            continue;
+        const auto step = owned.placement->onTick(basis, acceptedAt, order_number(m_lastOrder + 1), now);
+        if (step) {
+            ++m_lastOrder;
+            out.push_back(placement_decision { id, step->order, step->choice.demand, step->choice.capacity, step->choice.reason });
+            if (const backend_server* target = m_directory.findServer(step->order.server))
+                out.push_back(order_server { step->order, target->location });
+        }
+        for (const server_id& server : owned.placement->takeReadsDue(now)) {
+            if (const backend_server* target = m_directory.findServer(server))
+                out.push_back(read_models { server, target->location });
+        }
+    }
+}
+
+void owner_role::onOrderAnswered(const server_id& server, order_number number, order_outcome outcome, time_point now)
+{
+    const owned_shard* home = homeOf(server);
+    if (home && home->placement)
+        home->placement->onAnswer(server, number, outcome, now);
+}
+
+void owner_role::onModelsRead(const engine_state& state, time_point now)
+{
+    const owned_shard* home = homeOf(state.server);
+    if (home && home->placement)
+        home->placement->onState(state, now);
+}
+
+bool owner_role::mayGiveOrder(const server_id& server, order_number number, time_point now) const
+{
+    const owned_shard* home = homeOf(server);
+    return home && mayOrder(*home, now) && home->placement->mayGive(server, number, now);
+}
+
 void owner_role::pollLoads(time_point now, router_actions& out)
 {
     for (const auto& [id, owned] : m_owned) {
@@ -344,6 +433,16 @@
     return listed;
 }
 
+std::vector<owner_role::owned_placement> owner_role::placementFigures() const
+{
+    std::vector<owned_placement> listed;
+    for (const auto& [id, owned] : m_owned) {
+        if (owned.placement)
+            listed.push_back({ id, owned.placement->figures() });
+    }
+    return listed;
+}
+
 std::vector<owner_role::server_figures> owner_role::serverFigures() const
 {
     std::vector<server_figures> listed;
--- a/lib/Router/RequestCoordinator.cpp
+++ b/lib/Router/RequestCoordinator.cpp
@@ -1,5 +1,6 @@
 #include "pimentoladder/Router/RequestCoordinator.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <utility>
@@ -31,10 +32,20 @@
         return value;
     }
 
+    constexpr std::size_t longestModelName = 128;
+
+    bool isModelName(const std::string& text)
+    {
+        const auto isPlain = [](char c) { return c > ' ' && c <= '~'; };
+        return !text.empty() && text.size() <= longestModelName && std::ranges::all_of(text, isPlain);
+    }
+
     fingerprint fingerprintOf(const workspace_id& tenant, const incoming_request& received)
     {
         std::string text = tenant.value();
         text.append(1, '\0').append(received.method).append(1, '\0').append(received.path);
+        if (received.model)
+            text.append(1, '\0').append(*received.model);
         const std::uint64_t hash = XXH3_64bits_withSeed(text.data(), text.size(), received.contentHash);
         return fingerprint(hash == 0 ? 1 : hash);
     }
@@ -53,6 +64,7 @@
     cost_basis costBasis;
     claim_key claim;
     std::uint64_t prefixHash = 0;
+    model_id model;
     cost_units cost = 0;
     bool isCounted = false; ///< Counts towards the workspace's requests in progress.
     bool isWaiting = false; ///< Counts towards the workspace's waiting requests.
@@ -87,6 +99,8 @@
         return refusal_kind::noPool;
     if (received.costHint && !parseCost(*received.costHint))
         return refusal_kind::invalidCostHint;
+    if (received.model && !isModelName(*received.model))
+        return refusal_kind::invalidModel;
     if (!m_directory.access().hasServer(tenant->id, target->id))
         return refusal_kind::noEligibleServer;
     const auto inProgress = m_inProgress.find(tenant->id);
@@ -125,6 +139,8 @@
     request->costBasis = { received.bodyBytes, target->defaultCost };
     request->claim = { tenant->id, received.idempotencyKeyHash };
     request->prefixHash = target->kind == pool_kind::model ? received.prefixHash : 0;
+    if (received.model && target->kind == pool_kind::model)
+        request->model = model_id(*received.model);
     request->isCounted = true;
     ++m_inProgress[tenant->id];
     m_requests[number] = request;
@@ -364,7 +380,7 @@
 void request_coordinator::waitForGrant(const tracked& request, time_point now, router_actions& out)
 {
     const request_record& record = request->lifecycle.record();
-    demand_entry demand { record.number, record.workspace, record.costHint, {}, request->prefixHash };
+    demand_entry demand { record.number, record.workspace, record.costHint, {}, request->prefixHash, request->model };
     if (m_quarantine.verdict(now, record.print) == crash_verdict::isolate)
         demand.print = record.print;
     if (!m_requester.wait(demand, record.pool, now)) {
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -6,9 +6,10 @@
 
 namespace pimentoladder {
 
-router_core::router_core(router_identity identity, lifecycle_limits limits, std::uint64_t seed)
+router_core::router_core(router_identity identity, lifecycle_limits limits, std::uint64_t seed,
+    const placement_settings& placement)
     : m_fleet(std::move(identity), seed)
-    , m_owner(m_fleet, m_directory, seed + 101)
+    , m_owner(m_fleet, m_directory, seed + 101, placement)
     , m_requester(m_fleet, m_directory, seed + 202)
     , m_requests(m_fleet, m_directory, m_requester, limits)
 {
@@ -222,6 +223,23 @@
     return settle(now, std::move(out));
 }
 
+bool router_core::mayGiveOrder(time_point now, const server_id& server, order_number number) const
+{
+    return m_owner.mayGiveOrder(server, number, now);
+}
+
+router_actions router_core::onOrderAnswered(time_point now, const server_id& server, order_number number, order_outcome outcome)
+{
+    m_owner.onOrderAnswered(server, number, outcome, now);
+    return settle(now, {});
+}
+
+router_actions router_core::onModelsRead(time_point now, const engine_state& state)
+{
+    m_owner.onModelsRead(state, now);
+    return settle(now, {});
+}
+
 router_actions router_core::onMessage(time_point now, const member_ref& from, const message& received)
 {
     router_actions out;
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -107,6 +107,13 @@
             faults.add(reader.place("deadline"), "shutdown.deadline is shorter than shutdown.grace; make it at least as long");
     }
 
+    void readPlacement(mapping_reader reader, placement_limits& target)
+    {
+        assignIfSet(target.loadsPerMinute, reader.number("loads_per_minute", { 1, 100'000 }));
+        assignIfSet(target.modelsPerServer, reader.number("models_per_server", { 1, 1000 }));
+        reader.finish();
+    }
+
     void readLog(mapping_reader reader, settings& target)
     {
         assignIfSet(target.logLevel, reader.choice("level", { "debug", "info", "warning", "error" }));
@@ -161,6 +168,7 @@
         readLimits(root.section("limits", false), target.limits);
         readTimeouts(root.section("timeouts", false), target.timeouts);
         readShutdown(root.section("shutdown", false), target.shutdown, faults);
+        readPlacement(root.section("placement", false), target.placement);
         readLog(root.section("log", false), target);
         root.finish();
         checkAddresses(target.listen, root, faults);
--- a/unittests/Placement/OrderBookTests.cpp
+++ b/unittests/Placement/OrderBookTests.cpp
@@ -16,6 +16,15 @@
     return { order_number(number), engine, placement_action::load, bulletin, fencing_token(7) };
 }
 
+order_book bookOf(const server_id& second = engine)
+{
+    order_book book;
+    book.setServers({ engine, second });
+    book.onState({ engine, {}, std::set<model_id>(), start - 1s }, start - 1s);
+    book.onState({ second, {}, std::set<model_id>(), start - 1s }, start - 1s);
+    return book;
+}
+
 engine_state state(time_point takenAt, std::set<model_id> loaded, std::optional<std::set<model_id>> loading = std::set<model_id>())
 {
     return { engine, std::move(loaded), std::move(loading), takenAt };
@@ -26,7 +35,7 @@
 // Guards against requests sent for a model that the engine is still loading.
 TEST_CASE("an accepted load counts only when it has been read back")
 {
-    order_book book;
+    order_book book = bookOf();
     book.onState(state(start, {}), start);
     book.begin(load(), start);
     book.onAnswer(engine, order_number(1), order_outcome::accepted, start + 10ms);
@@ -44,7 +53,7 @@
 // taken for done although it did not.
 TEST_CASE("an order whose answer is lost is resolved by reading back")
 {
-    order_book book;
+    order_book book = bookOf();
     book.onState(state(start, {}), start);
     book.begin(load(), start);
     book.onAnswer(engine, order_number(1), order_outcome::unknown, start + 1s);
@@ -71,7 +80,7 @@
 // Guards against a load report from before an order that is read as its effect.
 TEST_CASE("a state taken before the order does not confirm it")
 {
-    order_book book;
+    order_book book = bookOf();
     book.onState(state(start, { bulletin }), start);
     placement_order unload = load();
     unload.action = placement_action::unload;
@@ -87,7 +96,7 @@
 // that it was replaced.
 TEST_CASE("a refusal because of an older token stops all orders until ownership is confirmed anew")
 {
-    order_book book;
+    order_book book = bookOf(server_id("engine-1"));
     book.begin(load(), start);
     book.onAnswer(engine, order_number(1), order_outcome::refusedOldToken, start + 10ms);
     CHECK(book.isStopped());
@@ -97,3 +106,21 @@
     book.onOwnershipConfirmed(start + 500ms);
     CHECK(book.mayOrder(server_id("engine-1"), start + 1s));
 }
+
+// Guards against a new owner that has another engine load a model which the
+// earlier owner's order is still bringing.
+TEST_CASE("an engine is read before its first order, and while it loads for an earlier owner")
+{
+    order_book book;
+    book.setServers({ engine });
+    book.onState(state(start, {}, std::nullopt), start);
+    CHECK_FALSE(book.mayOrder(engine, start));
+    CHECK(book.takeReadsDue(start) == std::vector { engine });
+    book.onState(state(start + 10ms, {}, std::set { bulletin }), start + 10ms);
+    CHECK(book.isLoading(engine, bulletin));
+    CHECK_FALSE(book.mayOrder(engine, start + 20ms));
+    CHECK(book.takeReadsDue(start + 600ms) == std::vector { engine });
+    book.onState(state(start + 1s, { bulletin }), start + 1s);
+    CHECK(book.mayOrder(engine, start + 1s));
+    CHECK(book.takeReadsDue(start + 2s).empty());
+}
--- a/unittests/Placement/PlacementPlannerTests.cpp
+++ b/unittests/Placement/PlacementPlannerTests.cpp
@@ -47,6 +47,10 @@
     void step()
     {
         now += settings.interval;
+        std::set<server_id> ids;
+        for (const placement_server& server : servers)
+            ids.insert(server.id);
+        orders.setServers(ids);
         std::erase_if(running, [&](const auto& entry) {
             if (entry.first > now)
                 return false;
--- a/unittests/Router/FleetHarness.cpp
+++ b/unittests/Router/FleetHarness.cpp
@@ -177,7 +177,7 @@
 }
 
 std::size_t fleet_harness::send(std::size_t router, const std::string& workspace, const std::string& method,
-    const std::string& path, const std::string& key, std::uint64_t content)
+    const std::string& path, const std::string& key, std::uint64_t content, const std::string& model)
 {
     const std::size_t record = requests.size();
     requests.push_back({ router, key, m_now, {}, {}, false, false, false, 0 });
@@ -192,6 +192,8 @@
     received.keyDigest = keyDigestOf(workspace);
     received.idempotencyKeyHash = key;
     received.contentHash = content;
+    if (!model.empty())
+        received.model = model;
     post(router, [&](router_core& core, time_point now) {
         request_number number;
         router_actions actions = core.onRequest(now, received, number);
@@ -297,7 +299,7 @@
         const result<revision> answer = reachesTable(router) ? result<revision>(table.at) : makeError(error_kind::unavailable, "table is down; retry");
         const duration wait = answer ? tableDelay : duration(1s);
         at(m_now + wait, [this, router, generation, answer, sentAt] {
-            onNode(router, generation, [&, this] {
+            onNode(router, generation, [=, this] {
                 post(router, [&](router_core& core, time_point now) { return core.onRevisionPolled(now, answer, sentAt); });
             });
         });
@@ -315,7 +317,7 @@
                 update.rows.push_back(row);
         }
         at(m_now + tableDelay, [this, router, generation, update] {
-            onNode(router, generation, [&, this] {
+            onNode(router, generation, [=, this] {
                 post(router, [&](router_core& core, time_point now) { return core.onRowsFetched(now, update); });
             });
         });
@@ -331,7 +333,7 @@
         if (answer && table.losesAnswers)
             answer = makeError(error_kind::outcomeUnknown, "answer lost; read back");
         at(m_now + tableDelay, [this, router, generation, ticket = step.ticket, answer] {
-            onNode(router, generation, [&, this] {
+            onNode(router, generation, [=, this] {
                 post(router, [&](router_core& core, time_point now) { return core.onCommitted(now, ticket, answer); });
             });
         });
@@ -347,7 +349,7 @@
         if (reachesTable(router) && table.losesAnswers)
             answer = { step.batch, claim_write_result::unknown, {}, {} };
         at(m_now + tableDelay, [this, router, generation, answer] {
-            onNode(router, generation, [&, this] {
+            onNode(router, generation, [=, this] {
                 post(router, [&](router_core& core, time_point now) { return core.onClaimsWritten(now, answer); });
             });
         });
@@ -363,7 +365,7 @@
                 answer.present.push_back(found->second);
         }
         at(m_now + tableDelay, [this, router, generation, answer] {
-            onNode(router, generation, [&, this] {
+            onNode(router, generation, [=, this] {
                 post(router, [&](router_core& core, time_point now) { return core.onClaimsRead(now, answer); });
             });
         });
@@ -382,10 +384,82 @@
         later(router, serverDelay, [server = step.server](router_core& core, time_point now) { return core.onLoadFailed(now, server); });
         return;
     }
-    const server_load load { step.server, polled.start, polled.inFlight, polled.isCold(), m_now };
+    const server_load load { step.server, polled.start, polled.inFlight, polled.isCold(), m_now, polled.models };
     later(router, serverDelay, [load](router_core& core, time_point now) { return core.onLoadReport(now, load); });
 }
 
+void fleet_harness::perform(std::size_t, const placement_decision& step)
+{
+    placements.emplace_back(m_now, step);
+}
+
+void fleet_harness::perform(std::size_t, const ownership_decision& step)
+{
+    if (step.isOwner && step.shard.value().starts_with("model"))
+        grantsFrom[step.token] = step.grantsFrom;
+}
+
+void fleet_harness::perform(std::size_t router, const read_models& step)
+{
+    at(m_now + serverDelay, [this, router, generation = m_nodes[router].generation, server = step.server] {
+        const fake_server& read = servers[server];
+        const engine_state state { server, read.models, read.loading, m_now };
+        if (!read.isUp)
+            return;
+        at(m_now + serverDelay, [this, router, generation, state] {
+            onNode(router, generation, [=, this] {
+                post(router, [&](router_core& core, time_point now) { return core.onModelsRead(now, state); });
+            });
+        });
+    });
+}
+
+void fleet_harness::perform(std::size_t router, const order_server& step)
+{
+    const auto generation = m_nodes[router].generation;
+    const auto answer = [this, router, generation, order = step.order](duration delay, order_outcome outcome) {
+        at(m_now + delay, [this, router, generation, order, outcome] {
+            onNode(router, generation, [=, this] {
+                post(router, [&](router_core& core, time_point now) { return core.onOrderAnswered(now, order.server, order.number, outcome); });
+            });
+        });
+    };
+    at(m_now + serverDelay, [this, router, generation, order = step.order, answer] {
+        onNode(router, generation, [=, this] {
+            if (!m_nodes[router].core->mayGiveOrder(m_now, order.server, order.number) || !servers[order.server].isUp) {
+                answer(0ms, order_outcome::failed);
+                return;
+            }
+            at(m_now + serverDelay, [=, this] {
+                const order_outcome outcome = applyOrder(router, order);
+                const bool isLost = servers[order.server].losesOrderAnswers;
+                answer(isLost ? duration(1s) : serverDelay, isLost ? order_outcome::unknown : outcome);
+            });
+        });
+    });
+}
+
+order_outcome fleet_harness::applyOrder(std::size_t router, const placement_order& order)
+{
+    fake_server& server = servers[order.server];
+    const bool isRefused = server.isFenced && order.token < server.highestToken;
+    orders.push_back({ m_now, router, order, isRefused });
+    if (isRefused)
+        return order_outcome::refusedOldToken;
+    server.highestToken = std::max(server.highestToken, order.token);
+    if (order.action == placement_action::unload) {
+        server.models.erase(order.model);
+        return order_outcome::accepted;
+    }
+    server.loading.insert(order.model);
+    at(m_now + modelLoadTime, [this, order, start = server.start] {
+        fake_server& loaded = servers[order.server];
+        if (loaded.start == start && loaded.loading.erase(order.model) > 0)
+            loaded.models.insert(order.model);
+    });
+    return order_outcome::accepted;
+}
+
 void fleet_harness::perform(std::size_t router, const start_attempt& step)
 {
     const auto attempt = std::make_shared<attempt_seen>();
@@ -466,6 +540,8 @@
     crashed.start = incarnation(crashed.start.value() + 1);
     crashed.inFlight = 0;
     crashed.finishedSinceCold = 0;
+    crashed.models.clear();
+    crashed.loading.clear();
     std::vector<std::shared_ptr<attempt_seen>> broken;
     for (const auto& [key, attempt] : m_attempts) {
         if (attempt->server == server && attempt->isOpen)
--- a/unittests/Router/FleetHarness.h
+++ b/unittests/Router/FleetHarness.h
@@ -47,6 +47,12 @@
     std::uint32_t mostInFlight = 0;
     std::uint64_t executions = 0;
 
+    std::set<model_id> models;
+    std::set<model_id> loading;
+    fencing_token highestToken;
+    bool isFenced = true;
+    bool losesOrderAnswers = false; ///< Orders take effect and their answers are lost.
+
     bool isCold() const { return finishedSinceCold < warmAfter; }
 };
 
@@ -70,6 +76,14 @@
     std::size_t record = 0;
 };
 
+/// An order that reached a server.
+struct order_seen {
+    time_point at;
+    std::size_t router = 0;
+    placement_order order;
+    bool isRefused = false;
+};
+
 /// A document applied by a router.
 struct in_force_seen {
     time_point at;
@@ -93,7 +107,7 @@
     void run(duration length);
 
     std::size_t send(std::size_t router, const std::string& workspace, const std::string& method,
-        const std::string& path, const std::string& key = {}, std::uint64_t content = 1);
+        const std::string& path, const std::string& key = {}, std::uint64_t content = 1, const std::string& model = {});
 
     void kill(std::size_t router);
     void drain(std::size_t router);
@@ -119,6 +133,10 @@
     std::vector<request_record_seen> requests;
     std::vector<execution_seen> executions;
     std::vector<in_force_seen> inForce;
+    std::vector<order_seen> orders;
+    std::vector<std::pair<time_point, placement_decision>> placements;
+    std::map<fencing_token, time_point> grantsFrom; ///< Of each ownership of a model shard.
+    duration modelLoadTime = std::chrono::seconds(2);
     std::function<bool(std::size_t record, const server_id& server)> crashesServer; ///< Asked at each execution.
     duration messageDelay = std::chrono::microseconds(700);
     double lossShare = 0; ///< Of messages between routers.
@@ -172,9 +190,14 @@
     void perform(std::size_t router, const document_in_force& step);
     void perform(std::size_t router, const change_incarnation& step);
     void perform(std::size_t router, const store_body& step);
+    void perform(std::size_t router, const order_server& step);
+    void perform(std::size_t router, const read_models& step);
+    void perform(std::size_t router, const placement_decision& step);
+    void perform(std::size_t router, const ownership_decision& step);
     template <typename Other>
     void perform(std::size_t, const Other&) { }
 
+    order_outcome applyOrder(std::size_t router, const placement_order& order);
     void execute(const std::shared_ptr<attempt_seen>& attempt);
     void finishAttempt(const std::shared_ptr<attempt_seen>& attempt, attempt_end end);
 
--- /dev/null
+++ b/unittests/Router/PlacementTests.cpp
@@ -0,0 +1,174 @@
+#include "FleetHarness.h"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+using namespace pimentoladder;
+using namespace std::chrono_literals;
+
+namespace {
+
+const shard_id modelShard("model#0");
+const std::string bulletin = "bulletin";
+
+void configure(fleet_harness& fleet)
+{
+    const auto values = smallDocument(2, 2);
+    for (const document_value& value : values) {
+        if (const auto* server = std::get_if<backend_server>(&value))
+            fleet.servers[server->id] = fake_server();
+    }
+    fleet.change(0, values);
+}
+
+std::size_t sendModel(fleet_harness& fleet, std::size_t router, const std::string& model = bulletin)
+{
+    return fleet.send(router, "ws-0", "POST", "/v1/generate", {}, fleet.requests.size() + 1, model);
+}
+
+std::size_t ordersOf(const fleet_harness& fleet, const std::string& model, placement_action action)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(fleet.orders, [&](const order_seen& seen) {
+        return seen.order.model == model_id(model) && seen.order.action == action && !seen.isRefused;
+    }));
+}
+
+/// The servers that ran the requests from `first` on.
+std::vector<server_id> serversOf(const fleet_harness& fleet, std::size_t first)
+{
+    std::vector<server_id> ran;
+    for (const execution_seen& seen : fleet.executions) {
+        if (seen.record >= first)
+            ran.push_back(seen.server);
+    }
+    return ran;
+}
+
+}
+
+// Guards against a request for a model that waits for ever, runs where the
+// model is not loaded, or holds up requests for other models.
+TEST_CASE("a model is loaded on demand and its request answered there")
+{
+    fleet_harness fleet(3, 5);
+    fleet.form();
+    configure(fleet);
+    fleet.run(8s);
+    const std::size_t waiting = sendModel(fleet, 0);
+    std::vector<std::size_t> others;
+    for (std::size_t i = 0; i < 20; ++i)
+        others.push_back(fleet.send(i % 3, "ws-0", "POST", "/v1/generate", {}, 1000 + i));
+    fleet.run(1500ms);
+    CHECK_FALSE(fleet.requests[waiting].isAnswered);
+    for (const std::size_t other : others)
+        CHECK(fleet.requests[other].isAnswered);
+    fleet.run(6s);
+    CHECK(fleet.requests[waiting].isAnswered);
+    CHECK(ordersOf(fleet, bulletin, placement_action::load) == 1);
+    REQUIRE(fleet.placements.size() == 1);
+    CHECK(fleet.placements[0].second.reason == placement_reason::notLoaded);
+    for (const execution_seen& seen : fleet.executions) {
+        if (seen.record == waiting)
+            CHECK(fleet.servers[seen.server].models.contains(model_id(bulletin)));
+    }
+}
+
+// Guards against a second load of the same model because an answer was lost.
+TEST_CASE("an order whose answer is lost is not repeated when it took effect")
+{
+    fleet_harness fleet(3, 6);
+    fleet.form();
+    configure(fleet);
+    for (auto& [id, server] : fleet.servers)
+        server.losesOrderAnswers = true;
+    fleet.run(8s);
+    const std::size_t waiting = sendModel(fleet, 1);
+    fleet.run(8s);
+    CHECK(fleet.requests[waiting].isAnswered);
+    CHECK(ordersOf(fleet, bulletin, placement_action::load) == 1);
+}
+
+// Guards against two owners that order at the same time after one of them was
+// frozen, at engines that ignore the token and at engines that refuse old ones.
+TEST_CASE("after a freeze the old owner gives no order beside the new one")
+{
+    bool hasMoved = false;
+    for (const bool isFenced : { false, true }) {
+        for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+            CAPTURE(isFenced);
+            CAPTURE(seed);
+            fleet_harness fleet(4, 40 + seed);
+            fleet.form();
+            configure(fleet);
+            for (auto& [id, server] : fleet.servers)
+                server.isFenced = isFenced;
+            fleet.run(8s);
+            const std::size_t old = fleet.ownerOf(0, modelShard);
+            const std::size_t asking = (old + 1) % fleet.size();
+            sendModel(fleet, asking);
+            // The freeze strikes between the decision and the first byte, or a
+            // while after it.
+            while (fleet.placements.empty())
+                fleet.run(100us);
+            fleet.run(std::chrono::microseconds(seed % 2 == 0 ? 0 : 400 * seed));
+            fleet.freeze(old);
+            fleet.run(std::chrono::milliseconds(1000 + 900 * seed));
+            const std::size_t later = sendModel(fleet, asking, "digest");
+            hasMoved = hasMoved || fleet.ownerOf(asking, modelShard) != old;
+            fleet.thaw(old);
+            fleet.run(20s);
+            CHECK(fleet.requests[later].isAnswered);
+            fencing_token highest;
+            for (const order_seen& seen : fleet.orders) {
+                CHECK_FALSE(seen.isRefused);
+                CHECK(seen.order.token >= highest);
+                highest = std::max(highest, seen.order.token);
+                CHECK(seen.at >= fleet.grantsFrom.at(seen.order.token));
+            }
+        }
+    }
+    CHECK(hasMoved);
+}
+
+// Guards against an old owner that goes on although an engine has told it that
+// it was replaced.
+TEST_CASE("a refusal because of an older token stops the owner until it is confirmed")
+{
+    fleet_harness fleet(3, 9);
+    fleet.form();
+    configure(fleet);
+    for (auto& [id, server] : fleet.servers)
+        server.highestToken = fencing_token(UINT64_MAX);
+    fleet.run(8s);
+    sendModel(fleet, 0);
+    fleet.run(4s);
+    // Each confirmation allows one more attempt; engines are retried 5 s later.
+    CHECK(fleet.orders.size() >= 1);
+    CHECK(fleet.orders.size() <= 2);
+    CHECK(std::ranges::all_of(fleet.orders, &order_seen::isRefused));
+    for (auto& [id, server] : fleet.servers)
+        server.highestToken = fencing_token();
+    fleet.run(10s);
+    CHECK(ordersOf(fleet, bulletin, placement_action::load) == 1);
+}
+
+// Guards against a restarted engine that is still taken to have its models.
+TEST_CASE("a model is loaded again after its engine crashed")
+{
+    fleet_harness fleet(3, 10);
+    fleet.form();
+    configure(fleet);
+    fleet.run(8s);
+    sendModel(fleet, 0);
+    fleet.run(6s);
+    REQUIRE(fleet.orders.size() == 1);
+    fleet.crash(fleet.orders[0].order.server);
+    fleet.run(2s);
+    const std::size_t after = sendModel(fleet, 0);
+    fleet.run(8s);
+    CHECK(fleet.requests[after].isAnswered);
+    CHECK(ordersOf(fleet, bulletin, placement_action::load) == 2);
+    for (const server_id& ran : serversOf(fleet, after))
+        CHECK(fleet.servers[ran].models.contains(model_id(bulletin)));
+}
