--- a/lib/Router/OwnerRole.cpp
+++ b/lib/Router/OwnerRole.cpp
@@ -337,11 +337,12 @@
 void owner_role::placeModels(time_point now, router_actions& out)
 {
     refreshBudgets(now);
-    const time_point basis = m_fleet.ownerFreshUntil() - freshnessWindow;
     const auto acceptedAt = [this](revision at) { return m_fleet.acceptedAt(at); };
     for (auto& [id, owned] : m_owned) {
         if (!mayOrder(owned, now))
             continue;
+        // A fresh owner has a basis.
+        const time_point basis = m_fleet.ownerFreshUntil() - freshnessWindow;
         const auto step = owned.placement->onTick(basis, acceptedAt, order_number(m_lastOrder + 1), now);
         if (step) {
             ++m_lastOrder;
--- a/tools/standins/EngineService.cpp
+++ b/tools/standins/EngineService.cpp
@@ -338,6 +338,10 @@
         });
     }
     reportLoad();
+    if (m_faults.take(fault_kind::lostAnswer, exchange->path(), bootTime())) {
+        exchange->reset();
+        return;
+    }
     handleOrderState(exchange);
 }
 
