--- a/lib/Daemon/RouterProcess.cpp
+++ b/lib/Daemon/RouterProcess.cpp
@@ -9,6 +9,7 @@
 #include "pimentoladder/Daemon/DecisionLog.h"
 #include "pimentoladder/Daemon/LoadPoller.h"
 #include "pimentoladder/Daemon/MetricsReport.h"
+#include "pimentoladder/Daemon/OrderSender.h"
 #include "pimentoladder/Daemon/PeerMesh.h"
 #include "pimentoladder/Daemon/PlatformAccess.h"
 #include "pimentoladder/Daemon/PlatformGateway.h"
@@ -39,6 +40,15 @@
         return limits;
     }
 
+    placement_settings placementOf(const settings& configured)
+    {
+        constexpr double secondsPerMinute = 60;
+        placement_settings placement;
+        placement.loadsPerSecond = static_cast<double>(configured.placement.loadsPerMinute) / secondsPerMinute;
+        placement.modelsPerServer = configured.placement.modelsPerServer;
+        return placement;
+    }
+
     http_client_limits backendLimits(const settings& configured)
     {
         http_client_limits limits;
@@ -112,6 +122,7 @@
     platform_gateway gateway;
     caller_front callers;
     load_poller loads;
+    order_sender orders;
     peer_mesh mesh;
     admin_service administration;
     metrics_report report;
@@ -127,7 +138,7 @@
     , configured(from)
     , backends(loop, backendLimits(configured))
     , polls(loop, pollLimits())
-    , core(identityOf(configured, start), lifecycleLimits(configured), seed)
+    , core(identityOf(configured, start), lifecycleLimits(configured), seed, placementOf(configured))
     , driver(loop, core)
     , decisions(log)
     , platform(loop, configured.platform, seed + 2)
@@ -137,6 +148,7 @@
           [this](const std::string& object, std::function<void(std::optional<std::string>)> onEnd) { gateway.readBody(object, std::move(onEnd)); },
           configured.limits.bufferBytes)
     , loads(driver, polls, log)
+    , orders(driver, polls, log)
     , mesh(driver, log, linkSettings(configured, start), seed + 1)
     , administration(
           {}, operatorsOf(configured), gateway.changes(),
@@ -174,6 +186,9 @@
         void operator()(const ownership_decision& step) const { to.decisions.perform(step); }
         void operator()(const grant_issued& step) const { to.decisions.perform(step); }
         void operator()(const limit_decision& step) const { to.decisions.perform(step); }
+        void operator()(const placement_decision& step) const { to.decisions.perform(step); }
+        void operator()(const order_server& step) const { to.orders.perform(step); }
+        void operator()(const read_models& step) const { to.orders.perform(step); }
     };
     std::visit(performer { *this }, action);
 }
