--- a/utils/fleet.py
+++ b/utils/fleet.py
@@ -27,14 +27,18 @@
 # Below the ports that the kernel gives to outgoing connections, so that a
 # process that is restarted finds its port free.
 LISTEN_PORTS = range(15000, 32000)
+given_ports = set()
 
 
 def free_port():
     while True:
         port = random.SystemRandom().choice(LISTEN_PORTS)
+        if port in given_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
+                given_ports.add(port)
                 return port
             except OSError:
                 continue
