--- a/include/pimentoladder/Daemon/PeerMesh.h
+++ b/include/pimentoladder/Daemon/PeerMesh.h
@@ -27,8 +27,9 @@
     peer_mesh(const peer_mesh&) = delete;
     peer_mesh& operator=(const peer_mesh&) = delete;
 
-    /// Starts to accept links. Errors: as for `peer_listener::listen`.
-    result<void> listen(const endpoint& location);
+    /// Starts to accept links at \p location, which other routers reach at
+    /// \p advertised. Errors: as for `peer_listener::listen`.
+    result<void> listen(const endpoint& location, const endpoint& advertised);
 
     /// Opens the links that the core wants and closes dialled ones that it does
     /// not want any more.
@@ -63,6 +64,7 @@
     std::uint64_t m_seed;
     link_counters m_counters;
     endpoint m_location;
+    endpoint m_advertised; ///< Where the other routers connect to.
     std::unique_ptr<peer_listener> m_listener;
     std::map<endpoint, dialled_link> m_dialled;
     std::multimap<vm_id, peer_link*> m_open; ///< Open links by peer, accepted ones included.
--- a/include/pimentoladder/Settings/Settings.h
+++ b/include/pimentoladder/Settings/Settings.h
@@ -20,6 +20,7 @@
     endpoint callers; ///< Requests of workspaces.
     endpoint admin; ///< Administration API, metrics and health.
     endpoint peers; ///< Frames from other routers.
+    endpoint peersAdvertised; ///< Where other routers connect to for `peers`; the same unless it is set.
 };
 
 struct platform_settings {
--- a/lib/Daemon/PeerMesh.cpp
+++ b/lib/Daemon/PeerMesh.cpp
@@ -25,9 +25,10 @@
 
 peer_mesh::~peer_mesh() = default;
 
-result<void> peer_mesh::listen(const endpoint& location)
+result<void> peer_mesh::listen(const endpoint& location, const endpoint& advertised)
 {
     m_location = location;
+    m_advertised = advertised;
     auto listener = peer_listener::listen(m_driver.loop().base(), m_settings, location, handlers({}), m_counters);
     if (!listener)
         return tl::unexpected(listener.error());
@@ -80,7 +81,7 @@
         // connects, so that one link serves both. A router that the others do
         // not know yet connects to all.
         const bool isOurs = !isListed || target.vm.isEmpty() || m_settings.self.vm < target.vm;
-        if (!isOurs || target.location == m_location)
+        if (!isOurs || target.location == m_advertised)
             continue;
         wanted.insert(target.location);
         const auto known = m_dialled.find(target.location);
@@ -119,7 +120,7 @@
         return;
     }
     const auto location = m_driver.core().fleet().locate(sent.to);
-    if (!location || *location == m_location)
+    if (!location || *location == m_advertised)
         return;
     const auto known = m_dialled.find(*location);
     if (known == m_dialled.end())
@@ -140,7 +141,7 @@
     m_open.clear();
     m_dialled.clear();
     m_listener.reset();
-    if (const auto listening = listen(m_location); !listening)
+    if (const auto listening = listen(m_location, m_advertised); !listening)
         m_log.write(log_level::error, "peer_listen_failed", { { "reason", std::string_view(listening.error().message) } });
     refreshTargets();
 }
--- a/lib/Daemon/RouterProcess.cpp
+++ b/lib/Daemon/RouterProcess.cpp
@@ -26,7 +26,7 @@
     router_identity identityOf(const settings& configured, incarnation start)
     {
         router_identity identity;
-        identity.self = { configured.vm, start, configured.dataCentre, configured.listen.peers };
+        identity.self = { configured.vm, start, configured.dataCentre, configured.listen.peersAdvertised };
         for (const seed_settings& seed : configured.seeds)
             identity.seeds.push_back(seed.location);
         return identity;
@@ -202,7 +202,7 @@
 result<void> router_process::start()
 {
     const settings& configured = m_parts->configured;
-    if (const auto listening = m_parts->mesh.listen(configured.listen.peers); !listening)
+    if (const auto listening = m_parts->mesh.listen(configured.listen.peers, configured.listen.peersAdvertised); !listening)
         return tl::unexpected(listening.error());
     if (const auto listening = m_parts->adminServer.listen(configured.listen.admin); !listening)
         return tl::unexpected(listening.error());
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -28,6 +28,8 @@
         assignIfSet(target.callers, reader.address("callers", true));
         assignIfSet(target.admin, reader.address("admin", true));
         assignIfSet(target.peers, reader.address("peers", true));
+        target.peersAdvertised = target.peers;
+        assignIfSet(target.peersAdvertised, reader.address("peers_advertised", false));
         reader.finish();
     }
 
--- a/unittests/Settings/SettingsTests.cpp
+++ b/unittests/Settings/SettingsTests.cpp
@@ -52,6 +52,19 @@
     CHECK(parsed->seeds.size() == 1);
 }
 
+// Guards against a router that its peers look for at an address they cannot reach.
+TEST_CASE("the address for peers is advertised as set, or as listened on")
+{
+    const std::string peers = "  peers: 127.0.0.1:8082";
+    const auto plain = parseSettings(exampleText(), "router.yaml", {});
+    REQUIRE(plain);
+    CHECK(plain->listen.peersAdvertised == endpoint { "127.0.0.1", 8082 });
+    const auto relayed = parseSettings(replaced(exampleText(), peers, "  peers_advertised: 127.0.0.1:9082\n" + peers), "router.yaml", {});
+    REQUIRE(relayed);
+    CHECK(relayed->listen.peers == endpoint { "127.0.0.1", 8082 });
+    CHECK(relayed->listen.peersAdvertised == endpoint { "127.0.0.1", 9082 });
+}
+
 // Guards against a router that starts with settings the operator did not mean.
 TEST_CASE("each fault is reported with its place and remedy")
 {
