Read the table when two peers did not answer a fetch

Ruled out: table polls, which were answered and stated the revision. A peer that did not answer now stays tried until there is progress, and every third fetch goes to the table.

--- a/include/pimentoladder/Freshness/FreshnessTracker.h
+++ b/include/pimentoladder/Freshness/FreshnessTracker.h
@@ -28,6 +28,7 @@
     duration pollAge = std::chrono::milliseconds(800); ///< Age of the basis above which the table is polled.
     duration pollInterval = std::chrono::milliseconds(800); ///< Least time between two polls.
     duration fetchTimeout = std::chrono::milliseconds(500); ///< After this a fetch goes to another source.
+    int peerFetches = 2; ///< Peers that are asked in vain before the table is.
 };
 
 /// What a heartbeat states about its sender's freshness.
@@ -148,6 +149,7 @@
     std::optional<time_point> relayBasis(answer_test isCurrent, age_member age) const;
     static void advance(std::optional<time_point>& basis, std::optional<time_point> candidate);
     void reevaluate(time_point now);
+    std::optional<vm_id> untriedPeer() const;
     void learnRevision(const vm_id& from, revision at);
     std::optional<duration> ageWithinWindow(const std::optional<time_point>& basis, time_point now) const;
 
@@ -168,6 +170,7 @@
     duration m_pollInterval;
     std::optional<time_point> m_fetchSentAt;
     std::set<vm_id> m_fetchTried;
+    int m_peerFetches = 0; ///< Fetches from peers since the last progress or table read.
 };
 
 }
--- a/lib/Freshness/FreshnessTracker.cpp
+++ b/lib/Freshness/FreshnessTracker.cpp
@@ -94,6 +94,7 @@
     learnRevision(vm_id {}, applied.at);
     m_fetchSentAt.reset();
     m_fetchTried.clear();
+    m_peerFetches = 0;
     reevaluate(now);
 }
 
@@ -106,10 +107,13 @@
 {
     m_fetchSentAt = now;
     if (target.from.isEmpty()) {
-        // The table is the last resort; after it the peers get another chance.
-        m_fetchTried.clear();
+        m_peerFetches = 0;
+        // When every peer has failed, all get another chance.
+        if (!untriedPeer())
+            m_fetchTried.clear();
         return;
     }
+    ++m_peerFetches;
     m_fetchTried.insert(target.from);
 }
 
@@ -141,13 +145,19 @@
         return std::nullopt;
     if (m_fetchSentAt && now - *m_fetchSentAt < m_settings.fetchTimeout)
         return std::nullopt;
+    const bool isTableTurn = m_peerFetches >= m_settings.peerFetches;
+    return fetch_target { m_known, isTableTurn ? vm_id() : untriedPeer().value_or(vm_id()) };
+}
+
+std::optional<vm_id> freshness_tracker::untriedPeer() const
+{
     if (!m_announcer.isEmpty() && !m_fetchTried.contains(m_announcer))
-        return fetch_target { m_known, m_announcer };
+        return m_announcer;
     for (const auto& [vm, candidate] : m_peers) {
         if (candidate.stated >= m_known && !m_fetchTried.contains(vm))
-            return fetch_target { m_known, vm };
+            return vm;
     }
-    return fetch_target { m_known, vm_id {} };
+    return std::nullopt;
 }
 
 bool freshness_tracker::isDocumentCurrent(const answer& from) const
@@ -224,8 +234,9 @@
     if (at <= m_known)
         return;
     m_known = at;
+    // A peer that did not answer stays tried: with frequent changes and links that
+    // pass bytes in one direction only, the fetch would otherwise never leave it.
     m_announcer = from;
-    m_fetchTried.clear();
 }
 
 std::optional<duration> freshness_tracker::ageWithinWindow(
--- a/unittests/Freshness/FreshnessTests.cpp
+++ b/unittests/Freshness/FreshnessTests.cpp
@@ -1,4 +1,5 @@
 #include <memory>
+#include <set>
 
 #include <doctest/doctest.h>
 
@@ -192,6 +193,31 @@
     }
 }
 
+// Guards against a router that stays on an old document for as long as changes go
+// on, because its peers reach it and it does not reach them.
+TEST_CASE("a fetch reaches the table and every peer while newer revisions arrive")
+{
+    test_router router(refNumber(0));
+    router.apply(makeDocument(1, 6, 6), start);
+    std::vector<vm_id> asked;
+    std::uint64_t announced = 1;
+    for (time_point now = start; now < start + 5s; now += 100ms) {
+        router.freshness.revisionAnnounced(vmNumber(1 + announced % 5), revision(announced + 1));
+        ++announced;
+        for (std::size_t peer = 1; peer < 6; ++peer)
+            router.freshness.revisionAnnounced(vmNumber(peer), revision(announced));
+        const auto target = router.freshness.fetchDue(now);
+        if (!target)
+            continue;
+        router.freshness.fetchSent(*target, now);
+        asked.push_back(target->from);
+    }
+    REQUIRE(asked.size() == 10);
+    CHECK(asked[2] == vm_id {}); // 1 s after the first.
+    CHECK(asked[5] == vm_id {});
+    CHECK(std::set<vm_id>(asked.begin(), asked.end()).size() == 6);
+}
+
 // Guards against a suspended member that misses its own suspension: it answers
 // only when its peers' sets are merged.
 TEST_CASE("racing suspensions merge in any order before the basis moves")
