--- a/unittests/Router/PlacementTests.cpp
+++ b/unittests/Router/PlacementTests.cpp
@@ -172,3 +172,58 @@
     for (const server_id& ran : serversOf(fleet, after))
         CHECK(fleet.servers[ran].models.contains(model_id(bulletin)));
 }
+
+// Guards against owners that together load faster than the weight store bears,
+// also while a shard moves.
+TEST_CASE("the loads of all owners keep to the rate of the weight store")
+{
+    fleet_harness fleet(4, 11);
+    fleet.form();
+    std::vector<document_value> values = smallDocument(4, 2);
+    constexpr std::size_t poolCount = 4;
+    for (std::size_t i = 1; i < poolCount; ++i) {
+        const std::string name = "model" + std::to_string(i);
+        values.emplace_back(pool { pool_id(name), {}, pool_kind::model, "/" + name, 10 });
+        for (std::size_t j = 0; j < 4; ++j) {
+            backend_server server;
+            server.id = server_id(name + "-" + std::to_string(j));
+            server.pool = pool_id(name);
+            server.dataCentre = data_centre_id("dc-" + std::to_string(j));
+            server.location = { "127.0.0.1", static_cast<std::uint16_t>(7100 + 10 * i + j) };
+            values.emplace_back(server);
+        }
+    }
+    for (const document_value& value : values) {
+        if (const auto* server = std::get_if<backend_server>(&value))
+            fleet.servers[server->id] = fake_server();
+    }
+    fleet.change(0, values);
+    fleet.run(8s);
+    const std::size_t lost = fleet.ownerOf(0, modelShard);
+    for (int step = 0; step < 30; ++step) {
+        for (std::size_t i = 0; i < poolCount; ++i) {
+            const std::string path = i == 0 ? "/v1" : "/model" + std::to_string(i);
+            fleet.send((lost + 1) % fleet.size(), "ws-0", "POST", path, {}, fleet.requests.size() + 1, "model-" + std::to_string(step));
+        }
+        if (step == 10)
+            fleet.kill(lost);
+        fleet.run(1s);
+    }
+    std::vector<time_point> loads;
+    std::set<std::size_t> owners;
+    for (const order_seen& seen : fleet.orders) {
+        if (seen.order.action == placement_action::load)
+            loads.push_back(seen.at);
+        owners.insert(seen.router);
+    }
+    CHECK(loads.size() > 15);
+    CHECK(owners.size() > 1);
+    const double rate = placement_settings {}.loadsPerSecond;
+    for (std::size_t first = 0; first < loads.size(); ++first) {
+        for (std::size_t last = first; last < loads.size(); ++last) {
+            const double seconds = std::chrono::duration<double>(loads[last] - loads[first]).count();
+            // An order reaches its engine within 1 ms of its decision.
+            CHECK(static_cast<double>(last - first + 1) <= rate * (seconds + 0.002) + poolCount);
+        }
+    }
+}
