Grant work again to a router that was paused and came back on its links

Cause: an owner notes a router as lost after 3 s of silence and forgot that only when a link opened. A router that was paused for just under the removal kept its incarnation and its links, so its owners never granted it anything again. Found by a drawn schedule:, test 22 of 30, shrunk to freeze(1) and 2.8 s of reads; P2, request at router 1 after the quiet time got no answer. Ruled out first: the harness itself, where a callback held for a frozen router kept references into an event that was gone (heap-use-after-free under the sanitizer); that is fixed here and the schedule still failed.

The harness calls a core when its next deadline is due and not every 5 ms.

--- a/include/pimentoladder/Router/OwnerRole.h
+++ b/include/pimentoladder/Router/OwnerRole.h
@@ -94,6 +94,7 @@
     void openAccepted(time_point now, router_actions& out);
     std::optional<time_point> acceptedSince(const owned_shard& pending) const;
     void refreshRouters(time_point now);
+    void watchRouters(time_point now);
     std::vector<shard_router> routers() const;
     void pollLoads(time_point now, router_actions& out);
     void exchangeCounters(time_point now, router_actions& out);
--- a/lib/Router/OwnerRole.cpp
+++ b/lib/Router/OwnerRole.cpp
@@ -260,10 +260,16 @@
         out.push_back(send_message { vm, confirmed });
 }
 
-void owner_role::onTick(time_point now, router_actions& out)
+void owner_role::watchRouters(time_point now)
 {
+    bool hasReturned = false;
     for (const auto& [vm, router] : m_linked) {
-        if (m_fleet.stateOf(vm, now) != peer_state::lost || !m_lost.insert(router).second)
+        if (m_fleet.stateOf(vm, now) != peer_state::lost) {
+            // A router that was paused comes back on the link that it had.
+            hasReturned = m_lost.erase(router) > 0 || hasReturned;
+            continue;
+        }
+        if (!m_lost.insert(router).second)
             continue;
         m_ledger->adoptCounters(router);
         for (auto& [id, owned] : m_owned) {
@@ -271,6 +277,13 @@
                 owned.scheduler->onRouterLost(router, now);
         }
     }
+    if (hasReturned)
+        refreshRouters(now);
+}
+
+void owner_role::onTick(time_point now, router_actions& out)
+{
+    watchRouters(now);
     openAccepted(now, out);
     const time_point freshUntil = m_fleet.ownerFreshUntil();
     for (auto& [id, owned] : m_owned) {
--- a/unittests/Router/FleetHarness.cpp
+++ b/unittests/Router/FleetHarness.cpp
@@ -95,6 +95,7 @@
 {
     for (const router_action& action : event(*m_nodes[router].core, m_now))
         std::visit([&](const auto& step) { perform(router, step); }, action);
+    armTick(router);
     if (afterEvent)
         afterEvent(router);
 }
@@ -113,6 +114,7 @@
     started.isUp = true;
     started.isFrozen = false;
     started.whileFrozen.clear();
+    started.tickAt.reset();
     ++started.generation;
     router_identity identity { started.self, {} };
     for (const node& other : m_nodes) {
@@ -123,7 +125,7 @@
     limits.queueTimeout = 20s;
     started.core = std::make_unique<router_core>(identity, limits, m_seed * 31 + m_incarnations);
     openLinks(router);
-    tick(router, started.generation);
+    post(router, [](router_core& core, time_point now) { return core.onTick(now); });
 }
 
 void fleet_harness::openLinks(std::size_t router)
@@ -144,12 +146,20 @@
     later(other, messageDelay, [left, leftAt](router_core& core, time_point now) { return core.onLinkOpened(now, left, leftAt); });
 }
 
-void fleet_harness::tick(std::size_t router, std::uint64_t generation)
+void fleet_harness::armTick(std::size_t router)
 {
-    onNode(router, generation, [this, router, generation] {
-        post(router, [](router_core& core, time_point now) { return core.onTick(now); });
-        const time_point due = std::max(m_nodes[router].core->nextDeadline(m_now), m_now + 200us);
-        at(std::min(due, m_now + 5ms), [this, router, generation] { tick(router, generation); });
+    node& armed = m_nodes[router];
+    const time_point due = std::max(armed.core->nextDeadline(m_now), m_now + 200us);
+    if (armed.tickAt && *armed.tickAt <= due)
+        return;
+    armed.tickAt = due;
+    at(due, [this, router, due, generation = armed.generation] {
+        onNode(router, generation, [this, router, due] {
+            if (m_nodes[router].tickAt != due)
+                return;
+            m_nodes[router].tickAt.reset();
+            post(router, [](router_core& core, time_point now) { return core.onTick(now); });
+        });
     });
 }
 
@@ -318,7 +328,7 @@
         const result<revision> answer = reachesTable(router) ? result<revision>(table.at) : makeError(error_kind::unavailable, "table is down; retry");
         const duration wait = answer ? tableDelay : duration(1s);
         at(m_now + wait, [this, router, generation, answer, sentAt] {
-            onNode(router, generation, [&, this] {
+            onNode(router, generation, [=, this] {
                 post(router, [&](router_core& core, time_point now) { return core.onRevisionPolled(now, answer, sentAt); });
             });
         });
@@ -336,7 +346,7 @@
                 update.rows.push_back(row);
         }
         at(m_now + tableDelay, [this, router, generation, update] {
-            onNode(router, generation, [&, this] {
+            onNode(router, generation, [=, this] {
                 post(router, [&](router_core& core, time_point now) { return core.onRowsFetched(now, update); });
             });
         });
@@ -352,7 +362,7 @@
         if (answer && table.losesAnswers)
             answer = makeError(error_kind::outcomeUnknown, "answer lost; read back");
         at(m_now + tableDelay, [this, router, generation, ticket = step.ticket, answer] {
-            onNode(router, generation, [&, this] {
+            onNode(router, generation, [=, this] {
                 post(router, [&](router_core& core, time_point now) { return core.onCommitted(now, ticket, answer); });
             });
         });
@@ -368,7 +378,7 @@
         if (reachesTable(router) && table.losesAnswers)
             answer = { step.batch, claim_write_result::unknown, {}, {} };
         at(m_now + tableDelay, [this, router, generation, answer] {
-            onNode(router, generation, [&, this] {
+            onNode(router, generation, [=, this] {
                 post(router, [&](router_core& core, time_point now) { return core.onClaimsWritten(now, answer); });
             });
         });
@@ -384,7 +394,7 @@
                 answer.present.push_back(found->second);
         }
         at(m_now + tableDelay, [this, router, generation, answer] {
-            onNode(router, generation, [&, this] {
+            onNode(router, generation, [=, this] {
                 post(router, [&](router_core& core, time_point now) { return core.onClaimsRead(now, answer); });
             });
         });
--- a/unittests/Router/FleetHarness.h
+++ b/unittests/Router/FleetHarness.h
@@ -142,6 +142,7 @@
         bool isUp = false;
         bool isFrozen = false;
         bool isCutFromTable = false;
+        std::optional<time_point> tickAt; ///< When the core's timer fires.
         std::vector<std::function<void()>> whileFrozen;
     };
     struct timed_event {
@@ -166,7 +167,7 @@
     void post(std::size_t router, const core_event& event);
     void later(std::size_t router, duration delay, core_event event);
     void start(std::size_t router);
-    void tick(std::size_t router, std::uint64_t generation);
+    void armTick(std::size_t router);
     void openLinks(std::size_t router);
     void openLink(std::size_t router, std::size_t other);
     bool isConnected(std::size_t from, std::size_t to) const;
--- a/unittests/Router/FleetScheduleTests.cpp
+++ b/unittests/Router/FleetScheduleTests.cpp
@@ -24,7 +24,7 @@
 namespace {
 
 constexpr std::uint64_t defaultSeed = 20261204;
-constexpr int defaultSchedules = 12;
+constexpr int defaultSchedules = 30;
 
 constexpr std::size_t routerCount = 4;
 constexpr std::size_t workspaceCount = 4;
--- a/unittests/Router/FleetTests.cpp
+++ b/unittests/Router/FleetTests.cpp
@@ -219,6 +219,29 @@
     CHECK(fleet.core(owner).fleet().current().members.size() == 4);
 }
 
+// Guards against a router that was paused until its owners lost it, that comes
+// back on the links it had, and that gets no grant any more (P2).
+TEST_CASE("a router that was paused is granted work again")
+{
+    // The peers count their silence from the last heartbeat, up to 400 ms before.
+    for (duration pause = 2500ms; pause < 3300ms; pause += 50ms) {
+        CAPTURE(pause.count());
+        fleet_harness fleet(4, 10);
+        fleet.form();
+        configure(fleet);
+        fleet.run(6s);
+        const std::size_t owner = fleet.ownerOf(0, portalShard);
+        const std::size_t paused = owner == 0 ? 1 : 0;
+        fleet.freeze(paused);
+        fleet.run(pause);
+        fleet.thaw(paused);
+        fleet.run(12s);
+        const std::size_t sent = fleet.send(paused, "ws-0", "GET", "/portal/index");
+        fleet.run(4s);
+        CHECK(fleet.requests[sent].isAnswered);
+    }
+}
+
 // Guards against a filing that runs twice because its caller sends it again to
 // another router, or because the table's answer was lost (P7).
 TEST_CASE("an order with a key runs once over routers, kills and lost answers")
