--- a/unittests/Router/FleetHarness.cpp
+++ b/unittests/Router/FleetHarness.cpp
@@ -95,6 +95,7 @@
 {
     for (const router_action& action : event(*m_nodes[router].core, m_now))
         std::visit([&](const auto& step) { perform(router, step); }, action);
+    armTick(router);
     if (afterEvent)
         afterEvent(router);
 }
@@ -113,6 +114,7 @@
     started.isUp = true;
     started.isFrozen = false;
     started.whileFrozen.clear();
+    started.tickAt.reset();
     ++started.generation;
     router_identity identity { started.self, {} };
     for (const node& other : m_nodes) {
@@ -123,7 +125,7 @@
     limits.queueTimeout = 20s;
     started.core = std::make_unique<router_core>(identity, limits, m_seed * 31 + m_incarnations);
     openLinks(router);
-    tick(router, started.generation);
+    post(router, [](router_core& core, time_point now) { return core.onTick(now); });
 }
 
 void fleet_harness::openLinks(std::size_t router)
@@ -144,12 +146,20 @@
     later(other, messageDelay, [left, leftAt](router_core& core, time_point now) { return core.onLinkOpened(now, left, leftAt); });
 }
 
-void fleet_harness::tick(std::size_t router, std::uint64_t generation)
+void fleet_harness::armTick(std::size_t router)
 {
-    onNode(router, generation, [this, router, generation] {
-        post(router, [](router_core& core, time_point now) { return core.onTick(now); });
-        const time_point due = std::max(m_nodes[router].core->nextDeadline(m_now), m_now + 200us);
-        at(std::min(due, m_now + 5ms), [this, router, generation] { tick(router, generation); });
+    node& armed = m_nodes[router];
+    const time_point due = std::max(armed.core->nextDeadline(m_now), m_now + 200us);
+    if (armed.tickAt && *armed.tickAt <= due)
+        return;
+    armed.tickAt = due;
+    at(due, [this, router, due, generation = armed.generation] {
+        onNode(router, generation, [this, router, due] {
+            if (m_nodes[router].tickAt != due)
+                return;
+            m_nodes[router].tickAt.reset();
+            post(router, [](router_core& core, time_point now) { return core.onTick(now); });
+        });
     });
 }
 
