State again that no advance grants are wanted when one arrives

A trace showed an advance grant issued a moment before the end of the run: after the link was replaced, an older statement overtook the newer one, and the owner handed out advance grants to an idle router for ever, one after the other.

Ruled out: a lost end of a request (the record had no demand and was young).

--- a/include/pimentoladder/Admission/GrantHolder.h
+++ b/include/pimentoladder/Admission/GrantHolder.h
@@ -142,6 +142,7 @@
     std::vector<grant_report_entry> m_reports;
     std::uint64_t m_reportSequence = 0;
     std::uint32_t m_advanceStated = 0;
+    bool m_isAdvanceDue = false; ///< The advance grants wanted are stated although they did not change.
     bool m_isOwnerLocal = false;
     bool m_isInFlightDue = false;
     bool m_hasReported = false; ///< Since the last statement of what is in flight.
--- a/lib/Admission/GrantHolder.cpp
+++ b/lib/Admission/GrantHolder.cpp
@@ -67,7 +67,12 @@
     for (const grant_entry& entry : received.entries) {
         if (isRepeated(entry.number))
             continue;
-        auto& kind = entry.request == request_number() ? m_advance : m_arrived;
+        const bool isAdvance = entry.request == request_number();
+        // The owner acts on an earlier statement that was overtaken by the
+        // replacement of the link, and would go on until it is told otherwise.
+        if (isAdvance && m_advanceStated == 0)
+            m_isAdvanceDue = true;
+        auto& kind = isAdvance ? m_advance : m_arrived;
         kind.push_back({ entry, received.token });
     }
 }
@@ -218,6 +223,7 @@
         built.waiting.push_back(found->second.demand);
     }
     m_advanceStated = built.advanceWanted;
+    m_isAdvanceDue = false;
     return built;
 }
 
@@ -258,7 +264,7 @@
     }
     if (m_isInFlightDue)
         actions.inFlight = buildInFlight(now);
-    if (!m_unstated.empty() || !m_withdrawn.empty() || m_advanceStated != advanceWanted(now))
+    if (!m_unstated.empty() || !m_withdrawn.empty() || m_isAdvanceDue || m_advanceStated != advanceWanted(now))
         actions.demand = buildAcquire(now);
     if (actions.report || actions.inFlight || actions.demand)
         m_sentAt = now;
@@ -279,7 +285,7 @@
         return std::nullopt;
     std::optional<time_point> next;
     const auto consider = [&](time_point at) { next = next ? std::min(*next, at) : at; };
-    const bool isFrameDue = !m_reports.empty() || !m_unstated.empty() || !m_withdrawn.empty() || m_isInFlightDue;
+    const bool isFrameDue = !m_reports.empty() || !m_unstated.empty() || !m_withdrawn.empty() || m_isAdvanceDue || m_isInFlightDue;
     if (isFrameDue)
         consider(m_sentAt ? *m_sentAt + m_settings.coalescing : m_restatedAt);
     if (!m_waiting.empty())
--- a/unittests/Admission/ShardTests.cpp
+++ b/unittests/Admission/ShardTests.cpp
@@ -266,6 +266,26 @@
     checkSettled(tested);
 }
 
+// Guards against advance grants to an idle router for ever: its statement that
+// it wants none was overtaken by an older one when the link was replaced.
+TEST_CASE("an advance grant that is not wanted is answered with a new statement")
+{
+    const test_view view;
+    const shard_id shard("model#0");
+    const fencing_token token(1);
+    const time_point now(100s);
+    grant_holder holder(shard, view);
+    holder.onOwner(token, now);
+    holder.onTick(now, now);
+    REQUIRE_FALSE(holder.onTick(now + 10ms, now + 10ms).demand.has_value());
+    holder.onGrant({ shard, token, { { grant_number(1), server_id("server0"), request_number(), now + 1s } } });
+    CHECK(holder.isDue(now + 20ms));
+    const holder_actions actions = holder.onTick(now + 20ms, now + 20ms);
+    REQUIRE(actions.demand.has_value());
+    CHECK(actions.demand->advanceWanted == 0);
+    CHECK_FALSE(holder.onTick(now + 30ms, now + 30ms).demand.has_value());
+}
+
 // Guards against a grant whose reason is missing from the log, or is another's.
 TEST_CASE("each grant comes with its decision")
 {
