--- a/lib/Admission/GrantHolder.cpp
+++ b/lib/Admission/GrantHolder.cpp
@@ -287,7 +287,7 @@
     const auto consider = [&](time_point at) { next = next ? std::min(*next, at) : at; };
     const bool isFrameDue = !m_reports.empty() || !m_unstated.empty() || !m_withdrawn.empty() || m_isAdvanceDue || m_isInFlightDue;
     if (isFrameDue)
-        consider(m_sentAt ? *m_sentAt + m_settings.coalescing : m_restatedAt);
+        consider(m_sentAt && mayHoldBack() ? *m_sentAt + m_settings.coalescing : m_restatedAt);
     if (!m_waiting.empty())
         consider(m_restatedAt + m_settings.restateAfter);
     if (!m_running.empty())
--- a/unittests/Admission/ShardTests.cpp
+++ b/unittests/Admission/ShardTests.cpp
@@ -266,6 +266,21 @@
     checkSettled(tested);
 }
 
+// Guards against a request that waits 2 ms for a frame to this router itself.
+TEST_CASE("a request is stated at once when this router owns the shard")
+{
+    const test_view view;
+    const time_point now(100s);
+    grant_holder holder(shard_id("model#0"), view);
+    holder.setOwnerLocal(true);
+    holder.onOwner(fencing_token(1), now);
+    for (std::uint64_t number : { 1, 2 }) {
+        holder.onRequest({ request_number(number), large }, now);
+        CHECK(holder.isDue(now));
+        CHECK(holder.onTick(now, now).demand.has_value());
+    }
+}
+
 // Guards against advance grants to an idle router for ever: its statement that
 // it wants none was overtaken by an older one when the link was replaced.
 TEST_CASE("an advance grant that is not wanted is answered with a new statement")
