--- a/cmake/PimentoladderPackages.cmake
+++ b/cmake/PimentoladderPackages.cmake
@@ -3,7 +3,6 @@
 
 find_package(PkgConfig REQUIRED)
 find_package(absl REQUIRED)
-find_package(doctest REQUIRED)
 find_package(nlohmann_json REQUIRED)
 find_package(OpenSSL REQUIRED)
 find_package(prometheus-cpp REQUIRED)
@@ -19,6 +18,9 @@
   ELPP_NO_DEFAULT_LOG_FILE ELPP_DISABLE_DEFAULT_CRASH_HANDLING ELPP_NO_LOG_TO_FILE)
 target_compile_options(easylogging PRIVATE -w)
 
-find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
-add_library(pimentoladder_test_libraries INTERFACE)
-target_link_libraries(pimentoladder_test_libraries INTERFACE doctest::doctest "${RAPIDCHECK_LIBRARY}")
+if(PIMENTOLADDER_TESTS)
+  find_package(doctest REQUIRED)
+  find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+  add_library(pimentoladder_test_libraries INTERFACE)
+  target_link_libraries(pimentoladder_test_libraries INTERFACE doctest::doctest "${RAPIDCHECK_LIBRARY}")
+endif()
--- a/cmake/PimentoladderTargets.cmake
+++ b/cmake/PimentoladderTargets.cmake
@@ -1,7 +1,10 @@
 # Functions that declare the libraries, tools and test programs of the project.
 
 add_library(pimentoladder_options INTERFACE)
-target_compile_options(pimentoladder_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wzero-as-null-pointer-constant -Werror)
+target_compile_options(pimentoladder_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wzero-as-null-pointer-constant)
+if(PIMENTOLADDER_WERROR)
+  target_compile_options(pimentoladder_options INTERFACE -Werror)
+endif()
 target_include_directories(pimentoladder_options INTERFACE "${CMAKE_SOURCE_DIR}/include")
 if(PIMENTOLADDER_SANITIZE)
   target_compile_options(pimentoladder_options INTERFACE
--- a/include/pimentoladder/Daemon/CoreDriver.h
+++ b/include/pimentoladder/Daemon/CoreDriver.h
@@ -1,58 +1,97 @@
 /// \file
-/// Runs the core's actions and wakes it when it is due.
+/// Runs a core's actions and wakes it when it is due.
 
 #pragma once
 
+#include <algorithm>
+#include <cassert>
 #include <functional>
+#include <vector>
 
+#include "pimentoladder/Dispatch/Dispatcher.h"
 #include "pimentoladder/Net/EventLoop.h"
 #include "pimentoladder/Router/RouterCore.h"
 
 namespace pimentoladder {
 
-/// Carries out one action of the core.
-class action_handler {
+/// Carries out one action of a core.
+template <typename Action>
+class basic_action_handler {
 public:
-    virtual ~action_handler() = default;
-    virtual void handle(const router_action& action) = 0;
+    virtual ~basic_action_handler() = default;
+    virtual void handle(const Action& action) = 0;
 };
 
-/// Hands events to the core, its actions to a handler, and time to the core.
+/// Hands events to a core, its actions to a handler, and time to the core.
 ///
 /// Actions are carried out in order, after the event that caused them. An event
 /// that arrives while actions are carried out is handed to the core at once,
 /// and its actions follow those that are waiting.
 /// Not thread-safe; call on the loop's thread.
-class core_driver {
+template <typename Core, typename Action>
+class basic_core_driver {
 public:
+    using actions = std::vector<Action>;
+
     /// The references outlive the driver.
-    core_driver(event_loop& loop, router_core& core);
+    basic_core_driver(event_loop& loop, Core& core)
+        : m_loop(loop)
+        , m_core(core)
+        , m_timer(loop, [this] { tick(); })
+        , m_reschedule(loop, [this] { scheduleTick(); })
+    {
+        m_reschedule.schedule();
+    }
 
     /// Sets who carries out actions. Precondition: called before any event.
-    void setHandler(action_handler& handler) { m_handler = &handler; }
+    void setHandler(basic_action_handler<Action>& handler) { m_handler = &handler; }
 
     /// Calls \p event with the core and the present time, and carries out the
     /// actions that it returns.
-    void post(const std::function<router_actions(router_core&, time_point)>& event);
+    void post(const std::function<actions(Core&, time_point)>& event)
+    {
+        run(event(m_core, m_loop.now()));
+        m_reschedule.schedule();
+    }
 
-    router_core& core() { return m_core; }
+    Core& core() { return m_core; }
     event_loop& loop() { return m_loop; }
 
     /// Returns how late the core was last woken.
     duration loopLag() const { return m_loopLag; }
 
 private:
-    void run(const router_actions& actions);
-    void scheduleTick();
-    void tick();
+    void run(const actions& due)
+    {
+        assert(m_handler && "events need a handler for their actions");
+        for (const Action& action : due)
+            m_handler->handle(action);
+    }
+
+    void scheduleTick()
+    {
+        const time_point now = m_loop.now();
+        m_wakeAt = m_core.nextDeadline(now);
+        m_timer.arm(std::max(m_wakeAt - now, duration::zero()));
+    }
+
+    void tick()
+    {
+        m_loopLag = m_loop.now() - m_wakeAt;
+        post([](Core& core, time_point now) { return core.onTick(now); });
+    }
 
     event_loop& m_loop;
-    router_core& m_core;
-    action_handler* m_handler = nullptr;
+    Core& m_core;
+    basic_action_handler<Action>* m_handler = nullptr;
     loop_timer m_timer;
     deferred_call m_reschedule;
     time_point m_wakeAt;
     duration m_loopLag {};
 };
 
+using action_handler = basic_action_handler<router_action>;
+using core_driver = basic_core_driver<router_core, router_action>;
+using dispatch_driver = basic_core_driver<dispatcher, dispatch_action>;
+
 }
--- /dev/null
+++ b/include/pimentoladder/Daemon/DispatchFront.h
@@ -0,0 +1,67 @@
+/// \file
+/// Callers' requests over HTTP, and the attempts at backend servers that serve
+/// them, for a router that decides alone.
+
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+#include "pimentoladder/Daemon/CoreDriver.h"
+#include "pimentoladder/Daemon/IngressCodec.h"
+#include "pimentoladder/Net/HttpClient.h"
+#include "pimentoladder/Net/HttpServer.h"
+
+namespace pimentoladder {
+
+/// Connects callers, the dispatcher and backend servers: it turns HTTP into
+/// events and the dispatcher's actions into HTTP, and passes bytes from an
+/// attempt to its caller with back-pressure.
+/// Not thread-safe; call on the loop's thread.
+class dispatch_front {
+public:
+    /// The references outlive the front. \p bufferBytes is the most unsent
+    /// answer bytes of one request before reading from the server pauses.
+    dispatch_front(dispatch_driver& driver, http_client& client, ingress_codec& codec, std::size_t bufferBytes);
+    ~dispatch_front();
+    dispatch_front(const dispatch_front&) = delete;
+    dispatch_front& operator=(const dispatch_front&) = delete;
+
+    /// Takes a request that passed the protocol checks.
+    void onRequest(http_request received, std::shared_ptr<http_answer> answer);
+
+    void perform(const open_dispatch& opened);
+    void perform(const cancel_dispatch& cancelled);
+    void perform(const pass_head& passed);
+    void perform(const pass_bytes& passed);
+    void perform(const end_response& ended);
+    void perform(const break_response& broken);
+    void perform(const refuse_inbound& refused);
+
+    /// Breaks off every request in progress and returns how many there were.
+    std::size_t abortAll();
+
+    std::size_t inProgress() const { return m_exchanges.size(); }
+
+private:
+    struct exchange;
+    using exchange_ref = std::shared_ptr<exchange>;
+
+    exchange_ref find(request_number number) const;
+    http_client_callbacks buildCallbacks(const exchange_ref& target, attempt_number attempt);
+    void receiveHead(const exchange_ref& target, attempt_number attempt, const http_response_head& head);
+    void receiveBytes(const exchange_ref& target, attempt_number attempt, std::string_view bytes);
+    void receiveEnd(const exchange_ref& target, attempt_number attempt, attempt_end end);
+    void holdBack(const exchange_ref& target);
+    void finish(request_number number);
+
+    dispatch_driver& m_driver;
+    http_client& m_client;
+    ingress_codec& m_codec;
+    std::size_t m_bufferBytes;
+    std::unordered_map<request_number, exchange_ref> m_exchanges;
+};
+
+}
--- /dev/null
+++ b/include/pimentoladder/Daemon/DispatchReport.h
@@ -0,0 +1,31 @@
+/// \file
+/// Log lines and metrics of the dispatcher's decisions.
+
+#pragma once
+
+#include "pimentoladder/Daemon/CoreDriver.h"
+#include "pimentoladder/Telemetry/Log.h"
+#include "pimentoladder/Telemetry/Metrics.h"
+
+namespace pimentoladder {
+
+/// Records decisions and outcomes. Not thread-safe; call on the loop's thread.
+class dispatch_report {
+public:
+    /// The references outlive the report.
+    dispatch_report(dispatch_driver& driver, logger& log, metrics& values);
+
+    void perform(const dispatch_decision& decided);
+    void perform(const attempt_outcome& ended);
+    void perform(const request_outcome& ended);
+
+    /// Returns the metrics in the Prometheus text format.
+    std::string metricsText();
+
+private:
+    dispatch_driver& m_driver;
+    logger& m_log;
+    metrics& m_metrics;
+};
+
+}
--- /dev/null
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -0,0 +1,121 @@
+/// \file
+/// Leads each request from its arrival to the end of its answer, with servers
+/// that this router chooses by itself.
+
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+
+#include "pimentoladder/Dispatch/DispatchActions.h"
+#include "pimentoladder/Dispatch/FleetView.h"
+#include "pimentoladder/Dispatch/ServerSelector.h"
+#include "pimentoladder/Dispatch/TenantShare.h"
+#include "pimentoladder/Outcome/AttemptEnd.h"
+#include "pimentoladder/Outcome/RetryBudget.h"
+
+namespace pimentoladder {
+
+/// Bounds of the dispatcher.
+struct dispatch_limits {
+    selection_limits selection;
+    freshness_limits freshness;
+    duration idempotentPatience = std::chrono::milliseconds(300); ///< Without an answer before an idempotent request is sent again.
+    duration streamPatience = std::chrono::milliseconds(1500); ///< Without an event, beyond the objective, before a stream is resumed elsewhere.
+};
+
+/// Figures for metrics and readiness.
+struct dispatch_figures {
+    std::size_t inProgress = 0;
+};
+
+/// Every decision of one router that decides alone. It holds no socket, file,
+/// clock or thread: each event brings its time, and the caller carries out the
+/// returned actions in order. Times must not go back.
+/// Not thread-safe; call on the loop's thread.
+class dispatcher {
+public:
+    dispatcher(dispatch_limits limits, std::uint64_t seed);
+    ~dispatcher();
+    dispatcher(const dispatcher&) = delete;
+    dispatcher& operator=(const dispatcher&) = delete;
+
+    // Callers and backend servers.
+
+    /// Takes a request; \p number receives its number.
+    dispatch_actions onRequest(time_point now, const inbound_request& received, request_number& number);
+    dispatch_actions onCallerLeft(time_point now, request_number request);
+
+    /// Returns whether the first byte of an attempt may be given to its socket.
+    /// Nothing is decided anew: a denied attempt ends as `notSent`.
+    bool mayGiveBytes(time_point now, attempt_number attempt);
+
+    dispatch_actions onHead(time_point now, attempt_number attempt, const served_head& head);
+
+    /// Bytes of the answer arrived. For a stream they are whole events, and
+    /// \p lastEvent is the id of the last of them.
+    dispatch_actions onBytes(time_point now, attempt_number attempt, std::string_view bytes, std::optional<std::uint64_t> lastEvent);
+    dispatch_actions onAttemptEnded(time_point now, attempt_number attempt, attempt_end end);
+
+    // The platform's rows.
+
+    /// Returns whether the version was applied.
+    bool applyPlan(serving_plan plan);
+    void setOutOfService(time_point now, std::set<data_centre_id> dataCentres);
+    void putServer(time_point now, const registered_server& server);
+    void removeServer(time_point now, const server_id& server);
+    void retainServers(time_point now, const std::set<server_id>& present);
+    void confirm(time_point sentAt) { m_fleet.confirm(sentAt); }
+    void storeReturned(time_point now) { m_fleet.storeReturned(now); }
+
+    /// Refuses new requests from now on.
+    void drain() { m_isDraining = true; }
+
+    dispatch_actions onTick(time_point now);
+    /// Returns when `onTick` is due, at the latest one interval from \p now.
+    time_point nextDeadline(time_point now) const;
+
+    const fleet_view& fleet() const { return m_fleet; }
+    dispatch_figures figures() const { return { m_requests.size() }; }
+
+private:
+    struct tracked_request;
+    using tracked = std::shared_ptr<tracked_request>;
+
+    std::optional<refusal_kind> admit(time_point now, tracked_request& request);
+    void choosePool(tracked_request& request);
+    void startAttempt(time_point now, const tracked& request, dispatch_actions& out);
+    bool isWorthwhile(time_point now, tracked_request& request, const selected_server& best);
+    void failAttempt(time_point now, const tracked& request, bool mayHaveRun, std::string_view result, int status, dispatch_actions& out);
+    void recover(time_point now, const tracked& request, bool mayHaveRun, dispatch_actions& out);
+    bool canRetry(time_point now, const tracked_request& request, bool mayHaveRun) const;
+    void closeAttempt(time_point now, tracked_request& request, std::string_view result, int status, dispatch_actions& out);
+    void refuse(time_point now, const tracked& request, refusal_kind kind, duration retryAfter, dispatch_actions& out);
+    void breakOff(time_point now, const tracked& request, dispatch_actions& out);
+    void finish(time_point now, const tracked& request, std::string_view result, std::string_view reason, dispatch_actions& out);
+    void schedule(const tracked& request, time_point at);
+    void overdue(time_point now, const tracked& request, dispatch_actions& out);
+    time_point nextCheck(const tracked_request& request) const;
+    tracked findByAttempt(attempt_number attempt) const;
+    void markCold(time_point now, const registered_server& server);
+
+    dispatch_limits m_limits;
+    fleet_view m_fleet;
+    server_selector m_selector;
+    tenant_share m_share;
+    retry_budget m_budget;
+    random_source m_random;
+    std::unordered_map<request_number, tracked> m_requests;
+    std::unordered_map<attempt_number, request_number> m_byAttempt;
+    std::set<std::pair<time_point, request_number>> m_deadlines;
+    std::uint64_t m_nextRequest = 0;
+    std::uint64_t m_nextAttempt = 0;
+    bool m_isDraining = false;
+    bool m_hasServedServers = false; ///< The first read of the servers is complete.
+};
+
+}
--- /dev/null
+++ b/include/pimentoladder/Dispatch/FleetCodec.h
@@ -0,0 +1,39 @@
+/// \file
+/// Port to the form in which operators and backend servers publish their state.
+
+#pragma once
+
+#include <string>
+#include <variant>
+
+#include "pimentoladder/Base/Error.h"
+#include "pimentoladder/Dispatch/ServingPlan.h"
+
+namespace pimentoladder {
+
+/// A data centre is to be taken out of service while the row exists.
+struct data_centre_out {
+    data_centre_id dataCentre;
+};
+
+/// A row that does not concern the router.
+struct unrelated_row { };
+
+using operator_row = std::variant<serving_plan, data_centre_out, unrelated_row>;
+
+/// Translates published rows. Thread-safe.
+class fleet_codec {
+public:
+    virtual ~fleet_codec() = default;
+
+    virtual std::string operatorTable() const = 0;
+    virtual std::string serverTable() const = 0;
+
+    /// Decodes a row of the operators. Errors: `corruptData`.
+    virtual result<operator_row> decodeOperatorRow(const std::string& key, const std::string& value) const = 0;
+
+    /// Decodes the registration of a server. Errors: `corruptData`.
+    virtual result<registered_server> decodeServer(const std::string& key, const std::string& value) const = 0;
+};
+
+}
--- /dev/null
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -0,0 +1,83 @@
+/// \file
+/// Choice of the backend server for one attempt.
+
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "pimentoladder/Base/Random.h"
+#include "pimentoladder/Dispatch/FleetView.h"
+#include "pimentoladder/Dispatch/ServerCondition.h"
+
+namespace pimentoladder {
+
+/// How the choice of servers is bounded.
+struct selection_limits {
+    std::size_t routers = 12; ///< Routers that share the allowances of cold servers.
+    data_centre_id ownDataCentre;
+};
+
+/// What a request asks of its server.
+struct selection_request {
+    workspace_id workspace;
+    pool_id pool;
+    const prompt_work* prompt = nullptr; ///< Null for requests without a prompt.
+    std::set<server_id> excluded; ///< Servers that the request has met already.
+};
+
+struct selected_server {
+    server_id server;
+    duration expectedFirstEvent {};
+    double unreadTokens = 0;
+    std::size_t candidates = 0; ///< Servers that were compared.
+    bool isCold = false;
+};
+
+/// Compares the servers that a request may use. It keeps one condition for each
+/// registered server. Not thread-safe; call on the loop's thread.
+class server_selector {
+public:
+    /// \p fleet outlives the selector.
+    server_selector(const fleet_view& fleet, selection_limits limits, std::uint64_t seed);
+
+    /// Returns the server with the earliest expected answer, or nothing if no
+    /// server may be used.
+    std::optional<selected_server> select(time_point now, const selection_request& wanted);
+
+    /// Returns the beliefs about a server; they begin empty.
+    server_condition& condition(const server_id& server) { return m_conditions[server]; }
+
+    /// The server is new or has restarted: what was learnt of it is void.
+    void reset(const server_id& server) { m_conditions.erase(server); }
+
+    /// Forgets servers that are no longer registered.
+    void retain(const std::map<server_id, registered_server>& registered);
+
+    const std::map<server_id, server_condition>& conditions() const { return m_conditions; }
+
+private:
+    struct candidate {
+        const backend_server* server = nullptr;
+        server_condition* condition = nullptr;
+        bool isCold = false;
+    };
+
+    std::vector<candidate> candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored);
+    selected_server assess(time_point now, const candidate& assessed, const selection_request& wanted, const std::vector<std::uint64_t>& hashes) const;
+    duration coldSpacing(const pool_id& pool) const;
+
+    const fleet_view& m_fleet;
+    selection_limits m_limits;
+    random_source m_random;
+    std::map<server_id, server_condition> m_conditions;
+};
+
+/// Returns the weight of a server for a prompt prefix in rendezvous hashing; the
+/// server with the highest weight is the prefix's home on every router.
+/// Thread-safe.
+std::uint64_t rendezvousWeight(const server_id& server, std::uint64_t prefixHash);
+
+}
--- a/include/pimentoladder/Net/HttpClient.h
+++ b/include/pimentoladder/Net/HttpClient.h
@@ -31,6 +31,7 @@
 /// One attempt to be made. The client adds `Host` and the framing headers.
 struct http_client_request {
     endpoint server;
+    std::string host; ///< Value of `Host`; empty: the server's address.
     std::string method; ///< GET, HEAD, POST, PUT, DELETE, OPTIONS or PATCH; others end as `notSent`.
     std::string target;
     http_headers headers; ///< Hop-by-hop headers are removed.
--- a/include/pimentoladder/Settings/Settings.h
+++ b/include/pimentoladder/Settings/Settings.h
@@ -19,11 +19,14 @@
 struct listen_settings {
     endpoint callers; ///< Requests of workspaces.
     endpoint admin; ///< Administration API, metrics and health.
+    endpoint metrics; ///< A second address for metrics; port 0: none.
     endpoint peers; ///< Frames from other routers.
     endpoint peersAdvertised; ///< Where other routers connect to for `peers`; the same unless it is set.
 };
 
+/// Either `rows`, or the other three.
 struct platform_settings {
+    endpoint rows; ///< Store of rows to which operators and backend servers publish; port 0: not used.
     endpoint table;
     endpoint objects;
     endpoint vms;
@@ -106,8 +109,9 @@
 tl::expected<settings, std::vector<setting_fault>> parseSettings(std::string_view text, const std::string& fileName,
     const std::vector<setting_override>& overrides);
 
-/// Turns environment variables named `PIMENTOLADDER_SECTION__KEY` into
-/// overrides. \p environment is a null-terminated list of `NAME=value`.
+/// Turns environment variables named `PIMENTOLADDER_SECTION__KEY`,
+/// `PIMENTOLADDER_VM` and `PIMENTOLADDER_DATA_CENTRE` into overrides; others are
+/// left alone. \p environment is a null-terminated list of `NAME=value`.
 /// Thread-safe.
 std::vector<setting_override> overridesFromEnvironment(const char* const* environment);
 
--- a/include/pimentoladder/Telemetry/Log.h
+++ b/include/pimentoladder/Telemetry/Log.h
@@ -52,6 +52,9 @@
     /// Writes one line with the event's name and fields.
     void write(log_level level, std::string_view event, std::initializer_list<log_field> fields);
 
+    /// Drops lines below \p threshold from now on.
+    void setThreshold(log_level threshold) { m_threshold = threshold; }
+
     /// Lines dropped because the sink could not take them.
     std::uint64_t droppedLines() const { return m_droppedLines; }
 
--- /dev/null
+++ b/lib/Daemon/DispatchFront.cpp
@@ -0,0 +1,238 @@
+#include "pimentoladder/Daemon/DispatchFront.h"
+
+#include <cstdio>
+#include <optional>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "pimentoladder/Net/EventStream.h"
+
+namespace pimentoladder {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr std::string_view eventStreamType = "text/event-stream";
+
+    bool isEventStream(const http_response_head& head)
+    {
+        const auto type = findHeader(head.headers, "Content-Type");
+        return head.status == statusOk && type && type->starts_with(eventStreamType);
+    }
+
+    std::string secondsText(duration wait)
+    {
+        std::string text(32, '\0');
+        const int length = std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(wait).count());
+        text.resize(static_cast<std::size_t>(length));
+        return text;
+    }
+
+}
+
+/// One caller's request with its present attempt.
+struct dispatch_front::exchange {
+    request_number number;
+    http_request request;
+    std::shared_ptr<http_answer> answer;
+    attempt_number attemptNumber;
+    std::unique_ptr<http_client_attempt> attempt;
+    std::optional<event_splitter> events; ///< While the attempt delivers a stream.
+    const http_response_head* head = nullptr; ///< While the dispatcher decides on it.
+    std::string_view bytes; ///< While the dispatcher decides on them.
+    bool isPaused = false;
+};
+
+dispatch_front::dispatch_front(dispatch_driver& driver, http_client& client, ingress_codec& codec, std::size_t bufferBytes)
+    : m_driver(driver)
+    , m_client(client)
+    , m_codec(codec)
+    , m_bufferBytes(bufferBytes)
+{
+}
+
+dispatch_front::~dispatch_front() = default;
+
+dispatch_front::exchange_ref dispatch_front::find(request_number number) const
+{
+    const auto found = m_exchanges.find(number);
+    return found == m_exchanges.end() ? nullptr : found->second;
+}
+
+void dispatch_front::onRequest(http_request received, std::shared_ptr<http_answer> answer)
+{
+    const auto target = std::make_shared<exchange>();
+    target->request = std::move(received);
+    target->answer = std::move(answer);
+    m_driver.post([&](dispatcher& core, time_point now) {
+        dispatch_actions actions = core.onRequest(now, m_codec.describe(target->request), target->number);
+        m_exchanges[target->number] = target;
+        return actions;
+    });
+    target->answer->whenCallerLeaves([this, number = target->number] {
+        const exchange_ref left = find(number);
+        if (!left)
+            return;
+        m_driver.post([number](dispatcher& core, time_point now) { return core.onCallerLeft(now, number); });
+        finish(number);
+    });
+}
+
+http_client_callbacks dispatch_front::buildCallbacks(const exchange_ref& target, attempt_number attempt)
+{
+    const std::weak_ptr<exchange> served = target;
+    http_client_callbacks callbacks;
+    callbacks.maySend = [this, attempt] { return m_driver.core().mayGiveBytes(m_driver.loop().now(), attempt); };
+    callbacks.onHead = [this, served, attempt](const http_response_head& head) {
+        if (const exchange_ref open = served.lock())
+            receiveHead(open, attempt, head);
+    };
+    callbacks.onBody = [this, served, attempt](std::string_view bytes) {
+        if (const exchange_ref open = served.lock())
+            receiveBytes(open, attempt, bytes);
+    };
+    callbacks.onEnd = [this, served, attempt](attempt_end end) {
+        if (const exchange_ref open = served.lock())
+            receiveEnd(open, attempt, end);
+    };
+    return callbacks;
+}
+
+void dispatch_front::perform(const open_dispatch& opened)
+{
+    const exchange_ref target = find(opened.request);
+    if (!target)
+        return;
+    http_client_request request;
+    request.server = opened.location;
+    request.host = std::string(findHeader(target->request.headers, "Host").value_or(""));
+    request.method = target->request.method;
+    request.target = target->request.target;
+    request.headers = m_codec.attemptHeaders(target->request, opened);
+    request.body = target->request.body;
+    target->attemptNumber = opened.attempt;
+    target->events.reset();
+    target->isPaused = false;
+    target->attempt = m_client.send(std::move(request), buildCallbacks(target, opened.attempt));
+}
+
+void dispatch_front::perform(const cancel_dispatch& cancelled)
+{
+    const exchange_ref target = find(cancelled.request);
+    if (target && target->attempt && target->attemptNumber == cancelled.attempt)
+        target->attempt->cancel();
+}
+
+void dispatch_front::perform(const pass_head& passed)
+{
+    const exchange_ref target = find(passed.request);
+    if (target && target->head)
+        target->answer->start(*target->head);
+}
+
+void dispatch_front::perform(const pass_bytes& passed)
+{
+    const exchange_ref target = find(passed.request);
+    if (target)
+        target->answer->send(target->bytes);
+}
+
+void dispatch_front::perform(const end_response& ended)
+{
+    const exchange_ref target = find(ended.request);
+    if (!target)
+        return;
+    target->answer->end();
+    finish(ended.request);
+}
+
+void dispatch_front::perform(const break_response& broken)
+{
+    const exchange_ref target = find(broken.request);
+    if (!target)
+        return;
+    target->answer->abort();
+    finish(broken.request);
+}
+
+void dispatch_front::perform(const refuse_inbound& refused)
+{
+    const exchange_ref target = find(refused.request);
+    if (!target)
+        return;
+    const refusal& row = refusalOf(refused.kind);
+    http_response_head head { row.status, { { "Content-Type", "application/json" } } };
+    if (refused.retryAfter > duration::zero())
+        head.headers.push_back({ "Retry-After", secondsText(refused.retryAfter) });
+    const nlohmann::json body { { "kind", row.name }, { "message", row.message }, { "retry", retryAdviceName(row.retry) } };
+    target->answer->reply(head, body.dump() + "\n");
+    finish(refused.request);
+}
+
+void dispatch_front::receiveHead(const exchange_ref& target, attempt_number attempt, const http_response_head& head)
+{
+    if (isEventStream(head))
+        target->events.emplace();
+    const served_head described = m_codec.describeHead(head, target->request);
+    target->head = &head;
+    m_driver.post([&](dispatcher& core, time_point now) { return core.onHead(now, attempt, described); });
+    target->head = nullptr;
+}
+
+void dispatch_front::receiveBytes(const exchange_ref& target, attempt_number attempt, std::string_view bytes)
+{
+    event_batch batch;
+    if (target->events) {
+        batch = target->events->feed(bytes);
+        bytes = batch.bytes;
+    }
+    if (bytes.empty())
+        return;
+    target->bytes = bytes;
+    m_driver.post([&](dispatcher& core, time_point now) { return core.onBytes(now, attempt, bytes, batch.lastId); });
+    target->bytes = {};
+    holdBack(target);
+}
+
+void dispatch_front::receiveEnd(const exchange_ref& target, attempt_number attempt, attempt_end end)
+{
+    const bool isCut = end.kind == attempt_end_kind::complete && target->events && target->events->hasPartialEvent();
+    if (isCut)
+        end.kind = attempt_end_kind::truncated;
+    m_driver.post([&](dispatcher& core, time_point now) { return core.onAttemptEnded(now, attempt, end); });
+}
+
+void dispatch_front::holdBack(const exchange_ref& target)
+{
+    if (target->isPaused || !target->attempt || target->answer->pendingBytes() <= m_bufferBytes)
+        return;
+    target->isPaused = true;
+    target->attempt->pause();
+    const std::weak_ptr<exchange> paused = target;
+    target->answer->whenDrained(m_bufferBytes / 2, [paused] {
+        const exchange_ref drained = paused.lock();
+        if (!drained || !drained->isPaused || !drained->attempt)
+            return;
+        drained->isPaused = false;
+        drained->attempt->resume();
+    });
+}
+
+void dispatch_front::finish(request_number number)
+{
+    m_exchanges.erase(number);
+}
+
+std::size_t dispatch_front::abortAll()
+{
+    const std::unordered_map<request_number, exchange_ref> aborted = std::exchange(m_exchanges, {});
+    for (const auto& [number, target] : aborted) {
+        target->answer->abort();
+        if (target->attempt)
+            target->attempt->cancel();
+    }
+    return aborted.size();
+}
+
+}
--- /dev/null
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -0,0 +1,204 @@
+#include "pimentoladder/Daemon/DispatchProcess.h"
+
+#include <utility>
+
+#include "pimentoladder/Daemon/CoreDriver.h"
+#include "pimentoladder/Daemon/DispatchFront.h"
+#include "pimentoladder/Daemon/DispatchReport.h"
+#include "pimentoladder/Daemon/StoreWatcher.h"
+#include "pimentoladder/Net/HttpClient.h"
+#include "pimentoladder/Net/HttpServer.h"
+#include "pimentoladder/Telemetry/Metrics.h"
+
+namespace pimentoladder {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr int statusOk = 200;
+    constexpr int statusUnavailable = 503;
+    constexpr int statusNotFound = 404;
+    // How often the shutdown looks whether requests are still in progress.
+    constexpr duration checkInterval = 20ms;
+
+    dispatch_limits dispatchLimits(const settings& configured)
+    {
+        dispatch_limits limits;
+        limits.selection.ownDataCentre = configured.dataCentre;
+        return limits;
+    }
+
+    http_client_limits backendLimits(const settings& configured)
+    {
+        http_client_limits limits;
+        limits.connectTimeout = configured.timeouts.connect;
+        limits.firstByteTimeout = configured.timeouts.firstByte;
+        limits.idleTimeout = configured.timeouts.idle;
+        return limits;
+    }
+
+    http_server_limits callerLimits(const settings& configured)
+    {
+        http_server_limits limits;
+        limits.headBytes = configured.limits.headBytes;
+        limits.bodyBytes = configured.limits.bodyBytes;
+        limits.connections = configured.limits.connections;
+        limits.headTimeout = configured.timeouts.head;
+        limits.bodyTimeout = configured.timeouts.body;
+        return limits;
+    }
+
+    void replyText(http_answer& answer, int status, std::string_view type, std::string_view body)
+    {
+        http_response_head head;
+        head.status = status;
+        head.headers.push_back({ "Content-Type", std::string(type) });
+        answer.reply(head, body);
+    }
+
+}
+
+/// The parts in order of dependency, the dispatch of actions to them, and the
+/// steps of a shutdown.
+struct dispatch_process::parts : basic_action_handler<dispatch_action> {
+    parts(event_loop& ofLoop, logger& toLog, const settings& from, platform_ports ports, std::uint64_t seed);
+
+    void handle(const dispatch_action& action) override;
+    void answerAdmin(const http_request& received, http_answer& answer);
+    void refuseNewWork();
+    void check();
+    void end(std::string_view reason);
+
+    event_loop& loop;
+    logger& log;
+    settings configured;
+    metrics values;
+    http_client backends;
+    dispatcher core;
+    dispatch_driver driver;
+    dispatch_front front;
+    dispatch_report report;
+    store_watcher watcher;
+    http_server callerServer;
+    http_server adminServer;
+    loop_timer graceTimer;
+    loop_timer deadlineTimer;
+    loop_timer checkTimer;
+    bool isLeaving = false;
+};
+
+dispatch_process::parts::parts(event_loop& ofLoop, logger& toLog, const settings& from, platform_ports ports, std::uint64_t seed)
+    : loop(ofLoop)
+    , log(toLog)
+    , configured(from)
+    , backends(loop, backendLimits(configured))
+    , core(dispatchLimits(configured), seed)
+    , driver(loop, core)
+    , front(driver, backends, ports.ingress, configured.limits.bufferBytes)
+    , report(driver, log, values)
+    , watcher(driver, ports.rows, ports.fleet, log, values, seed + 1)
+    , callerServer(loop, callerLimits(configured), [this](http_request request, std::shared_ptr<http_answer> answer) { front.onRequest(std::move(request), std::move(answer)); })
+    , adminServer(loop, {}, [this](const http_request& request, const std::shared_ptr<http_answer>& answer) { answerAdmin(request, *answer); })
+    , graceTimer(loop, [this] { refuseNewWork(); })
+    , deadlineTimer(loop, [this] { end("deadline"); })
+    , checkTimer(loop, [this] { check(); })
+{
+    driver.setHandler(*this);
+}
+
+void dispatch_process::parts::handle(const dispatch_action& action)
+{
+    struct performer {
+        parts& to;
+
+        void operator()(const dispatch_decision& step) const { to.report.perform(step); }
+        void operator()(const attempt_outcome& step) const { to.report.perform(step); }
+        void operator()(const request_outcome& step) const { to.report.perform(step); }
+        void operator()(const open_dispatch& step) const { to.front.perform(step); }
+        void operator()(const cancel_dispatch& step) const { to.front.perform(step); }
+        void operator()(const pass_head& step) const { to.front.perform(step); }
+        void operator()(const pass_bytes& step) const { to.front.perform(step); }
+        void operator()(const end_response& step) const { to.front.perform(step); }
+        void operator()(const break_response& step) const { to.front.perform(step); }
+        void operator()(const refuse_inbound& step) const { to.front.perform(step); }
+    };
+    std::visit(performer { *this }, action);
+}
+
+void dispatch_process::parts::answerAdmin(const http_request& received, http_answer& answer)
+{
+    const bool isReady = !isLeaving && core.fleet().isReady(loop.now());
+    if (received.method == "GET" && received.target == "/livez")
+        replyText(answer, statusOk, "text/plain", "live\n");
+    else if (received.method == "GET" && received.target == "/readyz")
+        replyText(answer, isReady ? statusOk : statusUnavailable, "text/plain", isReady ? "ready\n" : "not ready\n");
+    else if (received.method == "GET" && received.target == "/metrics")
+        replyText(answer, statusOk, "text/plain; version=0.0.4", report.metricsText());
+    else
+        replyText(answer, statusNotFound, "text/plain", "paths are /livez, /readyz and /metrics\n");
+}
+
+void dispatch_process::parts::refuseNewWork()
+{
+    log.write(log_level::info, "shutdown_draining", { { "requests", std::uint64_t { front.inProgress() } } });
+    core.drain();
+    callerServer.drain();
+    checkTimer.arm(checkInterval);
+}
+
+void dispatch_process::parts::check()
+{
+    if (front.inProgress() == 0 && callerServer.connectionCount() == 0) {
+        end("idle");
+        return;
+    }
+    checkTimer.arm(checkInterval);
+}
+
+void dispatch_process::parts::end(std::string_view reason)
+{
+    const std::uint64_t cut = front.abortAll();
+    log.write(cut == 0 ? log_level::info : log_level::warning, "shutdown_ended", { { "reason", reason }, { "requests_cut", cut } });
+    loop.stop();
+}
+
+dispatch_process::dispatch_process(event_loop& loop, logger& log, const settings& configured, platform_ports ports, std::uint64_t seed)
+    : m_parts(std::make_unique<parts>(loop, log, configured, ports, seed))
+{
+}
+
+dispatch_process::~dispatch_process() = default;
+
+result<void> dispatch_process::start()
+{
+    const settings& configured = m_parts->configured;
+    for (auto [server, location] : { std::pair { &m_parts->adminServer, configured.listen.admin }, std::pair { &m_parts->adminServer, configured.listen.metrics }, std::pair { &m_parts->callerServer, configured.listen.callers } }) {
+        if (location.port == 0)
+            continue;
+        if (const auto listening = server->listen(location); !listening)
+            return tl::unexpected(listening.error());
+    }
+    m_parts->watcher.start();
+    m_parts->log.write(log_level::info, "router_started", { { "vm", std::string_view(configured.vm.value()) }, { "data_centre", std::string_view(configured.dataCentre.value()) } });
+    return {};
+}
+
+void dispatch_process::shutDown()
+{
+    if (std::exchange(m_parts->isLeaving, true)) {
+        m_parts->end("second signal");
+        return;
+    }
+    m_parts->log.write(log_level::info, "shutdown_begun", { { "requests", std::uint64_t { m_parts->front.inProgress() } } });
+    m_parts->graceTimer.arm(m_parts->configured.shutdown.grace);
+    m_parts->deadlineTimer.arm(m_parts->configured.shutdown.deadline);
+}
+
+void dispatch_process::reload(const settings& changed)
+{
+    m_parts->log.setThreshold(parseLogLevel(changed.logLevel));
+    m_parts->log.write(log_level::info, "settings_reloaded", { { "log_level", std::string_view(changed.logLevel) } });
+}
+
+}
--- /dev/null
+++ b/lib/Daemon/DispatchReport.cpp
@@ -0,0 +1,73 @@
+#include "pimentoladder/Daemon/DispatchReport.h"
+
+namespace pimentoladder {
+
+namespace {
+
+    std::int64_t milliseconds(duration value)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+    }
+
+}
+
+dispatch_report::dispatch_report(dispatch_driver& driver, logger& log, metrics& values)
+    : m_driver(driver)
+    , m_log(log)
+    , m_metrics(values)
+{
+}
+
+void dispatch_report::perform(const dispatch_decision& decided)
+{
+    m_log.write(log_level::info, "request_dispatched",
+        { { "id", std::string_view(decided.callerId) }, { "request", decided.request.value() }, { "attempt", decided.attempt.value() },
+            { "route", std::string_view(decided.routeName) }, { "workspace", std::string_view(decided.workspace.value()) },
+            { "server", std::string_view(decided.server.value()) }, { "expected_ms", milliseconds(decided.expectedFirstEvent) },
+            { "unread_tokens", static_cast<std::int64_t>(decided.unreadTokens) }, { "candidates", std::uint64_t { decided.candidates } },
+            { "runs_before", std::uint64_t { decided.attemptsSoFar } }, { "cold", decided.isCold },
+            { "config_version", decided.planVersion.value() }, { "basis_age_ms", milliseconds(decided.basisAge) } });
+}
+
+void dispatch_report::perform(const attempt_outcome& ended)
+{
+    m_metrics.count("pimentoladder_attempts_total", { { "result", std::string(ended.result) } });
+    // Attempts that served their request are covered by the request's own line.
+    const bool isUsual = ended.result == "complete";
+    m_log.write(isUsual ? log_level::debug : log_level::info, "attempt_ended",
+        { { "id", std::string_view(ended.callerId) }, { "request", ended.request.value() }, { "attempt", ended.attempt.value() },
+            { "server", std::string_view(ended.server.value()) }, { "result", ended.result }, { "status", std::int64_t { ended.status } },
+            { "after_ms", milliseconds(ended.sinceSent) } });
+}
+
+void dispatch_report::perform(const request_outcome& ended)
+{
+    m_metrics.count("pimentoladder_requests_total", { { "route", ended.routeName }, { "result", std::string(ended.result) }, { "reason", std::string(ended.reason) } });
+    m_metrics.observe("pimentoladder_request_seconds", { { "route", ended.routeName }, { "result", std::string(ended.result) } }, ended.total);
+    if (ended.firstEvent)
+        m_metrics.observe("pimentoladder_first_event_seconds", { { "route", ended.routeName } }, *ended.firstEvent);
+    if (ended.longestPause > duration::zero())
+        m_metrics.observe("pimentoladder_longest_pause_seconds", { { "route", ended.routeName } }, ended.longestPause);
+    m_log.write(log_level::info, "request_ended",
+        { { "id", std::string_view(ended.callerId) }, { "request", ended.request.value() }, { "route", std::string_view(ended.routeName) },
+            { "workspace", std::string_view(ended.workspace.value()) }, { "result", ended.result }, { "reason", ended.reason },
+            { "runs", std::uint64_t { ended.attempts } }, { "expected_ms", milliseconds(ended.expectedFirstEvent) },
+            { "first_event_ms", ended.firstEvent ? milliseconds(*ended.firstEvent) : -1 }, { "longest_pause_ms", milliseconds(ended.longestPause) },
+            { "total_ms", milliseconds(ended.total) }, { "objective_ms", milliseconds(ended.objective) } });
+}
+
+std::string dispatch_report::metricsText()
+{
+    const dispatcher& core = m_driver.core();
+    const time_point now = m_driver.loop().now();
+    m_metrics.set("pimentoladder_requests_in_progress", {}, static_cast<double>(core.figures().inProgress));
+    m_metrics.set("pimentoladder_servers_registered", {}, static_cast<double>(core.fleet().servers().size()));
+    m_metrics.set("pimentoladder_configuration_version", {}, core.fleet().hasPlan() ? static_cast<double>(core.fleet().plan().version.value()) : 0);
+    m_metrics.set("pimentoladder_loop_lag_seconds", {}, std::chrono::duration<double>(m_driver.loopLag()).count());
+    m_metrics.set("pimentoladder_log_lines_dropped", {}, static_cast<double>(m_log.droppedLines()));
+    if (const auto age = core.fleet().basisAge(now))
+        m_metrics.set("pimentoladder_basis_age_seconds", {}, std::chrono::duration<double>(*age).count());
+    return m_metrics.text();
+}
+
+}
--- /dev/null
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -0,0 +1,554 @@
+#include "pimentoladder/Dispatch/Dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentoladder {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Servers that one request may meet, those included that did not run it.
+    constexpr std::size_t maxServersMet = 4;
+    // With less time than this left, a further attempt cannot be answered.
+    constexpr duration leastTimeToRetry = 40ms;
+    // A request outside its workspace's share is sent only while the expected
+    // time to its first event is below this part of the objective.
+    constexpr double shareOfObjectiveBeyondShare = 0.5;
+    // Margin for the report of a cold server, which is up to one heartbeat old.
+    constexpr duration coldMargin = 1s;
+    // Shortest wait that a refused caller is told; a shorter one finds the same load.
+    constexpr duration leastRetryAfter = 250ms;
+    // Longest wait that a caller honours, as part of the time that it has left.
+    constexpr int retryAfterParts = 3;
+    // Tokens generated count twice against a workspace's share.
+    constexpr double outputTokenWeight = 2;
+
+    std::string_view endName(attempt_end_kind kind)
+    {
+        switch (kind) {
+        case attempt_end_kind::complete:
+            return "complete";
+        case attempt_end_kind::notSent:
+            return "not_sent";
+        case attempt_end_kind::resetAfterSent:
+            return "reset_after_sent";
+        case attempt_end_kind::truncated:
+            return "truncated";
+        case attempt_end_kind::timeout:
+            return "timeout";
+        case attempt_end_kind::malformed:
+            return "malformed";
+        }
+        return "unknown";
+    }
+
+    bool isSuccess(int status)
+    {
+        return status >= 200 && status < 300;
+    }
+
+    // Longest time between two ticks; removals of servers wait for one.
+    constexpr duration tickInterval = 100ms;
+
+    constexpr int firstServerFailure = 500;
+
+}
+
+struct dispatcher::tracked_request {
+    request_number number;
+    inbound_request received;
+    route target;
+    workspace_id workspace;
+    bool hasKey = false; ///< Admitted by a key, which may be withdrawn.
+    pool_id pool;
+    double tokens = 0; ///< Counted against the workspace's share.
+    time_point receivedAt;
+    time_point deadline; ///< Of the caller or of the route, whichever is earlier.
+
+    attempt_number attempt; ///< Zero: none is open.
+    server_id server;
+    time_point openedAt;
+    time_point progressAt; ///< Sent, or last event.
+    bool isSent = false;
+    bool isDenied = false; ///< This router withheld the first byte.
+    bool isPassing = false; ///< The open attempt's bytes go to the caller.
+    bool hasWaited = false; ///< Patience ran out, and no other server could take over.
+    int status = 0;
+
+    std::uint32_t runs = 0; ///< Attempts that may have run.
+    std::set<server_id> met;
+    bool hasHead = false; ///< The caller has the head of the answer.
+    std::optional<std::uint64_t> lastEvent;
+    std::optional<duration> firstEvent;
+    duration longestPause {};
+    duration expectedFirstEvent {};
+    double unreadTokens = 0;
+    std::optional<time_point> wakeAt;
+
+    bool isRepeatable() const { return target.repeat != repeat_policy::atMostOnce; }
+};
+
+dispatcher::dispatcher(dispatch_limits limits, std::uint64_t seed)
+    : m_limits(std::move(limits))
+    , m_fleet(m_limits.freshness)
+    , m_selector(m_fleet, m_limits.selection, seed)
+    , m_random(seed + 1)
+{
+}
+
+dispatcher::~dispatcher() = default;
+
+std::optional<refusal_kind> dispatcher::admit(time_point now, tracked_request& request)
+{
+    if (m_isDraining)
+        return refusal_kind::draining;
+    if (!m_fleet.hasPlan())
+        return refusal_kind::notFresh;
+    const std::string& path = request.received.path;
+    const route* found = m_fleet.findRoute(request.received.host, path);
+    // A router that may have missed a change must not deny what the change allows.
+    if (!found)
+        return m_fleet.isReady(now) ? refusal_kind::noPool : refusal_kind::notFresh;
+    request.target = *found;
+    request.workspace = fleet_view::anonymous();
+    if (found->isAnonymous || m_fleet.plan().workspaces.empty())
+        return std::nullopt;
+    if (!m_fleet.mayUseKeys(now))
+        return refusal_kind::notFresh;
+    const workspace_keys* holder = request.received.keyDigest ? m_fleet.workspaceByKey(*request.received.keyDigest) : nullptr;
+    if (!holder)
+        return m_fleet.isReady(now) ? refusal_kind::unauthenticated : refusal_kind::notFresh;
+    request.workspace = holder->workspace;
+    request.hasKey = true;
+    return std::nullopt;
+}
+
+void dispatcher::choosePool(tracked_request& request)
+{
+    std::size_t total = 0;
+    for (const weighted_pool& each : request.target.pools)
+        total += each.weight;
+    if (total == 0)
+        return;
+    std::size_t drawn = m_random.index(total);
+    for (const weighted_pool& each : request.target.pools) {
+        request.pool = each.pool;
+        if (drawn < each.weight)
+            return;
+        drawn -= each.weight;
+    }
+}
+
+dispatch_actions dispatcher::onRequest(time_point now, const inbound_request& received, request_number& number)
+{
+    dispatch_actions out;
+    const tracked request = std::make_shared<tracked_request>();
+    number = request_number(++m_nextRequest);
+    request->number = number;
+    request->received = received;
+    request->receivedAt = now;
+    m_requests[number] = request;
+    if (const auto refused = admit(now, *request)) {
+        refuse(now, request, *refused, leastRetryAfter, out);
+        return out;
+    }
+    const duration allowed = std::min(received.timeLeft.value_or(request->target.timeout), request->target.timeout);
+    request->deadline = now + allowed;
+    request->lastEvent = received.resumeAfter;
+    choosePool(*request);
+    m_budget.recordRequest(now, request->pool);
+    if (received.prompt) {
+        request->tokens = received.prompt->promptTokens + outputTokenWeight * received.prompt->outputTokens;
+        m_share.recordAsked(now, request->workspace, request->tokens);
+    }
+    startAttempt(now, request, out);
+    return out;
+}
+
+bool dispatcher::isWorthwhile(time_point now, tracked_request& request, const selected_server& best)
+{
+    request.expectedFirstEvent = best.expectedFirstEvent;
+    if (!request.received.prompt)
+        return true;
+    const double capacity = m_fleet.plan().tokensPerSecond * std::chrono::duration<double>(tenant_share::window).count()
+        / static_cast<double>(m_limits.selection.routers);
+    const bool isWithin = m_share.isWithinShare(now, request.workspace, request.tokens, capacity);
+    const double part = isWithin ? 1.0 : shareOfObjectiveBeyondShare;
+    const auto limit = std::chrono::duration<double>(request.target.objective) * part;
+    return std::chrono::duration<double>(best.expectedFirstEvent) <= limit;
+}
+
+void dispatcher::startAttempt(time_point now, const tracked& request, dispatch_actions& out)
+{
+    const prompt_work* prompt = request->received.prompt ? &*request->received.prompt : nullptr;
+    const auto best = m_selector.select(now, { request->workspace, request->pool, prompt, request->met });
+    const bool isFirst = request->met.empty();
+    if (!best) {
+        if (request->hasHead)
+            breakOff(now, request, out);
+        else
+            refuse(now, request, request->runs == 0 ? refusal_kind::noEligibleServer : refusal_kind::serverFailed, leastRetryAfter, out);
+        return;
+    }
+    if (isFirst && !isWorthwhile(now, *request, *best)) {
+        refuse(now, request, refusal_kind::queueFull, best->expectedFirstEvent, out);
+        return;
+    }
+    if (isFirst && prompt)
+        m_share.recordAdmitted(now, request->workspace, request->tokens);
+    request->attempt = attempt_number(++m_nextAttempt);
+    request->server = best->server;
+    request->openedAt = now;
+    request->progressAt = now;
+    request->isSent = false;
+    request->isDenied = false;
+    request->isPassing = false;
+    request->hasWaited = false;
+    request->status = 0;
+    request->unreadTokens = best->unreadTokens;
+    m_byAttempt[request->attempt] = request->number;
+    m_selector.condition(best->server).started(now, request->attempt, best->unreadTokens);
+    out.push_back(dispatch_decision { request->number, request->attempt, request->received.callerId, request->target.name,
+        request->workspace, best->server, best->expectedFirstEvent, best->unreadTokens, best->candidates, request->runs,
+        true, best->isCold, m_fleet.plan().version, m_fleet.basisAge(now).value_or(duration::zero()) });
+    const workspace_id shownWorkspace = request->hasKey ? request->workspace : workspace_id();
+    out.push_back(open_dispatch { request->number, request->attempt, best->server,
+        m_fleet.findServer(best->server)->location, shownWorkspace, request->deadline - now, request->lastEvent });
+    schedule(request, nextCheck(*request));
+}
+
+bool dispatcher::mayGiveBytes(time_point now, attempt_number attempt)
+{
+    const tracked request = findByAttempt(attempt);
+    if (!request)
+        return false;
+    const bool isCurrent = !request->hasKey || m_fleet.mayUseKeys(now);
+    if (!isCurrent || !m_fleet.access().isInService(request->server) || now >= request->deadline) {
+        request->isDenied = true;
+        return false;
+    }
+    request->isSent = true;
+    request->progressAt = now;
+    return true;
+}
+
+dispatch_actions dispatcher::onHead(time_point now, attempt_number attempt, const served_head& head)
+{
+    dispatch_actions out;
+    const tracked request = findByAttempt(attempt);
+    if (!request)
+        return out;
+    server_condition& condition = m_selector.condition(request->server);
+    if (head.load)
+        condition.stated(now, *head.load);
+    request->status = head.status;
+    const auto drop = [&](bool mayHaveRun, std::string_view result) {
+        out.push_back(cancel_dispatch { request->number, attempt });
+        failAttempt(now, request, mayHaveRun, result, head.status, out);
+    };
+    if (!head.isFromExpectedAttempt) {
+        condition.failed(now);
+        drop(true, "foreign_answer");
+        return out;
+    }
+    if (head.isOtherServer || head.isRefusedUnrun) {
+        if (head.isOtherServer)
+            condition.unreachable(now);
+        drop(false, head.isOtherServer ? "other_server" : "refused_unrun");
+        return out;
+    }
+    if (isSuccess(head.status) && !head.isAuthentic) {
+        condition.failed(now);
+        drop(true, "unsigned_answer");
+        return out;
+    }
+    if (head.status >= firstServerFailure)
+        condition.failed(now);
+    const bool isResumed = request->hasHead;
+    const bool isFailure = isResumed ? !isSuccess(head.status) : head.status >= firstServerFailure;
+    const bool isRetried = request->isRepeatable() && canRetry(now, *request, true);
+    if (isFailure && (isResumed || isRetried)) {
+        drop(true, "server_failure");
+        return out;
+    }
+    request->isPassing = true;
+    if (!request->target.isStream)
+        condition.responded(now, attempt);
+    if (!isResumed) {
+        request->hasHead = true;
+        out.push_back(pass_head { request->number });
+    }
+    return out;
+}
+
+dispatch_actions dispatcher::onBytes(time_point now, attempt_number attempt, std::string_view bytes, std::optional<std::uint64_t> lastEvent)
+{
+    dispatch_actions out;
+    const tracked request = findByAttempt(attempt);
+    if (!request || !request->isPassing || bytes.empty())
+        return out;
+    if (lastEvent) {
+        server_condition& condition = m_selector.condition(request->server);
+        condition.responded(now, attempt);
+        if (!request->firstEvent) {
+            request->firstEvent = now - request->receivedAt;
+            if (request->received.prompt)
+                condition.keeps(prefixHashes(request->received.prompt->parts));
+        } else {
+            request->longestPause = std::max(request->longestPause, now - request->progressAt);
+        }
+        request->lastEvent = lastEvent;
+        request->progressAt = now;
+    }
+    out.push_back(pass_bytes { request->number });
+    return out;
+}
+
+dispatch_actions dispatcher::onAttemptEnded(time_point now, attempt_number attempt, attempt_end end)
+{
+    dispatch_actions out;
+    const tracked request = findByAttempt(attempt);
+    if (!request)
+        return out;
+    server_condition& condition = m_selector.condition(request->server);
+    if (end.kind == attempt_end_kind::complete && request->isPassing) {
+        if (request->status < firstServerFailure)
+            condition.succeeded();
+        closeAttempt(now, *request, "complete", request->status, out);
+        out.push_back(end_response { request->number });
+        finish(now, request, "served", {}, out);
+        return out;
+    }
+    if (!end.mayHaveBeenSent) {
+        if (!request->isDenied)
+            condition.unreachable(now);
+        failAttempt(now, request, false, request->isDenied ? "withheld" : "not_sent", 0, out);
+        return out;
+    }
+    condition.failed(now);
+    failAttempt(now, request, true, endName(end.kind), request->status, out);
+    return out;
+}
+
+void dispatcher::failAttempt(time_point now, const tracked& request, bool mayHaveRun, std::string_view result, int status, dispatch_actions& out)
+{
+    closeAttempt(now, *request, result, status, out);
+    request->met.insert(request->server);
+    if (mayHaveRun)
+        ++request->runs;
+    recover(now, request, mayHaveRun, out);
+}
+
+void dispatcher::closeAttempt(time_point now, tracked_request& request, std::string_view result, int status, dispatch_actions& out)
+{
+    m_byAttempt.erase(request.attempt);
+    m_selector.condition(request.server).ended(request.attempt);
+    out.push_back(attempt_outcome { request.number, request.attempt, request.received.callerId, request.server, result, status, now - request.openedAt });
+    request.attempt = {};
+    request.isPassing = false;
+}
+
+bool dispatcher::canRetry(time_point now, const tracked_request& request, bool mayHaveRun) const
+{
+    const std::uint32_t runs = request.runs + (mayHaveRun ? 1 : 0);
+    return runs < request.target.maxAttempts && request.met.size() + 1 < maxServersMet
+        && now + leastTimeToRetry < request.deadline;
+}
+
+void dispatcher::recover(time_point now, const tracked& request, bool mayHaveRun, dispatch_actions& out)
+{
+    const bool isUnrun = request->runs == 0;
+    const bool isAllowed = isUnrun || request->isRepeatable();
+    const bool isCurrent = !request->hasKey || m_fleet.mayUseKeys(now);
+    // An attempt that never reached a server costs no budget.
+    const bool hasArrived = mayHaveRun || !request->isDenied;
+    const bool isRetried = isAllowed && isCurrent && canRetry(now, *request, false)
+        && (!hasArrived || m_budget.tryTake(now, request->pool));
+    if (isRetried) {
+        startAttempt(now, request, out);
+        return;
+    }
+    if (request->hasHead) {
+        breakOff(now, request, out);
+        return;
+    }
+    if (!isUnrun) {
+        refuse(now, request, request->isRepeatable() ? refusal_kind::serverFailed : refusal_kind::outcomeUnknown, {}, out);
+        return;
+    }
+    refuse(now, request, isCurrent ? refusal_kind::serverUnreachable : refusal_kind::notFresh, leastRetryAfter, out);
+}
+
+void dispatcher::refuse(time_point now, const tracked& request, refusal_kind kind, duration retryAfter, dispatch_actions& out)
+{
+    const refusal& row = refusalOf(kind);
+    duration wait {};
+    if (row.ran == run_state::notRun && row.retry == retry_advice::later) {
+        wait = std::max(retryAfter, leastRetryAfter);
+        if (request->received.timeLeft)
+            wait = std::min(wait, *request->received.timeLeft / retryAfterParts);
+    }
+    out.push_back(refuse_inbound { request->number, kind, wait });
+    finish(now, request, "refused", row.name, out);
+}
+
+void dispatcher::breakOff(time_point now, const tracked& request, dispatch_actions& out)
+{
+    out.push_back(break_response { request->number });
+    finish(now, request, "broken", {}, out);
+}
+
+void dispatcher::finish(time_point now, const tracked& request, std::string_view result, std::string_view reason, dispatch_actions& out)
+{
+    if (request->wakeAt)
+        m_deadlines.erase({ *request->wakeAt, request->number });
+    m_requests.erase(request->number);
+    out.push_back(request_outcome { request->number, request->received.callerId, request->target.name, request->workspace,
+        result, reason, request->runs, request->expectedFirstEvent, request->firstEvent, request->longestPause,
+        now - request->receivedAt, request->target.objective });
+}
+
+dispatch_actions dispatcher::onCallerLeft(time_point now, request_number number)
+{
+    dispatch_actions out;
+    const auto found = m_requests.find(number);
+    if (found == m_requests.end())
+        return out;
+    const tracked request = found->second;
+    if (request->attempt != attempt_number()) {
+        out.push_back(cancel_dispatch { number, request->attempt });
+        closeAttempt(now, *request, "caller_left", request->status, out);
+    }
+    finish(now, request, "abandoned", {}, out);
+    return out;
+}
+
+void dispatcher::schedule(const tracked& request, time_point at)
+{
+    if (request->wakeAt)
+        m_deadlines.erase({ *request->wakeAt, request->number });
+    request->wakeAt = at;
+    m_deadlines.insert({ at, request->number });
+}
+
+time_point dispatcher::nextCheck(const tracked_request& request) const
+{
+    const bool mayMove = request.isRepeatable() && !request.hasWaited;
+    if (!mayMove)
+        return request.deadline;
+    if (!request.target.isStream)
+        return request.hasHead ? request.deadline : std::min(request.deadline, request.progressAt + m_limits.idempotentPatience);
+    const duration usual = request.firstEvent ? request.target.pauseLimit : request.target.objective;
+    return std::min(request.deadline, request.progressAt + usual + m_limits.streamPatience);
+}
+
+void dispatcher::overdue(time_point now, const tracked& request, dispatch_actions& out)
+{
+    const time_point due = nextCheck(*request);
+    if (now < due) {
+        schedule(request, due);
+        return;
+    }
+    if (now >= request->deadline) {
+        const bool mayHaveRun = request->isSent || request->runs > 0;
+        out.push_back(cancel_dispatch { request->number, request->attempt });
+        closeAttempt(now, *request, "deadline", request->status, out);
+        if (request->hasHead)
+            breakOff(now, request, out);
+        else
+            refuse(now, request, mayHaveRun ? refusal_kind::serverTimeout : refusal_kind::queueTimeout, leastRetryAfter, out);
+        return;
+    }
+    const prompt_work* prompt = request->received.prompt ? &*request->received.prompt : nullptr;
+    std::set<server_id> met = request->met;
+    met.insert(request->server);
+    const bool canMove = canRetry(now, *request, true) && m_selector.select(now, { request->workspace, request->pool, prompt, met });
+    if (!canMove) {
+        request->hasWaited = true;
+        schedule(request, nextCheck(*request));
+        return;
+    }
+    m_selector.condition(request->server).failed(now);
+    out.push_back(cancel_dispatch { request->number, request->attempt });
+    failAttempt(now, request, true, "silent", request->status, out);
+}
+
+dispatch_actions dispatcher::onTick(time_point now)
+{
+    dispatch_actions out;
+    if (m_fleet.onTick(now))
+        m_selector.retain(m_fleet.servers());
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const request_number number = m_deadlines.begin()->second;
+        m_deadlines.erase(m_deadlines.begin());
+        const tracked request = m_requests.at(number);
+        request->wakeAt.reset();
+        overdue(now, request, out);
+    }
+    return out;
+}
+
+time_point dispatcher::nextDeadline(time_point now) const
+{
+    const time_point regular = now + tickInterval;
+    return m_deadlines.empty() ? regular : std::min(regular, m_deadlines.begin()->first);
+}
+
+dispatcher::tracked dispatcher::findByAttempt(attempt_number attempt) const
+{
+    const auto found = m_byAttempt.find(attempt);
+    return found == m_byAttempt.end() ? nullptr : m_requests.at(found->second);
+}
+
+bool dispatcher::applyPlan(serving_plan plan)
+{
+    return m_fleet.applyPlan(std::move(plan));
+}
+
+void dispatcher::setOutOfService(time_point now, std::set<data_centre_id> dataCentres)
+{
+    const std::set<data_centre_id> before = m_fleet.outOfService();
+    m_fleet.setOutOfService(std::move(dataCentres));
+    for (const auto& [id, server] : m_fleet.servers()) {
+        const bool isBack = before.contains(server.dataCentre) && !m_fleet.outOfService().contains(server.dataCentre);
+        if (isBack)
+            markCold(now, server);
+    }
+}
+
+void dispatcher::markCold(time_point now, const registered_server& server)
+{
+    const pool_profile* profile = m_fleet.profileOf(server.pool);
+    const duration usual = profile ? profile->coldStart : duration::zero();
+    const duration left = std::max(usual, server.coldLeft);
+    if (left > duration::zero())
+        m_selector.condition(server.id).setCold(now + left + coldMargin);
+}
+
+void dispatcher::putServer(time_point now, const registered_server& server)
+{
+    const bool isNew = m_fleet.putServer(server);
+    if (isNew)
+        m_selector.reset(server.id);
+    if (isNew && m_hasServedServers)
+        markCold(now, server);
+    if (server.coldLeft > duration::zero())
+        m_selector.condition(server.id).setCold(now + server.coldLeft + coldMargin);
+}
+
+void dispatcher::removeServer(time_point now, const server_id& server)
+{
+    m_fleet.removeServer(server, now);
+    m_selector.retain(m_fleet.servers());
+}
+
+void dispatcher::retainServers(time_point now, const std::set<server_id>& present)
+{
+    m_fleet.retainServers(present, now);
+    m_selector.retain(m_fleet.servers());
+    m_hasServedServers = true;
+}
+
+}
--- /dev/null
+++ b/lib/Dispatch/FleetView.cpp
@@ -0,0 +1,184 @@
+#include "pimentoladder/Dispatch/FleetView.h"
+
+#include <utility>
+
+namespace pimentoladder {
+
+namespace {
+
+    constexpr const char* dataCentreLabel = "data-centre";
+
+}
+
+fleet_view::fleet_view(freshness_limits limits)
+    : m_limits(limits)
+{
+}
+
+const workspace_id& fleet_view::anonymous()
+{
+    static const workspace_id id("anonymous");
+    return id;
+}
+
+bool fleet_view::applyPlan(serving_plan plan)
+{
+    if (m_plan && plan.version <= m_plan->version)
+        return false;
+    m_plan = std::move(plan);
+    m_routes = route_table(m_plan->routes);
+    m_byKey.clear();
+    for (const workspace_keys& each : m_plan->workspaces) {
+        for (const std::string& digest : each.keyDigests)
+            m_byKey[digest] = &each;
+    }
+    invalidate();
+    return true;
+}
+
+void fleet_view::confirm(time_point sentAt)
+{
+    if (!m_confirmedAt || sentAt > *m_confirmedAt)
+        m_confirmedAt = sentAt;
+}
+
+void fleet_view::setOutOfService(std::set<data_centre_id> dataCentres)
+{
+    if (dataCentres == m_outOfService)
+        return;
+    m_outOfService = std::move(dataCentres);
+    invalidate();
+}
+
+bool fleet_view::putServer(const registered_server& server)
+{
+    m_removals.erase(server.id);
+    registered_server& known = m_servers[server.id];
+    const bool isNew = known.id.isEmpty() || known.start != server.start;
+    const bool isSame = known == server;
+    known = server;
+    if (!isSame)
+        invalidate();
+    return isNew;
+}
+
+void fleet_view::removeServer(const server_id& id, time_point now)
+{
+    if (!m_servers.contains(id))
+        return;
+    const bool isReturning = m_returnedAt && now < *m_returnedAt + m_limits.returnGrace;
+    m_removals.try_emplace(id, isReturning ? *m_returnedAt + m_limits.returnGrace : now);
+    onTick(now);
+}
+
+void fleet_view::retainServers(const std::set<server_id>& present, time_point now)
+{
+    std::vector<server_id> gone;
+    for (const auto& [id, server] : m_servers) {
+        if (!present.contains(id))
+            gone.push_back(id);
+    }
+    for (const server_id& id : gone)
+        removeServer(id, now);
+}
+
+bool fleet_view::onTick(time_point now)
+{
+    bool hasRemoved = false;
+    for (auto each = m_removals.begin(); each != m_removals.end();) {
+        if (each->second > now) {
+            ++each;
+            continue;
+        }
+        m_servers.erase(each->first);
+        each = m_removals.erase(each);
+        hasRemoved = true;
+    }
+    if (hasRemoved)
+        invalidate();
+    return hasRemoved;
+}
+
+const workspace_keys* fleet_view::workspaceByKey(std::string_view keyDigest) const
+{
+    const auto found = m_byKey.find(keyDigest);
+    return found == m_byKey.end() ? nullptr : found->second;
+}
+
+const pool_profile* fleet_view::profileOf(const pool_id& pool) const
+{
+    if (!m_plan)
+        return nullptr;
+    const auto found = m_plan->pools.find(pool);
+    return found == m_plan->pools.end() ? nullptr : &found->second;
+}
+
+const registered_server* fleet_view::findServer(const server_id& id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+std::shared_ptr<const document> fleet_view::buildDocument() const
+{
+    auto built = std::make_shared<document>();
+    built->workspaces[anonymous()].id = anonymous();
+    access_rule everyone;
+    everyone.id = rule_id("everyone");
+    built->accessRules[everyone.id] = everyone;
+    if (m_plan) {
+        built->at = m_plan->version;
+        for (const workspace_keys& each : m_plan->workspaces)
+            built->workspaces[each.workspace].id = each.workspace;
+        for (const auto& [id, profile] : m_plan->pools) {
+            built->pools[id].id = id;
+            built->pools[id].kind = profile.kind;
+        }
+    }
+    for (const auto& [id, server] : m_servers) {
+        backend_server& added = built->servers[id];
+        added.id = id;
+        added.pool = server.pool;
+        added.dataCentre = server.dataCentre;
+        added.location = server.location;
+        added.ceiling = server.slots;
+        added.isLeaving = server.isLeaving;
+        data_centre& place = built->dataCentres[server.dataCentre];
+        place.id = server.dataCentre;
+        place.labels[dataCentreLabel] = server.dataCentre.value();
+    }
+    for (const data_centre_id& id : m_outOfService) {
+        service_rule& rule = built->serviceRules[rule_id("out-" + id.value())];
+        rule.id = rule_id("out-" + id.value());
+        rule.dataCentresOut = selector({ { dataCentreLabel, selector_operator::equals, { id.value() } } });
+    }
+    return built;
+}
+
+const access_index& fleet_view::access() const
+{
+    if (!m_access)
+        m_access.emplace(buildDocument());
+    return *m_access;
+}
+
+std::optional<duration> fleet_view::basisAge(time_point now) const
+{
+    if (!m_confirmedAt)
+        return std::nullopt;
+    return now - *m_confirmedAt;
+}
+
+bool fleet_view::mayUseKeys(time_point now) const
+{
+    const auto age = basisAge(now);
+    return age && *age <= m_limits.keyBasis;
+}
+
+bool fleet_view::isReady(time_point now) const
+{
+    const auto age = basisAge(now);
+    return hasPlan() && age && *age <= m_limits.readyBasis;
+}
+
+}
--- /dev/null
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -0,0 +1,128 @@
+#include "pimentoladder/Dispatch/ServerSelector.h"
+
+#include <algorithm>
+
+namespace pimentoladder {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Time to an answer that a server in another data centre adds: two ways of
+    // 1.4 ms, and the price of the bytes that cross.
+    constexpr duration otherDataCentreDelay = 4ms;
+    // Advantage of the servers before others in a prefix's rendezvous order, so
+    // that all routers spill to the same server.
+    constexpr duration delayPerRank = 8ms;
+    // Expected time that one request of a plain service adds for those behind it.
+    constexpr duration serviceTimePerRequest = 15ms;
+
+    constexpr std::uint64_t fnvOffset = 0xcbf29ce484222325;
+    constexpr std::uint64_t fnvPrime = 0x100000001b3;
+
+}
+
+std::uint64_t rendezvousWeight(const server_id& server, std::uint64_t prefixHash)
+{
+    std::uint64_t hash = fnvOffset ^ prefixHash;
+    for (const char c : server.value())
+        hash = (hash ^ static_cast<unsigned char>(c)) * fnvPrime;
+    hash ^= hash >> 32;
+    hash *= 0xd6e8feb86659fd93; // Finaliser of xorshift-multiply hashes; evens out the high bits.
+    return hash ^ (hash >> 32);
+}
+
+server_selector::server_selector(const fleet_view& fleet, selection_limits limits, std::uint64_t seed)
+    : m_fleet(fleet)
+    , m_limits(std::move(limits))
+    , m_random(seed)
+{
+}
+
+void server_selector::retain(const std::map<server_id, registered_server>& registered)
+{
+    std::erase_if(m_conditions, [&](const auto& entry) { return !registered.contains(entry.first); });
+}
+
+duration server_selector::coldSpacing(const pool_id& pool) const
+{
+    const pool_profile* profile = m_fleet.profileOf(pool);
+    if (!profile || profile->coldRequestsPerSecond <= 0)
+        return duration::zero();
+    const double seconds = static_cast<double>(m_limits.routers) / profile->coldRequestsPerSecond;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+std::vector<server_selector::candidate> server_selector::candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored)
+{
+    const duration spacing = coldSpacing(wanted.pool);
+    std::vector<candidate> found;
+    m_fleet.access().forEachServer(wanted.workspace, wanted.pool, [&](const backend_server& server) {
+        if (wanted.excluded.contains(server.id))
+            return;
+        server_condition& known = m_conditions[server.id];
+        const bool isCold = known.isCold(now);
+        if (isCold && !known.mayStartCold(now, spacing))
+            return;
+        if (known.isEjected(now) && !isEjectionIgnored)
+            return;
+        found.push_back({ &server, &known, isCold });
+    });
+    return found;
+}
+
+selected_server server_selector::assess(time_point now, const candidate& assessed, const selection_request& wanted, const std::vector<std::uint64_t>& hashes) const
+{
+    selected_server result { assessed.server->id, {}, 0, 0, assessed.isCold };
+    if (wanted.prompt) {
+        result.unreadTokens = assessed.condition->unreadTokens(*wanted.prompt, hashes);
+        result.expectedFirstEvent = assessed.condition->expectedFirstEvent(now, result.unreadTokens);
+    } else {
+        result.expectedFirstEvent = assessed.condition->expectedFirstEvent(now, 0)
+            + assessed.condition->inFlight() * serviceTimePerRequest;
+    }
+    if (assessed.server->dataCentre != m_limits.ownDataCentre)
+        result.expectedFirstEvent += otherDataCentreDelay;
+    return result;
+}
+
+std::optional<selected_server> server_selector::select(time_point now, const selection_request& wanted)
+{
+    std::vector<candidate> candidates = candidatesFor(now, wanted, false);
+    if (candidates.empty())
+        candidates = candidatesFor(now, wanted, true);
+    if (candidates.empty())
+        return std::nullopt;
+    const std::vector<std::uint64_t> hashes = wanted.prompt ? prefixHashes(wanted.prompt->parts) : std::vector<std::uint64_t> {};
+    // The last part is the request's own; the one before it is what others share.
+    const bool hasSharedPart = hashes.size() >= 2;
+    if (hasSharedPart) {
+        const std::uint64_t shared = hashes[hashes.size() - 2];
+        std::sort(candidates.begin(), candidates.end(), [shared](const candidate& left, const candidate& right) {
+            return rendezvousWeight(left.server->id, shared) > rendezvousWeight(right.server->id, shared);
+        });
+    } else {
+        std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(m_random.index(candidates.size())), candidates.end());
+    }
+    std::optional<selected_server> best;
+    duration bestCost {};
+    for (std::size_t rank = 0; rank < candidates.size(); ++rank) {
+        selected_server assessed = assess(now, candidates[rank], wanted, hashes);
+        if (hasSharedPart && rank == 0) {
+            // The home keeps the shared parts, whichever router sent them there.
+            const double own = wanted.prompt->parts.back().tokens;
+            const double kept = std::min(assessed.unreadTokens, own);
+            assessed.expectedFirstEvent -= prefillTime(assessed.unreadTokens - kept);
+            assessed.unreadTokens = kept;
+        }
+        const duration cost = assessed.expectedFirstEvent + (hasSharedPart ? static_cast<int>(rank) * delayPerRank : duration::zero());
+        if (!best || cost < bestCost) {
+            best = assessed;
+            bestCost = cost;
+        }
+    }
+    best->candidates = candidates.size();
+    return best;
+}
+
+}
--- a/lib/Net/HttpClientConnection.cpp
+++ b/lib/Net/HttpClientConnection.cpp
@@ -1,9 +1,12 @@
 #include "HttpClientConnection.h"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdint>
 #include <cstdio>
 #include <limits>
+#include <optional>
 #include <utility>
 
 #include <event2/event.h>
@@ -43,6 +46,21 @@
         return nullptr;
     }
 
+    // Returns how long the server says that it keeps an unused connection.
+    std::optional<duration> keepAliveTimeoutOf(const http_headers& headers)
+    {
+        constexpr std::string_view parameter = "timeout=";
+        const auto value = findHeader(headers, "Keep-Alive");
+        const std::size_t at = value ? value->find(parameter) : std::string_view::npos;
+        if (at == std::string_view::npos)
+            return std::nullopt;
+        int seconds = 0;
+        const std::string_view digits = value->substr(at + parameter.size());
+        if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc())
+            return std::nullopt;
+        return std::chrono::seconds(seconds);
+    }
+
     std::string hostOf(const endpoint& server)
     {
         const bool isV6 = server.address.find(':') != std::string::npos;
@@ -106,7 +124,7 @@
     evhttp_request_set_chunked_cb(request, onBody);
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     const http_client_request& wanted = m_attempt->request;
-    evhttp_add_header(headers, "Host", hostOf(m_server).c_str());
+    evhttp_add_header(headers, "Host", wanted.host.empty() ? hostOf(m_server).c_str() : wanted.host.c_str());
     http_headers kept = wanted.headers;
     removeHopByHopHeaders(kept);
     for (const http_header& each : kept) {
@@ -234,6 +252,7 @@
     const evkeyvalq* headers = evhttp_request_get_input_headers(request);
     for (const evkeyval* each = headers->tqh_first; each; each = each->next.tqe_next)
         head.headers.push_back({ each->key, each->value });
+    m_serverTimeout = keepAliveTimeoutOf(head.headers);
     removeHopByHopHeaders(head.headers);
     m_hasDeliveredHead = true;
     const auto callbacks = m_attempt->callbacks;
@@ -351,7 +370,8 @@
 void http_client_connection::becomeIdle()
 {
     m_isPaused = false;
-    m_deadline.arm(m_pool.limits().keepAliveTimeout);
+    const duration kept = m_pool.limits().keepAliveTimeout;
+    m_deadline.arm(m_serverTimeout ? std::min(kept, *m_serverTimeout * 3 / 4) : kept);
 }
 
 }
--- a/lib/Net/HttpClientConnection.h
+++ b/lib/Net/HttpClientConnection.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -95,6 +96,7 @@
     attempt_end_kind m_endKind = attempt_end_kind::notSent;
     deferred_call m_finish;
     loop_timer m_deadline;
+    std::optional<duration> m_serverTimeout; ///< How long the server keeps the connection unused, if it says so.
     bool m_isAsked = false; ///< Whether bytes may be sent has been asked for this attempt.
     bool m_isDenied = false;
     bool m_hasDeliveredHead = false;
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -16,6 +16,12 @@
 
     constexpr std::string_view environmentPrefix = "PIMENTOLADDER_";
 
+    // Other variables with the prefix belong to whoever starts the process.
+    bool isSettingName(std::string_view name)
+    {
+        return name.find("__") != std::string_view::npos || name == "VM" || name == "DATA_CENTRE";
+    }
+
     template <typename T>
     void assignIfSet(T& target, const std::optional<T>& value)
     {
@@ -23,11 +29,12 @@
             target = *value;
     }
 
-    void readListen(mapping_reader reader, listen_settings& target)
+    void readListen(mapping_reader reader, listen_settings& target, bool hasPeers)
     {
         assignIfSet(target.callers, reader.address("callers", true));
         assignIfSet(target.admin, reader.address("admin", true));
-        assignIfSet(target.peers, reader.address("peers", true));
+        assignIfSet(target.metrics, reader.address("metrics", false));
+        assignIfSet(target.peers, reader.address("peers", hasPeers));
         target.peersAdvertised = target.peers;
         assignIfSet(target.peersAdvertised, reader.address("peers_advertised", false));
         reader.finish();
@@ -35,9 +42,11 @@
 
     void readPlatform(mapping_reader reader, platform_settings& target)
     {
-        assignIfSet(target.table, reader.address("table", true));
-        assignIfSet(target.objects, reader.address("objects", true));
-        assignIfSet(target.vms, reader.address("vms", true));
+        assignIfSet(target.rows, reader.address("rows", false));
+        const bool isTableNeeded = target.rows.port == 0;
+        assignIfSet(target.table, reader.address("table", isTableNeeded));
+        assignIfSet(target.objects, reader.address("objects", isTableNeeded));
+        assignIfSet(target.vms, reader.address("vms", isTableNeeded));
         reader.finish();
     }
 
@@ -163,9 +172,12 @@
             target.vm = vm_id(*vm);
         if (const auto dataCentre = root.text("data_centre", true))
             target.dataCentre = data_centre_id(*dataCentre);
-        readListen(root.section("listen", true), target.listen);
         readPlatform(root.section("platform", true), target.platform);
-        readFleet(root.section("fleet", true), target, faults);
+        // A router that follows rows has no links to other routers.
+        const bool hasPeers = target.platform.rows.port == 0;
+        readListen(root.section("listen", true), target.listen, hasPeers);
+        if (hasPeers)
+            readFleet(root.section("fleet", true), target, faults);
         readOperators(root.list("operators"), target, faults);
         readLimits(root.section("limits", false), target.limits);
         readTimeouts(root.section("timeouts", false), target.timeouts);
@@ -215,6 +227,8 @@
         if (!entry.starts_with(environmentPrefix) || equals == std::string_view::npos)
             continue;
         const std::string name(entry.substr(0, equals));
+        if (!isSettingName(std::string_view(name).substr(environmentPrefix.size())))
+            continue;
         std::string key;
         for (std::size_t i = environmentPrefix.size(); i < name.size(); ++i) {
             const bool isSeparator = name.compare(i, 2, "__") == 0;
--- a/tools/pimentoladder/Main.cpp
+++ b/tools/pimentoladder/Main.cpp
@@ -17,10 +17,14 @@
 #include <unistd.h>
 
 #include "AdminCommand.h"
+#include "pimentoladder/Daemon/DispatchProcess.h"
 #include "pimentoladder/Daemon/RouterProcess.h"
 #include "pimentoladder/Net/EventLoop.h"
 #include "pimentoladder/Settings/Settings.h"
 #include "pimentoladder/Telemetry/Log.h"
+#include "platform/FleetRows.h"
+#include "platform/RequestHeaders.h"
+#include "platform/StoreClient.h"
 
 ABSL_FLAG(std::string, config, "", "settings file");
 ABSL_FLAG(std::vector<std::string>, set, {}, "settings that override the file and the environment: section.key=value,...");
@@ -88,19 +92,14 @@
         return exitOk;
     }
 
-    int run()
+    // Runs a router that shares grants with its peers through the table.
+    int runWithPeers(event_loop& loop, logger& log, const settings& configured)
     {
-        const auto configured = loadSettings();
-        if (!configured)
-            return exitUsage;
-        std::signal(SIGPIPE, SIG_IGN);
-        event_loop loop;
-        logger log(parseLogLevel(configured->logLevel), descriptorSink(STDOUT_FILENO), [&loop] { return loop.now(); });
         // Wall time in milliseconds grows from start to start of a VM, also when
         // the VM is replaced and its other clocks begin anew.
         const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
         const incarnation start(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(wallTime).count()));
-        router_process router(loop, log, *configured, start, std::random_device {}());
+        router_process router(loop, log, configured, start, std::random_device {}());
         const auto shutDown = [&router] { router.shutDown(); };
         signal_watch onTerminate(loop, SIGTERM, shutDown);
         signal_watch onInterrupt(loop, SIGINT, shutDown);
@@ -112,6 +111,41 @@
         return exitOk;
     }
 
+    // Runs a router that follows published rows and decides alone.
+    int runWithRows(event_loop& loop, logger& log, const settings& configured)
+    {
+        platform::store_client rows(loop, configured.platform.rows);
+        platform::fleet_rows fleet;
+        platform::request_headers ingress;
+        dispatch_process router(loop, log, configured, { rows, fleet, ingress }, std::random_device {}());
+        const auto shutDown = [&router] { router.shutDown(); };
+        signal_watch onTerminate(loop, SIGTERM, shutDown);
+        signal_watch onInterrupt(loop, SIGINT, shutDown);
+        signal_watch onHangUp(loop, SIGHUP, [&router] {
+            // Faults are printed; the settings in force stay.
+            if (const auto changed = loadSettings())
+                router.reload(*changed);
+        });
+        if (const auto started = router.start(); !started) {
+            std::cerr << started.error().message << "\n";
+            return exitFailed;
+        }
+        loop.run();
+        return exitOk;
+    }
+
+    int run()
+    {
+        const auto configured = loadSettings();
+        if (!configured)
+            return exitUsage;
+        std::signal(SIGPIPE, SIG_IGN);
+        event_loop loop;
+        logger log(parseLogLevel(configured->logLevel), descriptorSink(STDOUT_FILENO), [&loop] { return loop.now(); });
+        const bool followsRows = configured->platform.rows.port != 0;
+        return followsRows ? runWithRows(loop, log, *configured) : runWithPeers(loop, log, *configured);
+    }
+
     int printVersion()
     {
         std::cout << "pimentoladder " << PIMENTOLADDER_VERSION << "\n";
