--- /dev/null
+++ b/include/pimentoladder/Codec/MemberJson.h
@@ -0,0 +1,17 @@
+/// \file
+/// JSON form of a member in the table of members.
+
+#pragma once
+
+#include "pimentoladder/Replica/MemberRegistration.h"
+
+namespace pimentoladder {
+
+/// Thread-safe.
+class member_json final : public member_codec {
+public:
+    std::string encode(const member& source) const override;
+    result<member> decode(const std::string& text) const override;
+};
+
+}
--- a/include/pimentoladder/Daemon/DispatchProcess.h
+++ b/include/pimentoladder/Daemon/DispatchProcess.h
@@ -27,8 +27,9 @@
 /// Not thread-safe; call on the loop's thread.
 class dispatch_process {
 public:
-    /// The references outlive the process. \p seed seeds its random numbers.
-    dispatch_process(event_loop& loop, logger& log, const settings& configured, platform_ports ports, std::uint64_t seed);
+    /// The references outlive the process. \p start grows from start to start
+    /// of the VM; \p seed seeds the process's random numbers.
+    dispatch_process(event_loop& loop, logger& log, const settings& configured, platform_ports ports, incarnation start, std::uint64_t seed);
     ~dispatch_process();
     dispatch_process(const dispatch_process&) = delete;
     dispatch_process& operator=(const dispatch_process&) = delete;
--- /dev/null
+++ b/include/pimentoladder/Daemon/FleetFollower.h
@@ -0,0 +1,100 @@
+/// \file
+/// Keeps the dispatcher's view of the fleet current: the rows that operators
+/// and backend servers publish, the other routers, and what they have served.
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "pimentoladder/Codec/MemberJson.h"
+#include "pimentoladder/Daemon/CoreDriver.h"
+#include "pimentoladder/Daemon/PeerMesh.h"
+#include "pimentoladder/Dispatch/FleetCodec.h"
+#include "pimentoladder/Dispatch/TenantShare.h"
+#include "pimentoladder/Platform/RowStore.h"
+#include "pimentoladder/Replica/MemberRegistration.h"
+#include "pimentoladder/Replica/RowRelay.h"
+#include "pimentoladder/Telemetry/Log.h"
+#include "pimentoladder/Telemetry/Metrics.h"
+
+namespace pimentoladder {
+
+using relay_driver = basic_core_driver<row_relay, relay_action>;
+
+/// Compares rows by what the dispatcher reads from them. Thread-safe.
+class decoded_significance final : public row_significance {
+public:
+    /// \p codec outlives this object.
+    explicit decoded_significance(const fleet_codec& codec)
+        : m_codec(codec)
+    {
+    }
+
+    bool isSignificant(std::uint32_t table, const published_row& before, const published_row& after) const override;
+
+private:
+    const fleet_codec& m_codec;
+};
+
+/// What the follower needs of its process.
+struct follower_parts {
+    dispatch_driver& dispatch;
+    row_store& store;
+    const fleet_codec& codec;
+    logger& log;
+    metrics& values;
+};
+
+/// Runs the relay of rows and the links to other routers, and translates rows
+/// for the dispatcher. Not thread-safe; call on the loop's thread.
+class fleet_follower final : basic_action_handler<relay_action> {
+public:
+    /// The references in \p parts outlive the follower. \p self.peerLocation is
+    /// where the other routers reach this one; \p freshKey is proposed as the
+    /// fleet's key if there is none.
+    fleet_follower(follower_parts parts, const member& self, const std::string& freshKey, std::uint64_t seed);
+
+    void start();
+
+    const link_counters& linkCounters() const { return m_mesh.counters(); }
+
+private:
+    void handle(const relay_action& action) override;
+    void perform(const read_table& step);
+    void perform(const send_to_router& step);
+    void perform(const row_changed& step);
+    void perform(const table_listed& step);
+    void perform(const basis_confirmed& step);
+    void perform(const store_state_changed& step);
+    void perform(const source_changed& step);
+    void perform(const store_returned& step);
+
+    std::string nameOf(followed_table table) const;
+    void applyOperatorRow(const published_row& row);
+    void applyServerRow(const published_row& row);
+    void reportUnreadable(const published_row& row, followed_table table, const error& fault);
+    void updateMembers();
+    void registerSelf();
+    void exchangeUsage();
+    void onMessage(const member_ref& from, const message& received);
+    peer_mesh_owner meshOwner();
+
+    follower_parts m_parts;
+    member m_self;
+    decoded_significance m_significance;
+    row_relay m_relay;
+    relay_driver m_driver;
+    member_json m_memberCodec;
+    member_registration m_registration;
+    usage_aggregator m_usage;
+    peer_mesh m_mesh;
+    loop_timer m_registrationTimer;
+    loop_timer m_usageTimer;
+    bool m_isListening = false;
+    std::map<std::string, data_centre_id> m_outByRow; ///< Data centres out of service, by the row that says so.
+};
+
+}
--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -93,7 +93,7 @@
     double unreadTokens = 0;
     std::size_t candidates = 0;
     std::uint32_t attemptsSoFar = 0;
-    bool isWithinShare = true;
+    double shareFill = 0; ///< Above 1: the workspace is beyond its fair share.
     bool isCold = false;
     revision planVersion;
     duration basisAge {};
@@ -119,6 +119,7 @@
     std::string_view result; ///< served, refused, broken or abandoned.
     std::string_view reason; ///< Name of the refusal; empty otherwise.
     std::uint32_t attempts = 0;
+    double shareFill = 0; ///< Above 1: the workspace is beyond its fair share.
     duration expectedFirstEvent {}; ///< Of the best server, where the request was refused for its load.
     std::optional<duration> firstEvent;
     duration longestPause {};
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -68,10 +68,22 @@
     void setOutOfService(time_point now, std::set<data_centre_id> dataCentres);
     void putServer(time_point now, const registered_server& server);
     void removeServer(time_point now, const server_id& server);
-    void retainServers(time_point now, const std::set<server_id>& present);
+
+    /// All registered servers have been put: those put from now on are new.
+    void serversListed() { m_hasListedServers = true; }
     void confirm(time_point sentAt) { m_fleet.confirm(sentAt); }
     void storeReturned(time_point now) { m_fleet.storeReturned(now); }
 
+    // Other routers.
+
+    /// Returns the tokens of this router's requests, for the other routers.
+    usage_report usage() const { return m_share.report(); }
+
+    /// Takes over the tokens of all routers' requests.
+    void setFleetUsage(time_point now, const usage_totals& totals) { m_share.setFleet(now, totals); }
+
+    void setRouters(std::vector<vm_id> routers) { m_selector.setRouters(std::move(routers)); }
+
     /// Refuses new requests from now on.
     void drain() { m_isDraining = true; }
 
@@ -115,7 +127,7 @@
     std::uint64_t m_nextRequest = 0;
     std::uint64_t m_nextAttempt = 0;
     bool m_isDraining = false;
-    bool m_hasServedServers = false; ///< The first read of the servers is complete.
+    bool m_hasListedServers = false; ///< The first read of the servers is complete.
 };
 
 }
--- a/include/pimentoladder/Dispatch/FleetView.h
+++ b/include/pimentoladder/Dispatch/FleetView.h
@@ -50,9 +50,6 @@
     /// returned from an outage, the removal waits for the return grace.
     void removeServer(const server_id& id, time_point now);
 
-    /// Keeps only the servers in \p present, as after a read of all of them.
-    void retainServers(const std::set<server_id>& present, time_point now);
-
     /// The store answers again after an outage.
     void storeReturned(time_point now) { m_returnedAt = now; }
 
--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -16,8 +17,10 @@
 
 /// How the choice of servers is bounded.
 struct selection_limits {
-    std::size_t routers = 12; ///< Routers that share the allowances of cold servers.
     data_centre_id ownDataCentre;
+    vm_id self;
+    std::size_t coldSenders = 8; ///< Routers that may send to one cold server.
+    std::size_t coldShares = 12; ///< Parts of a cold server's allowance; more than the senders, since the routers' views of the members may differ.
 };
 
 /// What a request asks of its server.
@@ -53,6 +56,12 @@
     /// The server is new or has restarted: what was learnt of it is void.
     void reset(const server_id& server) { m_conditions.erase(server); }
 
+    /// Sets the routers of the fleet, which share out the cold servers.
+    void setRouters(std::vector<vm_id> routers) { m_routers = std::move(routers); }
+
+    /// Returns the number of routers, as far as it is known.
+    std::size_t routerCount() const { return std::max(m_routers.size(), m_limits.coldSenders); }
+
     /// Forgets servers that are no longer registered.
     void retain(const std::map<server_id, registered_server>& registered);
 
@@ -68,13 +77,18 @@
     std::vector<candidate> candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored);
     selected_server assess(time_point now, const candidate& assessed, const selection_request& wanted, const std::vector<std::uint64_t>& hashes) const;
     duration coldSpacing(const pool_id& pool) const;
+    bool maySendCold(const server_id& server) const;
 
     const fleet_view& m_fleet;
     selection_limits m_limits;
     random_source m_random;
     std::map<server_id, server_condition> m_conditions;
+    std::vector<vm_id> m_routers;
 };
 
+/// Returns the weight of a name for a hash in rendezvous hashing. Thread-safe.
+std::uint64_t rendezvousWeight(const std::string& name, std::uint64_t hash);
+
 /// Returns the weight of a server for a prompt prefix in rendezvous hashing; the
 /// server with the highest weight is the prefix's home on every router.
 /// Thread-safe.
--- a/include/pimentoladder/Platform/RowStore.h
+++ b/include/pimentoladder/Platform/RowStore.h
@@ -5,33 +5,22 @@
 
 #include <functional>
 #include <string>
-#include <vector>
 
 #include "pimentoladder/Base/Error.h"
-#include "pimentoladder/Base/Ids.h"
 #include "pimentoladder/Base/Time.h"
+#include "pimentoladder/Protocol/PublishedRow.h"
 
 namespace pimentoladder {
 
-struct stored_row {
-    std::string key;
-    std::string value; ///< Empty if the row was deleted.
-    revision at; ///< Of the transaction that wrote or deleted it.
-    bool isDeleted = false;
-};
-
-/// Rows as of one revision.
-struct rows_page {
-    std::vector<stored_row> rows;
-    revision newest; ///< Of the store when it answered.
-};
-
 /// Told once how a read ended. Errors: `unavailable`, `timeout`,
 /// `resourceExhausted` (the store refuses calls for their rate), `notFound` (the
 /// history asked for is gone; list the table instead), `corruptData`.
 using rows_callback = std::function<void(result<rows_page>)>;
 
-/// Reads rows. Implementations call back on the loop's thread, never from
+/// Told once how a write ended.
+using write_callback = std::function<void(result<void>)>;
+
+/// Reads and writes rows. Implementations call back on the loop's thread, never from
 /// within the call. Not thread-safe; call on the loop's thread.
 class row_store {
 public:
@@ -42,6 +31,11 @@
 
     /// Reads the rows changed after \p since, and waits up to \p wait for one.
     virtual void changes(const std::string& table, revision since, duration wait, rows_callback onEnd) = 0;
+
+    /// Writes one row; with \p mustBeAbsent only if the table has none of its
+    /// key. Errors: `conflict` (there is one), `outcomeUnknown` (the row may
+    /// have been written, or may be later; read it back), and those of a read.
+    virtual void write(const std::string& table, const std::string& key, const std::string& value, bool mustBeAbsent, write_callback onEnd) = 0;
 };
 
 }
--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -14,6 +14,7 @@
 #include "pimentoladder/Base/Time.h"
 #include "pimentoladder/Config/Document.h"
 #include "pimentoladder/Config/Rows.h"
+#include "pimentoladder/Protocol/PublishedRow.h"
 
 namespace pimentoladder {
 
@@ -185,7 +186,58 @@
     std::vector<fingerprint> running;
 };
 
+/// How far a router has followed one table of the store.
+struct table_position {
+    std::uint32_t table = 0; ///< Index that all routers of a version share.
+    revision at;
+};
+
+/// Asks a router that reads the store to pass on what it reads, and to answer
+/// at once with the age of its own knowledge. Sent at a regular interval.
+struct follow_rows {
+    std::uint64_t sequence = 0; ///< Number of this message, counted by its sender.
+    std::vector<table_position> have;
+};
+
+/// Rows of one table that changed after `from`, up to `to`. If `isWhole` they
+/// are the whole table.
+struct table_update {
+    std::uint32_t table = 0;
+    revision from;
+    revision to;
+    bool isWhole = false;
+    std::vector<published_row> rows;
+};
+
+/// What the sender has read of the store.
+struct rows_update {
+    std::uint64_t echoSequence = 0; ///< The `follow_rows` that this answers; 0: none.
+    std::optional<duration> basisAge; ///< Age of the read that last confirmed the operators' rows.
+    std::vector<table_update> tables;
+    std::optional<duration> returnedAge; ///< Time since the store answered again after an outage, if that is recent.
+};
+
+/// Tokens of one workspace.
+struct usage_entry {
+    workspace_id workspace;
+    cost_units asked = 0;
+    cost_units admitted = 0;
+};
+
+/// Tokens that the sender's requests have asked for and received since its
+/// start. The numbers only grow.
+struct usage_report {
+    std::vector<usage_entry> entries;
+};
+
+/// Tokens over the last window at all routers that report to the sender.
+struct usage_totals {
+    std::uint32_t routers = 0; ///< That have reported within the window.
+    std::vector<usage_entry> entries;
+};
+
 using message = std::variant<heartbeat, revision_announce, config_request, config_update, suspend, acquire, grant,
-    grant_report, recall, in_flight_report, shard_release, service_counters, crash_report, shard_owner>;
+    grant_report, recall, in_flight_report, shard_release, service_counters, crash_report, shard_owner, follow_rows, rows_update,
+    usage_report, usage_totals>;
 
 }
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -1,11 +1,12 @@
 #include "pimentoladder/Daemon/DispatchProcess.h"
 
+#include <random>
 #include <utility>
 
 #include "pimentoladder/Daemon/CoreDriver.h"
 #include "pimentoladder/Daemon/DispatchFront.h"
 #include "pimentoladder/Daemon/DispatchReport.h"
-#include "pimentoladder/Daemon/StoreWatcher.h"
+#include "pimentoladder/Daemon/FleetFollower.h"
 #include "pimentoladder/Net/HttpClient.h"
 #include "pimentoladder/Net/HttpServer.h"
 #include "pimentoladder/Telemetry/Metrics.h"
@@ -26,6 +27,7 @@
     {
         dispatch_limits limits;
         limits.selection.ownDataCentre = configured.dataCentre;
+        limits.selection.self = configured.vm;
         return limits;
     }
 
@@ -49,6 +51,23 @@
         return limits;
     }
 
+    member selfOf(const settings& configured, incarnation start)
+    {
+        return { configured.vm, start, configured.dataCentre, configured.listen.peersAdvertised };
+    }
+
+    // Returns 128 random bits in hexadecimal, from the system's generator.
+    std::string secretKey()
+    {
+        constexpr std::string_view digits = "0123456789abcdef";
+        constexpr std::size_t keyLength = 32;
+        std::random_device source;
+        std::string key;
+        while (key.size() < keyLength)
+            key += digits[source() % digits.size()];
+        return key;
+    }
+
     void replyText(http_answer& answer, int status, std::string_view type, std::string_view body)
     {
         http_response_head head;
@@ -62,7 +81,7 @@
 /// The parts in order of dependency, the dispatch of actions to them, and the
 /// steps of a shutdown.
 struct dispatch_process::parts : basic_action_handler<dispatch_action> {
-    parts(event_loop& ofLoop, logger& toLog, const settings& from, platform_ports ports, std::uint64_t seed);
+    parts(event_loop& ofLoop, logger& toLog, const settings& from, platform_ports ports, incarnation start, std::uint64_t seed);
 
     void handle(const dispatch_action& action) override;
     void answerAdmin(const http_request& received, http_answer& answer);
@@ -79,7 +98,7 @@
     dispatch_driver driver;
     dispatch_front front;
     dispatch_report report;
-    store_watcher watcher;
+    fleet_follower follower;
     http_server callerServer;
     http_server adminServer;
     loop_timer graceTimer;
@@ -88,7 +107,7 @@
     bool isLeaving = false;
 };
 
-dispatch_process::parts::parts(event_loop& ofLoop, logger& toLog, const settings& from, platform_ports ports, std::uint64_t seed)
+dispatch_process::parts::parts(event_loop& ofLoop, logger& toLog, const settings& from, platform_ports ports, incarnation start, std::uint64_t seed)
     : loop(ofLoop)
     , log(toLog)
     , configured(from)
@@ -97,7 +116,7 @@
     , driver(loop, core)
     , front(driver, backends, ports.ingress, configured.limits.bufferBytes)
     , report(driver, log, values)
-    , watcher(driver, ports.rows, ports.fleet, log, values, seed + 1)
+    , follower({ driver, ports.rows, ports.fleet, log, values }, selfOf(configured, start), secretKey(), seed + 1)
     , callerServer(loop, callerLimits(configured), [this](http_request request, std::shared_ptr<http_answer> answer) { front.onRequest(std::move(request), std::move(answer)); })
     , adminServer(loop, {}, [this](const http_request& request, const std::shared_ptr<http_answer>& answer) { answerAdmin(request, *answer); })
     , graceTimer(loop, [this] { refuseNewWork(); })
@@ -163,8 +182,8 @@
     loop.stop();
 }
 
-dispatch_process::dispatch_process(event_loop& loop, logger& log, const settings& configured, platform_ports ports, std::uint64_t seed)
-    : m_parts(std::make_unique<parts>(loop, log, configured, ports, seed))
+dispatch_process::dispatch_process(event_loop& loop, logger& log, const settings& configured, platform_ports ports, incarnation start, std::uint64_t seed)
+    : m_parts(std::make_unique<parts>(loop, log, configured, ports, start, seed))
 {
 }
 
@@ -179,7 +198,7 @@
         if (const auto listening = server->listen(location); !listening)
             return tl::unexpected(listening.error());
     }
-    m_parts->watcher.start();
+    m_parts->follower.start();
     m_parts->log.write(log_level::info, "router_started", { { "vm", std::string_view(configured.vm.value()) }, { "data_centre", std::string_view(configured.dataCentre.value()) } });
     return {};
 }
--- /dev/null
+++ b/lib/Daemon/FleetFollower.cpp
@@ -0,0 +1,320 @@
+#include "pimentoladder/Daemon/FleetFollower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentoladder {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Interval at which routers exchange what their requests used; a share is
+    // settled over 4 s.
+    constexpr duration usageInterval = 500ms;
+    // Interval at which the own row among the members is looked after.
+    constexpr duration registrationInterval = 250ms;
+
+    constexpr const char* memberTable = "pimentoladder-members";
+
+    peer_link_settings linkSettings(const member& self)
+    {
+        peer_link_settings link;
+        link.self = { self.vm, self.start };
+        return link;
+    }
+
+}
+
+bool decoded_significance::isSignificant(std::uint32_t table, const published_row& before, const published_row& after) const
+{
+    if (table != static_cast<std::uint32_t>(followed_table::servers))
+        return before.value != after.value;
+    const auto old = m_codec.decodeServer(before.key, before.value);
+    const auto now = m_codec.decodeServer(after.key, after.value);
+    if (!old || !now)
+        return old.has_value() != now.has_value();
+    registered_server expected = *old;
+    // The rest of a cold start shrinks from report to report.
+    if (now->coldLeft <= old->coldLeft && now->coldLeft > duration::zero())
+        expected.coldLeft = now->coldLeft;
+    return !(expected == *now);
+}
+
+fleet_follower::fleet_follower(follower_parts parts, const member& self, const std::string& freshKey, std::uint64_t seed)
+    : m_parts(parts)
+    , m_self(self)
+    , m_significance(parts.codec)
+    , m_relay(self.vm, self.dataCentre, m_significance, {}, seed)
+    , m_driver(parts.dispatch.loop(), m_relay)
+    , m_registration(self, freshKey, m_memberCodec)
+    , m_mesh(parts.dispatch.loop(), parts.log, linkSettings(self), meshOwner(), seed + 1)
+    , m_registrationTimer(parts.dispatch.loop(), [this] { registerSelf(); })
+    , m_usageTimer(parts.dispatch.loop(), [this] { exchangeUsage(); })
+{
+    m_driver.setHandler(*this);
+}
+
+void fleet_follower::start()
+{
+    m_registrationTimer.arm(registrationInterval);
+    m_usageTimer.arm(usageInterval);
+    m_driver.post([](row_relay& relay, time_point now) { return relay.onTick(now); });
+}
+
+peer_mesh_owner fleet_follower::meshOwner()
+{
+    peer_mesh_owner owner;
+    owner.targets = [this] {
+        std::vector<peer_target> targets;
+        for (const member& each : m_relay.readers()) {
+            if (each.vm != m_self.vm)
+                targets.push_back({ each.vm, each.peerLocation });
+        }
+        return targets;
+    };
+    owner.locate = [](const vm_id&) { return std::nullopt; };
+    owner.opened = [this](const member_ref& peer, const endpoint&) {
+        m_relay.onLinkOpened(peer.vm);
+        m_driver.post([](row_relay& relay, time_point now) { return relay.onTick(now); });
+    };
+    owner.closed = [this](const vm_id& peer) {
+        m_relay.onLinkClosed(peer);
+        m_driver.post([](row_relay& relay, time_point now) { return relay.onTick(now); });
+    };
+    owner.received = [this](const member_ref& from, const message& received) { onMessage(from, received); };
+    return owner;
+}
+
+void fleet_follower::onMessage(const member_ref& from, const message& received)
+{
+    const time_point now = m_driver.loop().now();
+    if (const auto* reported = std::get_if<usage_report>(&received)) {
+        m_usage.onReport(now, from, *reported);
+        m_mesh.send(from.vm, m_usage.totals(now));
+        return;
+    }
+    if (const auto* totals = std::get_if<usage_totals>(&received)) {
+        m_parts.dispatch.core().setFleetUsage(now, *totals);
+        return;
+    }
+    m_driver.post([&](row_relay& relay, time_point at) {
+        relay_actions actions = relay.onMessage(at, from, received);
+        for (relay_action& each : relay.onTick(at))
+            actions.push_back(std::move(each));
+        return actions;
+    });
+}
+
+void fleet_follower::exchangeUsage()
+{
+    m_usageTimer.arm(usageInterval);
+    const usage_report own = m_parts.dispatch.core().usage();
+    const time_point now = m_driver.loop().now();
+    for (const member& each : m_relay.readers()) {
+        if (each.vm != m_self.vm) {
+            m_mesh.send(each.vm, own);
+            continue;
+        }
+        m_usage.onReport(now, { m_self.vm, m_self.start }, own);
+        m_parts.dispatch.core().setFleetUsage(now, m_usage.totals(now));
+    }
+}
+
+void fleet_follower::registerSelf()
+{
+    m_registrationTimer.arm(registrationInterval);
+    const auto write = m_registration.next(m_driver.loop().now(), m_relay.replica(followed_table::members));
+    if (!write)
+        return;
+    m_parts.store.write(memberTable, write->key, write->value, write->mustBeAbsent, [this, key = write->key](const result<void>& ended) {
+        m_parts.log.write(log_level::info, "member_row_written",
+            { { "key", std::string_view(key) }, { "outcome", ended ? std::string_view("written") : errorKindName(ended.error().kind) } });
+        m_registration.onWritten();
+        m_driver.post([](row_relay& relay, time_point now) {
+            relay.refreshMembers();
+            return relay.onTick(now);
+        });
+    });
+}
+
+void fleet_follower::handle(const relay_action& action)
+{
+    std::visit([this](const auto& step) { perform(step); }, action);
+}
+
+std::string fleet_follower::nameOf(followed_table table) const
+{
+    switch (table) {
+    case followed_table::operators:
+        return m_parts.codec.operatorTable();
+    case followed_table::servers:
+        return m_parts.codec.serverTable();
+    case followed_table::members:
+        break;
+    }
+    return memberTable;
+}
+
+void fleet_follower::perform(const read_table& step)
+{
+    const auto onEnd = [this, table = step.table](const result<rows_page>& answer) {
+        m_driver.post([&](row_relay& relay, time_point now) {
+            relay_actions actions = relay.onRead(now, table, answer);
+            for (relay_action& each : relay.onTick(now))
+                actions.push_back(std::move(each));
+            return actions;
+        });
+    };
+    m_parts.values.count("pimentoladder_store_reads_total", { { "table", nameOf(step.table) } });
+    if (step.isWhole)
+        m_parts.store.list(nameOf(step.table), onEnd);
+    else
+        m_parts.store.changes(nameOf(step.table), step.since, step.wait, onEnd);
+}
+
+void fleet_follower::perform(const send_to_router& step)
+{
+    m_mesh.send(step.to, step.content);
+}
+
+void fleet_follower::perform(const row_changed& step)
+{
+    if (step.table == followed_table::operators)
+        applyOperatorRow(step.row);
+    else if (step.table == followed_table::servers)
+        applyServerRow(step.row);
+    else
+        updateMembers();
+}
+
+void fleet_follower::perform(const table_listed& step)
+{
+    if (step.table == followed_table::servers)
+        m_parts.dispatch.core().serversListed();
+    if (step.table == followed_table::members)
+        updateMembers();
+}
+
+void fleet_follower::perform(const basis_confirmed& step)
+{
+    m_parts.dispatch.core().confirm(step.at);
+}
+
+void fleet_follower::perform(const store_returned& step)
+{
+    m_parts.dispatch.core().storeReturned(step.at);
+}
+
+void fleet_follower::perform(const store_state_changed& step)
+{
+    const std::string table = nameOf(step.table);
+    if (!step.isLost) {
+        m_parts.log.write(log_level::info, "dependency_regained", { { "dependency", "store" }, { "table", std::string_view(table) } });
+        return;
+    }
+    m_parts.values.count("pimentoladder_store_outages_total", { { "table", table } });
+    m_parts.log.write(log_level::warning, "dependency_lost",
+        { { "dependency", "store" }, { "table", std::string_view(table) }, { "reason", errorKindName(step.reason.kind) }, { "message", std::string_view(step.reason.message) } });
+}
+
+void fleet_follower::perform(const source_changed& step)
+{
+    m_parts.log.write(log_level::info, "row_source_changed",
+        { { "source", step.source.isEmpty() ? std::string_view("store") : std::string_view(step.source.value()) }, { "reason", step.reason } });
+}
+
+void fleet_follower::updateMembers()
+{
+    const row_replica& rows = m_relay.replica(followed_table::members);
+    std::vector<member> members = m_registration.list(rows);
+    std::vector<vm_id> routers;
+    for (const member& each : members)
+        routers.push_back(each.vm);
+    m_relay.setMembers(std::move(members));
+    m_parts.dispatch.core().setRouters(std::move(routers));
+    const auto key = member_registration::fleetKey(rows);
+    if (!key)
+        return;
+    if (!m_isListening) {
+        m_mesh.setFleetKey(*key);
+        const auto listening = m_mesh.listen(m_self.peerLocation, m_self.peerLocation);
+        if (!listening) {
+            m_parts.log.write(log_level::error, "peer_listen_failed", { { "reason", std::string_view(listening.error().message) } });
+            return;
+        }
+        m_isListening = true;
+    }
+    m_mesh.refreshTargets();
+}
+
+void fleet_follower::applyOperatorRow(const published_row& row)
+{
+    const time_point now = m_driver.loop().now();
+    dispatcher& core = m_parts.dispatch.core();
+    m_outByRow.erase(row.key);
+    if (!row.isDeleted) {
+        auto decoded = m_parts.codec.decodeOperatorRow(row.key, row.value);
+        if (!decoded) {
+            reportUnreadable(row, followed_table::operators, decoded.error());
+            return;
+        }
+        if (const auto* out = std::get_if<data_centre_out>(&*decoded))
+            m_outByRow[row.key] = out->dataCentre;
+        if (auto* plan = std::get_if<serving_plan>(&*decoded)) {
+            const revision version = plan->version;
+            const std::uint64_t routes = plan->routes.size();
+            const bool isApplied = core.applyPlan(std::move(*plan));
+            m_parts.log.write(log_level::info, isApplied ? "configuration_applied" : "configuration_ignored",
+                { { "version", version.value() }, { "row_revision", row.at.value() }, { "routes", routes } });
+        }
+    }
+    std::set<data_centre_id> out;
+    std::string names;
+    for (const auto& [key, id] : m_outByRow) {
+        if (out.insert(id).second)
+            names += (names.empty() ? "" : ",") + id.value();
+    }
+    if (out == core.fleet().outOfService())
+        return;
+    m_parts.log.write(log_level::info, "data_centres_out", { { "data_centres", std::string_view(names) }, { "row_revision", row.at.value() } });
+    core.setOutOfService(now, std::move(out));
+}
+
+void fleet_follower::applyServerRow(const published_row& row)
+{
+    const time_point now = m_driver.loop().now();
+    dispatcher& core = m_parts.dispatch.core();
+    const server_id id(row.key);
+    const registered_server* known = core.fleet().findServer(id);
+    if (row.isDeleted) {
+        if (known)
+            m_parts.log.write(log_level::info, "server_gone", { { "server", std::string_view(row.key) }, { "row_revision", row.at.value() } });
+        core.removeServer(now, id);
+        return;
+    }
+    const auto decoded = m_parts.codec.decodeServer(row.key, row.value);
+    if (!decoded) {
+        reportUnreadable(row, followed_table::servers, decoded.error());
+        core.removeServer(now, id);
+        return;
+    }
+    const bool isChanged = !known || known->isLeaving != decoded->isLeaving || known->start != decoded->start || known->location != decoded->location;
+    if (isChanged) {
+        const std::int64_t coldMs = std::chrono::duration_cast<std::chrono::milliseconds>(decoded->coldLeft).count();
+        m_parts.log.write(log_level::info, decoded->isLeaving ? "server_leaving" : "server_registered",
+            { { "server", std::string_view(row.key) }, { "pool", std::string_view(decoded->pool.value()) }, { "start", decoded->start.value() },
+                { "cold_ms", coldMs }, { "row_revision", row.at.value() } });
+    }
+    core.putServer(now, *decoded);
+}
+
+void fleet_follower::reportUnreadable(const published_row& row, followed_table table, const error& fault)
+{
+    const std::string name = nameOf(table);
+    m_parts.values.count("pimentoladder_store_unreadable_rows_total", { { "table", name } });
+    m_parts.log.write(log_level::warning, "row_unreadable",
+        { { "table", std::string_view(name) }, { "key", std::string_view(row.key) }, { "row_revision", row.at.value() }, { "message", std::string_view(fault.message) } });
+}
+
+}
--- a/lib/Daemon/PeerMesh.cpp
+++ b/lib/Daemon/PeerMesh.cpp
@@ -14,12 +14,13 @@
 
 }
 
-peer_mesh::peer_mesh(core_driver& driver, logger& log, peer_link_settings settings, std::uint64_t seed)
-    : m_driver(driver)
+peer_mesh::peer_mesh(event_loop& loop, logger& log, peer_link_settings settings, peer_mesh_owner owner, std::uint64_t seed)
+    : m_loop(loop)
     , m_log(log)
     , m_settings(std::move(settings))
+    , m_owner(std::move(owner))
     , m_seed(seed)
-    , m_restart(driver.loop(), [this] { restart(); })
+    , m_restart(loop, [this] { restart(); })
 {
 }
 
@@ -29,7 +30,7 @@
 {
     m_location = location;
     m_advertised = advertised;
-    auto listener = peer_listener::listen(m_driver.loop().base(), m_settings, location, handlers({}), m_counters);
+    auto listener = peer_listener::listen(m_loop.base(), m_settings, location, handlers({}), m_counters);
     if (!listener)
         return tl::unexpected(listener.error());
     m_listener = std::move(*listener);
@@ -50,45 +51,42 @@
     const member_ref peer = link.peer();
     m_open.emplace(peer.vm, &link);
     m_log.write(log_level::info, "peer_link_opened", { { "peer", std::string_view(peer.vm.value()) }, { "incarnation", peer.start.value() }, { "dialled", link.isDialled() } });
-    m_driver.post([&](router_core& core, time_point now) { return core.onLinkOpened(now, peer, dialledTo); });
+    m_owner.opened(peer, dialledTo);
 }
 
 void peer_mesh::onReceived(peer_link& link, const message& received)
 {
-    m_driver.post([&](router_core& core, time_point now) { return core.onMessage(now, link.peer(), received); });
+    m_owner.received(link.peer(), received);
 }
 
 void peer_mesh::onClosed(peer_link& link, const error& reason)
 {
     std::erase_if(m_open, [&](const auto& entry) { return entry.second == &link; });
-    m_log.write(log_level::info, "peer_link_closed", { { "peer", std::string_view(link.peer().vm.value()) }, { "reason", std::string_view(reason.message) } });
+    const vm_id peer = link.peer().vm;
+    m_log.write(log_level::info, "peer_link_closed", { { "peer", std::string_view(peer.value()) }, { "reason", std::string_view(reason.message) } });
+    if (m_owner.closed && !peer.isEmpty() && !m_open.contains(peer))
+        m_owner.closed(peer);
 }
 
 void peer_mesh::dial(const peer_target& target)
 {
-    dialled_link dialled { target, nullptr, m_driver.loop().now() };
-    dialled.link = peer_link::dial(m_driver.loop().base(), m_settings, target.location, target.vm, handlers(target.location), m_counters, ++m_seed);
+    dialled_link dialled { target, nullptr, m_loop.now() };
+    dialled.link = peer_link::dial(m_loop.base(), m_settings, target.location, target.vm, handlers(target.location), m_counters, ++m_seed);
     m_dialled[target.location] = std::move(dialled);
 }
 
 void peer_mesh::refreshTargets()
 {
     std::set<endpoint> wanted;
-    const auto& members = m_driver.core().fleet().current().members;
-    const bool isListed = members.contains(m_settings.self.vm);
-    for (const peer_target& target : m_driver.core().fleet().targets()) {
-        // Of two routers that know each other the one with the lesser name
-        // connects, so that one link serves both. A router that the others do
-        // not know yet connects to all.
-        const bool isOurs = !isListed || target.vm.isEmpty() || m_settings.self.vm < target.vm;
-        if (!isOurs || target.location == m_advertised)
+    for (const peer_target& target : m_owner.targets()) {
+        if (target.location == m_advertised)
             continue;
         wanted.insert(target.location);
         const auto known = m_dialled.find(target.location);
         if (known == m_dialled.end())
             dial(target);
     }
-    const time_point now = m_driver.loop().now();
+    const time_point now = m_loop.now();
     for (auto it = m_dialled.begin(); it != m_dialled.end();) {
         const bool isKept = wanted.contains(it->first) || now - it->second.usedAt < unusedLinkLifetime;
         if (isKept) {
@@ -113,20 +111,20 @@
     return nullptr;
 }
 
-void peer_mesh::perform(const send_message& sent)
+void peer_mesh::send(const vm_id& to, const message& content)
 {
-    if (peer_link* link = openLinkTo(sent.to)) {
-        link->send(sent.content);
+    if (peer_link* link = openLinkTo(to)) {
+        link->send(content);
         return;
     }
-    const auto location = m_driver.core().fleet().locate(sent.to);
+    const auto location = m_owner.locate(to);
     if (!location || *location == m_advertised)
         return;
     const auto known = m_dialled.find(*location);
     if (known == m_dialled.end())
-        dial({ sent.to, *location });
+        dial({ to, *location });
     else
-        known->second.usedAt = m_driver.loop().now();
+        known->second.usedAt = m_loop.now();
 }
 
 void peer_mesh::perform(const change_incarnation& changed)
--- a/lib/Daemon/RouterProcess.cpp
+++ b/lib/Daemon/RouterProcess.cpp
@@ -86,6 +86,31 @@
         return link;
     }
 
+    // Of two routers that know each other the one with the lesser name connects,
+    // so that one link serves both. A router that the others do not know yet
+    // connects to all.
+    std::vector<peer_target> dialledTargets(const fleet_coordinator& fleet, const vm_id& self)
+    {
+        const bool isListed = fleet.current().members.contains(self);
+        std::vector<peer_target> targets = fleet.targets();
+        std::erase_if(targets, [&](const peer_target& target) { return isListed && !target.vm.isEmpty() && target.vm < self; });
+        return targets;
+    }
+
+    peer_mesh_owner meshOwner(core_driver& driver, const vm_id& self)
+    {
+        peer_mesh_owner owner;
+        owner.targets = [&driver, self] { return dialledTargets(driver.core().fleet(), self); };
+        owner.locate = [&driver](const vm_id& vm) { return driver.core().fleet().locate(vm); };
+        owner.opened = [&driver](const member_ref& peer, const endpoint& dialledTo) {
+            driver.post([&](router_core& core, time_point now) { return core.onLinkOpened(now, peer, dialledTo); });
+        };
+        owner.received = [&driver](const member_ref& peer, const message& received) {
+            driver.post([&](router_core& core, time_point now) { return core.onMessage(now, peer, received); });
+        };
+        return owner;
+    }
+
     operator_directory operatorsOf(const settings& configured)
     {
         std::vector<operator_credential> credentials;
@@ -149,7 +174,7 @@
           configured.limits.bufferBytes)
     , loads(driver, polls, log)
     , orders(driver, polls, log)
-    , mesh(driver, log, linkSettings(configured, start), seed + 1)
+    , mesh(loop, log, linkSettings(configured, start), meshOwner(driver, configured.vm), seed + 1)
     , administration(
           {}, operatorsOf(configured), gateway.changes(),
           [this](revision at) { changeCommitted(at); }, seed + 3)
@@ -167,7 +192,7 @@
     struct performer {
         parts& to;
 
-        void operator()(const send_message& step) const { to.mesh.perform(step); }
+        void operator()(const send_message& step) const { to.mesh.send(step.to, step.content); }
         void operator()(const poll_revision& step) const { to.gateway.perform(step); }
         void operator()(const fetch_rows& step) const { to.gateway.perform(step); }
         void operator()(const commit_rows& step) const { to.gateway.perform(step); }
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -13,9 +13,9 @@
     constexpr std::size_t maxServersMet = 4;
     // With less time than this left, a further attempt cannot be answered.
     constexpr duration leastTimeToRetry = 40ms;
-    // A request outside its workspace's share is sent only while the expected
-    // time to its first event is below this part of the objective.
-    constexpr double shareOfObjectiveBeyondShare = 0.5;
+    // The part of the objective within which a request's first event must be
+    // expected shrinks as its workspace goes beyond its share, down to this.
+    constexpr double leastPartOfObjective = 0.25;
     // Margin for the report of a cold server, which is up to one heartbeat old.
     constexpr duration coldMargin = 1s;
     // Shortest wait that a refused caller is told; a shorter one finds the same load.
@@ -85,6 +85,7 @@
     duration longestPause {};
     duration expectedFirstEvent {};
     double unreadTokens = 0;
+    double shareFill = 0; ///< Part of its workspace's share that is used up.
     std::optional<time_point> wakeAt;
 
     bool isRepeatable() const { return target.repeat != repeat_policy::atMostOnce; }
@@ -173,10 +174,8 @@
     request.expectedFirstEvent = best.expectedFirstEvent;
     if (!request.received.prompt)
         return true;
-    const double capacity = m_fleet.plan().tokensPerSecond * std::chrono::duration<double>(tenant_share::window).count()
-        / static_cast<double>(m_limits.selection.routers);
-    const bool isWithin = m_share.isWithinShare(now, request.workspace, request.tokens, capacity);
-    const double part = isWithin ? 1.0 : shareOfObjectiveBeyondShare;
+    request.shareFill = m_share.fill(now, request.workspace, request.tokens, m_fleet.plan().tokensPerSecond, m_selector.routerCount());
+    const double part = request.shareFill <= 1 ? 1.0 : std::max(leastPartOfObjective, 1 / request.shareFill);
     const auto limit = std::chrono::duration<double>(request.target.objective) * part;
     return std::chrono::duration<double>(best.expectedFirstEvent) <= limit;
 }
@@ -213,7 +212,7 @@
     m_selector.condition(best->server).started(now, request->attempt, best->unreadTokens);
     out.push_back(dispatch_decision { request->number, request->attempt, request->received.callerId, request->target.name,
         request->workspace, best->server, best->expectedFirstEvent, best->unreadTokens, best->candidates, request->runs,
-        true, best->isCold, m_fleet.plan().version, m_fleet.basisAge(now).value_or(duration::zero()) });
+        request->shareFill, best->isCold, m_fleet.plan().version, m_fleet.basisAge(now).value_or(duration::zero()) });
     const workspace_id shownWorkspace = request->hasKey ? request->workspace : workspace_id();
     out.push_back(open_dispatch { request->number, request->attempt, best->server,
         m_fleet.findServer(best->server)->location, shownWorkspace, request->deadline - now, request->lastEvent });
@@ -409,7 +408,7 @@
         m_deadlines.erase({ *request->wakeAt, request->number });
     m_requests.erase(request->number);
     out.push_back(request_outcome { request->number, request->received.callerId, request->target.name, request->workspace,
-        result, reason, request->runs, request->expectedFirstEvent, request->firstEvent, request->longestPause,
+        result, reason, request->runs, request->shareFill, request->expectedFirstEvent, request->firstEvent, request->longestPause,
         now - request->receivedAt, request->target.objective });
 }
 
@@ -539,7 +538,7 @@
     const bool isNew = m_fleet.putServer(server);
     if (isNew)
         m_selector.reset(server.id);
-    if (isNew && m_hasServedServers)
+    if (isNew && m_hasListedServers)
         markCold(now, server);
     if (server.coldLeft > duration::zero())
         m_selector.condition(server.id).setCold(now + server.coldLeft + coldMargin);
@@ -551,11 +550,4 @@
     m_selector.retain(m_fleet.servers());
 }
 
-void dispatcher::retainServers(time_point now, const std::set<server_id>& present)
-{
-    m_fleet.retainServers(present, now);
-    m_selector.retain(m_fleet.servers());
-    m_hasServedServers = true;
-}
-
 }
--- a/lib/Dispatch/FleetView.cpp
+++ b/lib/Dispatch/FleetView.cpp
@@ -72,17 +72,6 @@
     onTick(now);
 }
 
-void fleet_view::retainServers(const std::set<server_id>& present, time_point now)
-{
-    std::vector<server_id> gone;
-    for (const auto& [id, server] : m_servers) {
-        if (!present.contains(id))
-            gone.push_back(id);
-    }
-    for (const server_id& id : gone)
-        removeServer(id, now);
-}
-
 bool fleet_view::onTick(time_point now)
 {
     bool hasRemoved = false;
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -22,16 +22,21 @@
 
 }
 
-std::uint64_t rendezvousWeight(const server_id& server, std::uint64_t prefixHash)
+std::uint64_t rendezvousWeight(const std::string& name, std::uint64_t seed)
 {
-    std::uint64_t hash = fnvOffset ^ prefixHash;
-    for (const char c : server.value())
+    std::uint64_t hash = fnvOffset ^ seed;
+    for (const char c : name)
         hash = (hash ^ static_cast<unsigned char>(c)) * fnvPrime;
     hash ^= hash >> 32;
     hash *= 0xd6e8feb86659fd93; // Finaliser of xorshift-multiply hashes; evens out the high bits.
     return hash ^ (hash >> 32);
 }
 
+std::uint64_t rendezvousWeight(const server_id& server, std::uint64_t prefixHash)
+{
+    return rendezvousWeight(server.value(), prefixHash);
+}
+
 server_selector::server_selector(const fleet_view& fleet, selection_limits limits, std::uint64_t seed)
     : m_fleet(fleet)
     , m_limits(std::move(limits))
@@ -49,10 +54,20 @@
     const pool_profile* profile = m_fleet.profileOf(pool);
     if (!profile || profile->coldRequestsPerSecond <= 0)
         return duration::zero();
-    const double seconds = static_cast<double>(m_limits.routers) / profile->coldRequestsPerSecond;
+    const double seconds = static_cast<double>(m_limits.coldShares) / profile->coldRequestsPerSecond;
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
+bool server_selector::maySendCold(const server_id& server) const
+{
+    if (m_routers.size() <= m_limits.coldSenders)
+        return true;
+    const std::uint64_t hash = rendezvousWeight(server.value(), 0);
+    const std::uint64_t own = rendezvousWeight(m_limits.self.value(), hash);
+    const auto before = std::count_if(m_routers.begin(), m_routers.end(), [&](const vm_id& each) { return rendezvousWeight(each.value(), hash) > own; });
+    return static_cast<std::size_t>(before) < m_limits.coldSenders;
+}
+
 std::vector<server_selector::candidate> server_selector::candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored)
 {
     const duration spacing = coldSpacing(wanted.pool);
@@ -62,7 +77,7 @@
             return;
         server_condition& known = m_conditions[server.id];
         const bool isCold = known.isCold(now);
-        if (isCold && !known.mayStartCold(now, spacing))
+        if (isCold && spacing > duration::zero() && (!known.mayStartCold(now, spacing) || !maySendCold(server.id)))
             return;
         if (known.isEjected(now) && !isEjectionIgnored)
             return;
--- a/lib/Dispatch/TenantShare.cpp
+++ b/lib/Dispatch/TenantShare.cpp
@@ -4,6 +4,15 @@
 
 namespace pimentoladder {
 
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Age from which the fleet's sums no longer describe the present.
+    constexpr duration fleetLifetime = 2s;
+
+}
+
 double maxMinLevel(std::vector<double> demands, double capacity)
 {
     std::sort(demands.begin(), demands.end());
@@ -17,54 +26,118 @@
     return demands.empty() ? capacity : demands.back();
 }
 
-tenant_share::slot& tenant_share::slotAt(time_point now, const workspace_id& tenant)
+void usage_window::add(time_point now, const workspace_id& tenant, tenant_usage used)
 {
     const std::int64_t index = now.time_since_epoch() / slotLength;
-    slot& found = m_tenants[tenant][static_cast<std::size_t>(index) % slotCount];
-    if (found.index != index)
-        found = slot { index, {} };
-    return found;
+    slot& present = m_slots[static_cast<std::size_t>(index) % slotCount];
+    if (present.index != index)
+        present = slot { index, {} };
+    tenant_usage& sum = present.used[tenant];
+    sum.asked += used.asked;
+    sum.admitted += used.admitted;
 }
 
-tenant_usage tenant_share::sumOf(const slots& counted, std::int64_t present)
+tenant_usages usage_window::sums(time_point now) const
 {
-    tenant_usage sum;
-    for (const slot& each : counted) {
+    const std::int64_t present = now.time_since_epoch() / slotLength;
+    tenant_usages all;
+    for (const slot& each : m_slots) {
         if (each.index < 0 || each.index + static_cast<std::int64_t>(slotCount) <= present)
             continue;
-        sum.asked += each.used.asked;
-        sum.admitted += each.used.admitted;
+        for (const auto& [tenant, used] : each.used) {
+            all[tenant].asked += used.asked;
+            all[tenant].admitted += used.admitted;
+        }
+    }
+    return all;
+}
+
+void usage_aggregator::onReport(time_point now, const member_ref& from, const usage_report& reported)
+{
+    std::erase_if(m_reporters, [&](const auto& each) { return now - each.second.heardAt > usage_window::length; });
+    const auto [found, isNew] = m_reporters.try_emplace(from);
+    found->second.heardAt = now;
+    for (const usage_entry& entry : reported.entries) {
+        tenant_usage& counted = found->second.counted[entry.workspace];
+        const tenant_usage grown { entry.asked - counted.asked, entry.admitted - counted.admitted };
+        counted = { entry.asked, entry.admitted };
+        // A first report may cover any time before the window.
+        if (!isNew)
+            m_window.add(now, entry.workspace, grown);
+    }
+}
+
+usage_totals usage_aggregator::totals(time_point now) const
+{
+    usage_totals all;
+    all.routers = static_cast<std::uint32_t>(m_reporters.size());
+    for (const auto& [tenant, used] : m_window.sums(now))
+        all.entries.push_back({ tenant, std::max(used.asked, 0.0), std::max(used.admitted, 0.0) });
+    return all;
+}
+
+void tenant_share::record(time_point now, const workspace_id& tenant, tenant_usage used)
+{
+    m_local.add(now, tenant, used);
+    for (tenant_usages* each : { &m_counters, &m_fleet }) {
+        (*each)[tenant].asked += used.asked;
+        (*each)[tenant].admitted += used.admitted;
     }
-    return sum;
 }
 
 void tenant_share::recordAsked(time_point now, const workspace_id& tenant, double tokens)
 {
-    slotAt(now, tenant).used.asked += tokens;
+    record(now, tenant, { tokens, 0 });
 }
 
 void tenant_share::recordAdmitted(time_point now, const workspace_id& tenant, double tokens)
 {
-    slotAt(now, tenant).used.admitted += tokens;
+    record(now, tenant, { 0, tokens });
+}
+
+usage_report tenant_share::report() const
+{
+    usage_report made;
+    for (const auto& [tenant, used] : m_counters)
+        made.entries.push_back({ tenant, used.asked, used.admitted });
+    return made;
+}
+
+void tenant_share::setFleet(time_point now, const usage_totals& totals)
+{
+    m_fleetAt = now;
+    m_fleet.clear();
+    for (const usage_entry& entry : totals.entries)
+        m_fleet[entry.workspace] = { entry.asked, entry.admitted };
 }
 
-tenant_usage tenant_share::usageOf(time_point now, const workspace_id& tenant)
+tenant_usages tenant_share::fleetUsage(time_point now, std::size_t routers) const
 {
-    const std::int64_t present = slotAt(now, tenant).index;
-    return sumOf(m_tenants[tenant], present);
+    if (m_fleetAt && now - *m_fleetAt <= fleetLifetime)
+        return m_fleet;
+    tenant_usages scaled = m_local.sums(now);
+    for (auto& [tenant, used] : scaled) {
+        used.asked *= static_cast<double>(routers);
+        used.admitted *= static_cast<double>(routers);
+    }
+    return scaled;
 }
 
-bool tenant_share::isWithinShare(time_point now, const workspace_id& tenant, double tokens, double capacity)
+double tenant_share::fill(time_point now, const workspace_id& tenant, double tokens, double nominalCapacity, std::size_t routers) const
 {
-    if (capacity <= 0)
-        return true;
-    const std::int64_t present = slotAt(now, tenant).index;
+    if (nominalCapacity <= 0)
+        return 0;
+    const tenant_usages usage = fleetUsage(now, routers);
     std::vector<double> demands;
-    demands.reserve(m_tenants.size());
-    for (const auto& [id, counted] : m_tenants)
-        demands.push_back(sumOf(counted, present).asked);
-    const double level = maxMinLevel(std::move(demands), capacity);
-    return sumOf(m_tenants[tenant], present).admitted + tokens <= level;
+    double admitted = 0;
+    for (const auto& [id, used] : usage) {
+        demands.push_back(used.asked);
+        admitted += used.admitted;
+    }
+    const double nominal = nominalCapacity * std::chrono::duration<double>(usage_window::length).count();
+    const double level = maxMinLevel(std::move(demands), std::max(nominal, admitted));
+    const auto own = usage.find(tenant);
+    return level <= 0 ? 0 : ((own == usage.end() ? 0 : own->second.admitted) + tokens) / level;
 }
 
 }
--- /dev/null
+++ b/lib/Replica/RowRelay.cpp
@@ -0,0 +1,294 @@
+#include "pimentoladder/Replica/RowRelay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentoladder {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr double retryJitter = 0.5;
+    // Unanswered messages whose answer still counts.
+    constexpr std::size_t maxAsked = 16;
+    // Longest time to the next tick.
+    constexpr duration idleInterval = 1s;
+
+    constexpr std::array allTables { followed_table::operators, followed_table::servers, followed_table::members };
+
+    constexpr std::uint64_t fnvOffset = 0xcbf29ce484222325;
+    constexpr std::uint64_t fnvPrime = 0x100000001b3;
+
+    std::uint64_t rankOf(const vm_id& vm)
+    {
+        std::uint64_t hash = fnvOffset;
+        for (const char c : vm.value())
+            hash = (hash ^ static_cast<unsigned char>(c)) * fnvPrime;
+        return hash ^ (hash >> 29);
+    }
+
+}
+
+row_relay::row_relay(vm_id self, data_centre_id ownDataCentre, const row_significance& significance, relay_limits limits, std::uint64_t seed)
+    : m_self(std::move(self))
+    , m_ownDataCentre(std::move(ownDataCentre))
+    , m_limits(limits)
+    , m_random(seed)
+{
+    for (const followed_table table : allTables)
+        m_tables.emplace_back(row_replica(static_cast<std::uint32_t>(table), significance));
+}
+
+void row_relay::setMembers(std::vector<member> members)
+{
+    std::sort(members.begin(), members.end(), [](const member& left, const member& right) { return rankOf(left.vm) > rankOf(right.vm); });
+    m_members = std::move(members);
+    m_readers.assign(m_members.begin(), m_members.begin() + static_cast<std::ptrdiff_t>(std::min(m_limits.readers, m_members.size())));
+}
+
+void row_relay::refreshMembers()
+{
+    table_state& members = state(followed_table::members);
+    members.needsWhole = true;
+    members.nextReadAt = {};
+}
+
+bool row_relay::readsStore(time_point now) const
+{
+    const bool isReader = std::any_of(m_readers.begin(), m_readers.end(), [this](const member& each) { return each.vm == m_self; });
+    const bool isFollowed = std::any_of(m_followers.begin(), m_followers.end(),
+        [&](const auto& each) { return now - each.second <= m_limits.silence; });
+    const bool isStarting = !m_startedAt || now < *m_startedAt + m_limits.startGrace;
+    return isReader || isFollowed || (m_source.isEmpty() && !isStarting);
+}
+
+bool row_relay::isWanted(followed_table table, time_point now) const
+{
+    const table_state& each = m_tables[static_cast<std::size_t>(table)];
+    // The members must be read by each router at its start, to find the readers.
+    const bool isStart = table == followed_table::members && each.needsWhole;
+    return !each.isReading && (isStart || readsStore(now));
+}
+
+std::optional<vm_id> row_relay::bestSource(time_point now) const
+{
+    std::optional<vm_id> best;
+    bool isBestNear = false;
+    for (const member& each : m_readers) {
+        const auto avoided = m_avoidedUntil.find(each.vm);
+        const bool isUsable = each.vm != m_self && m_linked.contains(each.vm) && (avoided == m_avoidedUntil.end() || now >= avoided->second);
+        const bool isNear = each.dataCentre == m_ownDataCentre;
+        if (!isUsable || (best && (isBestNear || !isNear)))
+            continue;
+        best = each.vm;
+        isBestNear = isNear;
+    }
+    return best;
+}
+
+void row_relay::chooseSource(time_point now, relay_actions& out)
+{
+    const bool isReader = std::any_of(m_readers.begin(), m_readers.end(), [this](const member& each) { return each.vm == m_self; });
+    const bool isSilent = !m_source.isEmpty() && now - m_heardAt > m_limits.silence;
+    const bool isGone = !m_source.isEmpty() && !m_linked.contains(m_source);
+    if (isReader && m_source.isEmpty())
+        return;
+    if (!isReader && !m_source.isEmpty() && !isSilent && !isGone)
+        return;
+    if (isSilent || isGone)
+        m_avoidedUntil[m_source] = now + m_limits.avoidance;
+    const vm_id before = std::exchange(m_source, isReader ? vm_id() : bestSource(now).value_or(vm_id()));
+    if (before == m_source)
+        return;
+    m_heardAt = now;
+    m_followAt = now;
+    m_asked.clear();
+    const std::string_view reason = isReader ? "reader" : (isSilent ? "silent" : (isGone ? "link_closed" : "found"));
+    out.push_back(source_changed { m_source, reason });
+}
+
+void row_relay::follow(time_point now, relay_actions& out)
+{
+    if (m_source.isEmpty() || now < m_followAt)
+        return;
+    m_followAt = now + m_limits.followInterval;
+    follow_rows asked;
+    asked.sequence = ++m_sequence;
+    for (const followed_table table : allTables)
+        asked.have.push_back({ static_cast<std::uint32_t>(table), state(table).replica.position() });
+    m_asked[asked.sequence] = now;
+    if (m_asked.size() > maxAsked)
+        m_asked.erase(m_asked.begin());
+    out.push_back(send_to_router { m_source, std::move(asked) });
+}
+
+relay_actions row_relay::onTick(time_point now)
+{
+    relay_actions out;
+    if (!m_startedAt)
+        m_startedAt = now;
+    chooseSource(now, out);
+    follow(now, out);
+    for (const followed_table table : allTables) {
+        table_state& each = state(table);
+        if (!isWanted(table, now) || now < each.nextReadAt)
+            continue;
+        const auto index = static_cast<std::size_t>(table);
+        each.isReading = true;
+        each.sentAt = now;
+        out.push_back(read_table { table, each.needsWhole, each.replica.position(), m_limits.wait[index] });
+    }
+    return out;
+}
+
+time_point row_relay::nextDeadline(time_point now) const
+{
+    time_point next = now + (m_startedAt ? idleInterval : duration::zero());
+    if (m_startedAt && now < *m_startedAt + m_limits.startGrace)
+        next = std::min(next, *m_startedAt + m_limits.startGrace);
+    for (const followed_table table : allTables) {
+        if (isWanted(table, now))
+            next = std::min(next, std::max(now, m_tables[static_cast<std::size_t>(table)].nextReadAt));
+    }
+    if (!m_source.isEmpty())
+        next = std::min({ next, m_followAt, m_heardAt + m_limits.silence + 1ms });
+    return next;
+}
+
+void row_relay::report(followed_table table, const std::vector<published_row>& changed, relay_actions& out)
+{
+    for (const published_row& row : changed)
+        out.push_back(row_changed { table, row });
+}
+
+void row_relay::confirm(time_point at, relay_actions& out)
+{
+    if (m_basis && at <= *m_basis)
+        return;
+    m_basis = at;
+    out.push_back(basis_confirmed { at });
+}
+
+relay_actions row_relay::onRead(time_point now, followed_table table, const result<rows_page>& answer)
+{
+    relay_actions out;
+    table_state& read = state(table);
+    read.isReading = false;
+    if (!answer) {
+        read.nextReadAt = now + m_random.jittered(m_limits.retryPause, retryJitter);
+        // A gap in the history is no outage: the table is read whole at once.
+        if (answer.error().kind == error_kind::notFound) {
+            read.needsWhole = true;
+            read.nextReadAt = now;
+        } else if (!std::exchange(read.isFailing, true)) {
+            out.push_back(store_state_changed { table, true, answer.error() });
+        }
+        return out;
+    }
+    if (std::exchange(read.isFailing, false)) {
+        m_returnedAt = now;
+        out.push_back(store_state_changed { table, false, {} });
+        out.push_back(store_returned { now });
+    }
+    read.nextReadAt = read.sentAt + m_limits.pause[static_cast<std::size_t>(table)];
+    const bool isWhole = std::exchange(read.needsWhole, false);
+    const revision before = read.replica.position();
+    const auto changed = isWhole ? read.replica.applyWhole(answer->rows, answer->newest) : read.replica.apply(answer->rows, answer->newest);
+    report(table, changed, out);
+    if (isWhole)
+        out.push_back(table_listed { table });
+    if (table == followed_table::operators)
+        confirm(read.sentAt, out);
+    publish(now, table, before, changed, out);
+    return out;
+}
+
+std::optional<duration> row_relay::returnedAge(time_point now) const
+{
+    if (!m_returnedAt || now - *m_returnedAt > m_limits.returnInterest)
+        return std::nullopt;
+    return now - *m_returnedAt;
+}
+
+void row_relay::publish(time_point now, followed_table table, revision before, const std::vector<published_row>& changed, relay_actions& out)
+{
+    std::erase_if(m_followers, [&](const auto& each) { return now - each.second > m_limits.silence; });
+    if (changed.empty())
+        return;
+    rows_update update;
+    update.returnedAge = returnedAge(now);
+    update.tables.push_back({ static_cast<std::uint32_t>(table), before, state(table).replica.position(), false, changed });
+    for (const auto& [vm, askedAt] : m_followers)
+        out.push_back(send_to_router { vm, update });
+}
+
+relay_actions row_relay::onMessage(time_point now, const member_ref& from, const message& received)
+{
+    relay_actions out;
+    if (const auto* asked = std::get_if<follow_rows>(&received))
+        answerFollower(now, from, *asked, out);
+    if (const auto* update = std::get_if<rows_update>(&received))
+        applyUpdate(now, from, *update, out);
+    return out;
+}
+
+void row_relay::answerFollower(time_point now, const member_ref& from, const follow_rows& asked, relay_actions& out)
+{
+    m_followers[from.vm] = now;
+    rows_update answer;
+    answer.echoSequence = asked.sequence;
+    if (m_basis)
+        answer.basisAge = now - *m_basis;
+    answer.returnedAge = returnedAge(now);
+    for (const table_position& have : asked.have) {
+        if (have.table >= m_tables.size() || !m_tables[have.table].replica.isWhole())
+            continue;
+        table_update update = m_tables[have.table].replica.updateSince(have.at);
+        if (update.isWhole || !update.rows.empty() || update.to > have.at)
+            answer.tables.push_back(std::move(update));
+    }
+    out.push_back(send_to_router { from.vm, std::move(answer) });
+}
+
+void row_relay::applyUpdate(time_point now, const member_ref& from, const rows_update& received, relay_actions& out)
+{
+    // Rows that the outage removed wait for their return, here as at the sender.
+    const bool isNews = received.returnedAge && (!m_returnedAt || now - *received.returnedAge > *m_returnedAt + m_limits.returnInterest);
+    if (isNews) {
+        m_returnedAt = now - *received.returnedAge;
+        out.push_back(store_returned { *m_returnedAt });
+    }
+    bool hasGap = false;
+    for (const table_update& update : received.tables) {
+        if (update.table >= m_tables.size())
+            continue;
+        const auto table = static_cast<followed_table>(update.table);
+        table_state& held = state(table);
+        if (update.isWhole && update.to >= held.replica.position()) {
+            const auto changed = held.replica.applyWhole(update.rows, update.to);
+            held.needsWhole = false;
+            report(table, changed, out);
+            out.push_back(table_listed { table });
+            continue;
+        }
+        const bool isJoined = held.replica.isWhole() && update.from <= held.replica.position();
+        if (!isJoined) {
+            hasGap = true;
+            continue;
+        }
+        report(table, held.replica.apply(update.rows, update.to), out);
+    }
+    const auto asked = m_asked.find(received.echoSequence);
+    if (from.vm != m_source || asked == m_asked.end())
+        return;
+    m_heardAt = now;
+    // The answer was made after the question was sent, so its basis is at most
+    // this old; after a gap it does not cover what is missing.
+    const bool isComplete = !hasGap && state(followed_table::operators).replica.isWhole();
+    if (received.basisAge && isComplete)
+        confirm(asked->second - *received.basisAge, out);
+    m_asked.erase(m_asked.begin(), std::next(asked));
+}
+
+}
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -107,6 +107,16 @@
     m_requester.onShardOwner(from, std::get<shard_owner>(received), now);
 }
 
+// Only routers that follow published rows send these; they have no meaning here.
+template <>
+void router_core::handle<follow_rows>(const member_ref&, const message&, time_point, router_actions&) { }
+template <>
+void router_core::handle<rows_update>(const member_ref&, const message&, time_point, router_actions&) { }
+template <>
+void router_core::handle<usage_report>(const member_ref&, const message&, time_point, router_actions&) { }
+template <>
+void router_core::handle<usage_totals>(const member_ref&, const message&, time_point, router_actions&) { }
+
 /// Handlers in the order of the alternatives of `message`.
 struct router_core::handler_table {
     template <std::size_t... Index>
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -29,12 +29,12 @@
             target = *value;
     }
 
-    void readListen(mapping_reader reader, listen_settings& target, bool hasPeers)
+    void readListen(mapping_reader reader, listen_settings& target)
     {
         assignIfSet(target.callers, reader.address("callers", true));
         assignIfSet(target.admin, reader.address("admin", true));
         assignIfSet(target.metrics, reader.address("metrics", false));
-        assignIfSet(target.peers, reader.address("peers", hasPeers));
+        assignIfSet(target.peers, reader.address("peers", true));
         target.peersAdvertised = target.peers;
         assignIfSet(target.peersAdvertised, reader.address("peers_advertised", false));
         reader.finish();
@@ -173,10 +173,10 @@
         if (const auto dataCentre = root.text("data_centre", true))
             target.dataCentre = data_centre_id(*dataCentre);
         readPlatform(root.section("platform", true), target.platform);
-        // A router that follows rows has no links to other routers.
-        const bool hasPeers = target.platform.rows.port == 0;
-        readListen(root.section("listen", true), target.listen, hasPeers);
-        if (hasPeers)
+        // Routers that follow rows find each other and their key there.
+        const bool hasFleetSection = target.platform.rows.port == 0;
+        readListen(root.section("listen", true), target.listen);
+        if (hasFleetSection)
             readFleet(root.section("fleet", true), target, faults);
         readOperators(root.list("operators"), target, faults);
         readLimits(root.section("limits", false), target.limits);
--- a/lib/Wire/MessageCodec.cpp
+++ b/lib/Wire/MessageCodec.cpp
@@ -14,7 +14,7 @@
 
     constexpr std::array<std::string_view, messageKindCount> kindNames { "heartbeat", "revision_announce",
         "config_request", "config_update", "suspend", "acquire", "grant", "grant_report", "recall", "in_flight_report",
-        "shard_release", "service_counters", "crash_report", "shard_owner" };
+        "shard_release", "service_counters", "crash_report", "shard_owner", "follow_rows", "rows_update", "usage_report", "usage_totals" };
 
     // The kind on the wire is the index in `message` plus this, so that zero is no kind.
     constexpr std::size_t firstKind = 1;
--- a/lib/Wire/MessageDecoder.cpp
+++ b/lib/Wire/MessageDecoder.cpp
@@ -178,6 +178,22 @@
         return { fields.requiredName<shard_id>(source.shard(), "shard"), fields.optionalName<workspace_id>(source.workspace(), "workspace"), fields.amount(source.lift(), "lift") };
     }
 
+    table_position read(const wire::TablePosition& source, field_reader&)
+    {
+        return { source.table(), revision(source.at()) };
+    }
+
+    published_row read(const wire::PublishedRow& source, field_reader& fields)
+    {
+        return { fields.text(source.key(), "key"), fields.text(source.value(), "value"), revision(source.at()), source.is_deleted() };
+    }
+
+    usage_entry read(const wire::Usage& source, field_reader& fields)
+    {
+        return { fields.requiredName<workspace_id>(source.workspace(), "workspace"), fields.amount(source.asked(), "asked"),
+            fields.amount(source.admitted(), "admitted") };
+    }
+
     template <typename Table>
     auto readList(const Vector<Offset<Table>>* field, field_reader& fields)
     {
@@ -274,6 +290,33 @@
             incarnation(source.server_start()), readNumbers<fingerprint>(source.running()) };
     }
 
+    table_update read(const wire::TableUpdate& source, field_reader& fields)
+    {
+        if (source.to() < source.from())
+            fields.failField("to", "must not be below \"from\"");
+        return { source.table(), revision(source.from()), revision(source.to()), source.is_whole(), readList(source.rows(), fields) };
+    }
+
+    message read(const wire::FollowRows& source, field_reader& fields)
+    {
+        return follow_rows { source.sequence(), readList(source.have(), fields) };
+    }
+
+    message read(const wire::RowsUpdate& source, field_reader& fields)
+    {
+        return rows_update { source.echo(), optionalDuration(source.basis_age()), readList(source.tables(), fields), optionalDuration(source.returned_age()) };
+    }
+
+    message read(const wire::UsageReport& source, field_reader& fields)
+    {
+        return usage_report { readList(source.entries(), fields) };
+    }
+
+    message read(const wire::UsageTotals& source, field_reader& fields)
+    {
+        return usage_totals { source.routers(), readList(source.entries(), fields) };
+    }
+
     template <typename Table>
     result<message> decodeAs(const std::uint8_t* data, std::size_t size)
     {
@@ -294,7 +337,8 @@
         &decodeAs<wire::RevisionAnnounce>, &decodeAs<wire::ConfigRequest>, &decodeAs<wire::ConfigUpdate>,
         &decodeAs<wire::Suspend>, &decodeAs<wire::Acquire>, &decodeAs<wire::Grant>, &decodeAs<wire::GrantReport>,
         &decodeAs<wire::Recall>, &decodeAs<wire::InFlightReport>, &decodeAs<wire::ShardRelease>,
-        &decodeAs<wire::ServiceCounters>, &decodeAs<wire::CrashReport>, &decodeAs<wire::ShardOwner> };
+        &decodeAs<wire::ServiceCounters>, &decodeAs<wire::CrashReport>, &decodeAs<wire::ShardOwner>,
+        &decodeAs<wire::FollowRows>, &decodeAs<wire::RowsUpdate>, &decodeAs<wire::UsageReport>, &decodeAs<wire::UsageTotals> };
 
 }
 
--- a/lib/Wire/MessageEncoder.cpp
+++ b/lib/Wire/MessageEncoder.cpp
@@ -105,6 +105,26 @@
         return wire::CreateLift(builder, writeName(builder, source.shard), writeName(builder, source.workspace), source.lift);
     }
 
+    Offset<wire::TablePosition> write(FlatBufferBuilder& builder, const table_position& source)
+    {
+        return wire::CreateTablePosition(builder, source.table, source.at.value());
+    }
+
+    Offset<wire::PublishedRow> write(FlatBufferBuilder& builder, const published_row& source)
+    {
+        const auto key = builder.CreateString(source.key);
+        const auto value = builder.CreateString(source.value);
+        return wire::CreatePublishedRow(builder, key, value, source.at.value(), source.isDeleted);
+    }
+
+    Offset<wire::Usage> write(FlatBufferBuilder& builder, const usage_entry& source)
+    {
+        return wire::CreateUsage(builder, writeName(builder, source.workspace), source.asked, source.admitted);
+    }
+
+    // Holds a list itself, so it is defined below.
+    Offset<wire::TableUpdate> write(FlatBufferBuilder& builder, const table_update& source);
+
     template <typename Entry>
     auto writeList(FlatBufferBuilder& builder, const std::vector<Entry>& entries)
     {
@@ -195,6 +215,34 @@
         return wire::CreateShardOwner(builder, writeName(builder, source.shard), source.token.value());
     }
 
+    Offset<wire::TableUpdate> write(FlatBufferBuilder& builder, const table_update& source)
+    {
+        const auto rows = writeList(builder, source.rows);
+        return wire::CreateTableUpdate(builder, source.table, source.from.value(), source.to.value(), source.isWhole, rows);
+    }
+
+    Offset<wire::FollowRows> write(FlatBufferBuilder& builder, const follow_rows& source)
+    {
+        return wire::CreateFollowRows(builder, source.sequence, writeList(builder, source.have));
+    }
+
+    Offset<wire::RowsUpdate> write(FlatBufferBuilder& builder, const rows_update& source)
+    {
+        const auto tables = writeList(builder, source.tables);
+        return wire::CreateRowsUpdate(builder, source.echoSequence, optionalMicroseconds(source.basisAge), tables,
+            optionalMicroseconds(source.returnedAge));
+    }
+
+    Offset<wire::UsageReport> write(FlatBufferBuilder& builder, const usage_report& source)
+    {
+        return wire::CreateUsageReport(builder, writeList(builder, source.entries));
+    }
+
+    Offset<wire::UsageTotals> write(FlatBufferBuilder& builder, const usage_totals& source)
+    {
+        return wire::CreateUsageTotals(builder, source.routers, writeList(builder, source.entries));
+    }
+
     Offset<wire::CrashReport> write(FlatBufferBuilder& builder, const crash_report& source)
     {
         const auto server = writeName(builder, source.server);
--- a/tools/pimentoladder/Main.cpp
+++ b/tools/pimentoladder/Main.cpp
@@ -92,14 +92,18 @@
         return exitOk;
     }
 
+    // Wall time in milliseconds grows from start to start of a VM, also when the
+    // VM is replaced and its other clocks begin anew.
+    incarnation startNumber()
+    {
+        const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
+        return incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(wallTime).count()));
+    }
+
     // Runs a router that shares grants with its peers through the table.
     int runWithPeers(event_loop& loop, logger& log, const settings& configured)
     {
-        // Wall time in milliseconds grows from start to start of a VM, also when
-        // the VM is replaced and its other clocks begin anew.
-        const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
-        const incarnation start(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(wallTime).count()));
-        router_process router(loop, log, configured, start, std::random_device {}());
+        router_process router(loop, log, configured, startNumber(), std::random_device {}());
         const auto shutDown = [&router] { router.shutDown(); };
         signal_watch onTerminate(loop, SIGTERM, shutDown);
         signal_watch onInterrupt(loop, SIGINT, shutDown);
@@ -117,7 +121,7 @@
         platform::store_client rows(loop, configured.platform.rows);
         platform::fleet_rows fleet;
         platform::request_headers ingress;
-        dispatch_process router(loop, log, configured, { rows, fleet, ingress }, std::random_device {}());
+        dispatch_process router(loop, log, configured, { rows, fleet, ingress }, startNumber(), std::random_device {}());
         const auto shutDown = [&router] { router.shutDown(); };
         signal_watch onTerminate(loop, SIGTERM, shutDown);
         signal_watch onInterrupt(loop, SIGINT, shutDown);
--- a/unittests/Dispatch/Fixture.h
+++ b/unittests/Dispatch/Fixture.h
@@ -65,12 +65,9 @@
         : core(std::move(limits), 7)
     {
         core.applyPlan(makePlan());
-        std::set<server_id> present;
-        for (const auto& [id, pool] : { std::pair { "p1", "portal" }, { "p2", "portal" }, { "e1", "llm" }, { "e2", "llm" }, { "e3", "llm" } }) {
+        for (const auto& [id, pool] : { std::pair { "p1", "portal" }, { "p2", "portal" }, { "e1", "llm" }, { "e2", "llm" }, { "e3", "llm" } })
             core.putServer(now, makeServer(id, pool));
-            present.insert(server_id(id));
-        }
-        core.retainServers(now, present);
+        core.serversListed();
         core.confirm(now);
     }
 
--- a/unittests/Wire/MessageCodecTests.cpp
+++ b/unittests/Wire/MessageCodecTests.cpp
@@ -39,7 +39,10 @@
         in_flight_report { shard, token, 20,
             { { grant_number(977), fencing_token(81000), server_id("engine-3"), workspace_id("uv-alerts"), 120, 40 } } },
         shard_release { shard, token }, service_counters { { { peer, workspace_id("uv-alerts"), 1e6, 2e4 } }, { { shard, workspace_id("uv-alerts"), 10 } } },
-        crash_report { server_id("engine-3"), incarnation(3), { fingerprint(0x99aabbccddeeff00) } }, shard_owner { shard, token } };
+        crash_report { server_id("engine-3"), incarnation(3), { fingerprint(0x99aabbccddeeff00) } }, shard_owner { shard, token },
+        follow_rows { 7, { { 1, revision(81234) } } },
+        rows_update { 7, 20ms, { { 1, revision(1), revision(2), false, { { "i-1", "{}", revision(2), false } } } }, 30ms },
+        usage_report { { { workspace_id("uv-alerts"), 10, 5 } } }, usage_totals { 8, { { workspace_id("uv-alerts"), 10, 5 } } } };
 }
 
 std::optional<message> decodeKnown(std::string_view payload)
