Leave a reader that has lost the store

Heard is not current: a source counts as lost once the basis that it passes on is older than 1.6 s, and a reader without the store follows another one. A read for changes waits 400 ms instead of 1 s, so that the age in a calm fleet stays below 1.3 s.

--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -33,14 +33,15 @@
 /// How a router follows the tables.
 struct relay_limits {
     std::size_t readers = 3; ///< Routers that read the store for all others.
-    std::array<duration, followedTableCount> wait { std::chrono::seconds(1), {}, {} }; ///< Longest wait of one read for a change.
+    std::array<duration, followedTableCount> wait { std::chrono::milliseconds(400), {}, {} }; ///< Longest wait of one read for a change.
     std::array<duration, followedTableCount> pause { duration::zero(), std::chrono::milliseconds(600), std::chrono::seconds(3) }; ///< Least time between the starts of two reads.
     duration followInterval = std::chrono::milliseconds(400); ///< Between two messages to the reader that is followed.
     duration silence = std::chrono::milliseconds(1200); ///< After which a reader counts as lost; leaves time to read within the bound on servers that leave (2 s).
+    duration staleness = std::chrono::milliseconds(1600); ///< Age of the basis from which a reader has lost the store; a configuration must be in force within 2 s.
     duration avoidance = std::chrono::seconds(4); ///< For which a lost reader is not followed again.
     duration startGrace = std::chrono::milliseconds(500); ///< At the start, for a link to a reader before this router reads by itself.
     duration returnInterest = std::chrono::seconds(3); ///< For which followers are told that the store has returned from an outage.
-    duration retryPause = std::chrono::milliseconds(150); ///< After a failed read, with jitter.
+    duration retryPause = std::chrono::milliseconds(200); ///< After a failed read, with jitter.
 };
 
 /// Read a table of the store: whole, or its changes after a revision.
@@ -68,7 +69,7 @@
     followed_table table {};
 };
 
-/// The operators' rows were current at this time.
+/// The rows of operators and servers were current at this time.
 struct basis_confirmed {
     time_point at;
 };
@@ -102,7 +103,8 @@
 /// The routers that come first in rendezvous order among the members read the
 /// store; every other router follows one of them and reads the store itself
 /// while it hears from none. A router that is followed reads the store, whatever
-/// its place in the order, so no agreement is needed.
+/// its place in the order, so no agreement is needed. A reader that has lost the
+/// store follows another one until its own reads are answered again.
 /// Not thread-safe; call on the loop's thread.
 class row_relay {
 public:
@@ -143,6 +145,8 @@
         bool isFailing = false;
         time_point sentAt; ///< Of the read in progress or the last one.
         time_point nextReadAt;
+        std::optional<time_point> readAt; ///< Start of the last own read that was answered.
+        std::optional<time_point> confirmedAt; ///< The rows were current then, by an own read or the source's.
     };
 
     table_state& state(followed_table table) { return m_tables[static_cast<std::size_t>(table)]; }
@@ -155,7 +159,10 @@
     void applyUpdate(time_point now, const member_ref& from, const rows_update& received, relay_actions& out);
     void publish(time_point now, followed_table table, revision before, const std::vector<published_row>& changed, relay_actions& out);
     static void report(followed_table table, const std::vector<published_row>& changed, relay_actions& out);
-    void confirm(time_point at, relay_actions& out);
+    void confirm(relay_actions& out);
+    bool isReader() const;
+    bool hasStoreInReach(time_point now) const;
+    bool isStale(time_point now) const;
     std::optional<duration> returnedAge(time_point now) const;
 
     vm_id m_self;
@@ -171,9 +178,10 @@
     vm_id m_source; ///< Empty: none is followed.
     time_point m_heardAt; ///< Last answer of the source, or the time at which it was chosen.
     time_point m_followAt;
+    time_point m_chosenAt;
     std::uint64_t m_sequence = 0;
     std::map<std::uint64_t, time_point> m_asked; ///< Messages to the source that are not answered.
-    std::optional<time_point> m_basis;
+    std::optional<time_point> m_basis; ///< Both tables were current then.
     std::optional<time_point> m_returnedAt; ///< The store, from its last outage.
     std::optional<time_point> m_startedAt; ///< First tick.
 };
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -12,9 +12,14 @@
     constexpr double retryJitter = 0.5;
     // Unanswered messages whose answer still counts.
     constexpr std::size_t maxAsked = 16;
+    // Between two looks for a better source.
+    constexpr duration sourceInterval = 100ms;
     // Longest time to the next tick.
     constexpr duration idleInterval = 1s;
 
+    // The operators' rows and the servers', which come first, make up the basis.
+    constexpr std::ptrdiff_t basisTables = 2;
+
     constexpr std::array allTables { followed_table::operators, followed_table::servers, followed_table::members };
 
     constexpr std::uint64_t fnvOffset = 0xcbf29ce484222325;
@@ -54,13 +59,30 @@
     members.nextReadAt = {};
 }
 
+bool row_relay::isReader() const
+{
+    return std::any_of(m_readers.begin(), m_readers.end(), [this](const member& each) { return each.vm == m_self; });
+}
+
+bool row_relay::hasStoreInReach(time_point now) const
+{
+    return std::all_of(m_tables.begin(), m_tables.begin() + basisTables, [&](const table_state& each) {
+        return each.readAt && now - *each.readAt <= m_limits.staleness;
+    });
+}
+
+bool row_relay::isStale(time_point now) const
+{
+    const time_point from = std::max(m_basis.value_or(time_point()), m_startedAt.value_or(now) + m_limits.startGrace);
+    return now - from > m_limits.staleness;
+}
+
 bool row_relay::readsStore(time_point now) const
 {
-    const bool isReader = std::any_of(m_readers.begin(), m_readers.end(), [this](const member& each) { return each.vm == m_self; });
     const bool isFollowed = std::any_of(m_followers.begin(), m_followers.end(),
         [&](const auto& each) { return now - each.second <= m_limits.silence; });
     const bool isStarting = !m_startedAt || now < *m_startedAt + m_limits.startGrace;
-    return isReader || isFollowed || (m_source.isEmpty() && !isStarting);
+    return isReader() || isFollowed || (m_source.isEmpty() && !isStarting);
 }
 
 bool row_relay::isWanted(followed_table table, time_point now) const
@@ -89,23 +111,25 @@
 
 void row_relay::chooseSource(time_point now, relay_actions& out)
 {
-    const bool isReader = std::any_of(m_readers.begin(), m_readers.end(), [this](const member& each) { return each.vm == m_self; });
-    const bool isSilent = !m_source.isEmpty() && now - m_heardAt > m_limits.silence;
-    const bool isGone = !m_source.isEmpty() && !m_linked.contains(m_source);
-    if (isReader && m_source.isEmpty())
-        return;
-    if (!isReader && !m_source.isEmpty() && !isSilent && !isGone)
+    const bool isSilent = now - m_heardAt > m_limits.silence;
+    const bool isGone = !m_linked.contains(m_source);
+    // What the source passes on cannot be newer than its own reads.
+    const bool isUseless = isStale(now) && now - m_chosenAt > m_limits.silence;
+    const bool isNeeded = !isReader() || (isStale(now) && !hasStoreInReach(now)) || (!m_source.isEmpty() && !hasStoreInReach(now));
+    const bool isLost = !m_source.isEmpty() && (isSilent || isGone || isUseless);
+    if (!m_source.isEmpty() && isNeeded && !isLost)
         return;
-    if (isSilent || isGone)
+    if (isLost)
         m_avoidedUntil[m_source] = now + m_limits.avoidance;
-    const vm_id before = std::exchange(m_source, isReader ? vm_id() : bestSource(now).value_or(vm_id()));
+    const vm_id before = std::exchange(m_source, isNeeded ? bestSource(now).value_or(vm_id()) : vm_id());
     if (before == m_source)
         return;
+    m_chosenAt = now;
     m_heardAt = now;
     m_followAt = now;
     m_asked.clear();
-    const std::string_view reason = isReader ? "reader" : (isSilent ? "silent" : (isGone ? "link_closed" : "found"));
-    out.push_back(source_changed { m_source, reason });
+    const std::string_view lost = isGone ? "link_closed" : (isSilent ? "silent" : "stale");
+    out.push_back(source_changed { m_source, isLost ? lost : (isNeeded ? "found" : "store_in_reach") });
 }
 
 void row_relay::follow(time_point now, relay_actions& out)
@@ -151,8 +175,12 @@
         if (isWanted(table, now))
             next = std::min(next, std::max(now, m_tables[static_cast<std::size_t>(table)].nextReadAt));
     }
+    if (m_source.isEmpty() && !isReader())
+        return std::max(now, std::min(next, now + sourceInterval));
     if (!m_source.isEmpty())
         next = std::min({ next, m_followAt, m_heardAt + m_limits.silence + 1ms });
+    if (m_basis)
+        next = std::min(next, std::max(*m_basis + m_limits.staleness + 1ms, now + sourceInterval));
     return next;
 }
 
@@ -162,12 +190,18 @@
         out.push_back(row_changed { table, row });
 }
 
-void row_relay::confirm(time_point at, relay_actions& out)
+void row_relay::confirm(relay_actions& out)
 {
-    if (m_basis && at <= *m_basis)
+    time_point oldest = time_point::max();
+    for (std::size_t table = 0; table < static_cast<std::size_t>(basisTables); ++table) {
+        if (!m_tables[table].confirmedAt)
+            return;
+        oldest = std::min(oldest, *m_tables[table].confirmedAt);
+    }
+    if (m_basis && oldest <= *m_basis)
         return;
-    m_basis = at;
-    out.push_back(basis_confirmed { at });
+    m_basis = oldest;
+    out.push_back(basis_confirmed { oldest });
 }
 
 relay_actions row_relay::onRead(time_point now, followed_table table, const result<rows_page>& answer)
@@ -198,8 +232,9 @@
     report(table, changed, out);
     if (isWhole)
         out.push_back(table_listed { table });
-    if (table == followed_table::operators)
-        confirm(read.sentAt, out);
+    read.readAt = read.sentAt;
+    read.confirmedAt = std::max(read.confirmedAt.value_or(read.sentAt), read.sentAt);
+    confirm(out);
     publish(now, table, before, changed, out);
     return out;
 }
@@ -285,9 +320,14 @@
     m_heardAt = now;
     // The answer was made after the question was sent, so its basis is at most
     // this old; after a gap it does not cover what is missing.
-    const bool isComplete = !hasGap && state(followed_table::operators).replica.isWhole();
-    if (received.basisAge && isComplete)
-        confirm(asked->second - *received.basisAge, out);
+    const auto isWhole = [](const table_state& each) { return each.replica.isWhole(); };
+    const bool isComplete = !hasGap && std::all_of(m_tables.begin(), m_tables.begin() + basisTables, isWhole);
+    if (received.basisAge && isComplete) {
+        const time_point basis = asked->second - *received.basisAge;
+        for (std::size_t table = 0; table < static_cast<std::size_t>(basisTables); ++table)
+            m_tables[table].confirmedAt = std::max(m_tables[table].confirmedAt.value_or(basis), basis);
+        confirm(out);
+    }
     m_asked.erase(m_asked.begin(), std::next(asked));
 }
 
