Admit a prompt while its first event is expected within half of the objective

Cause: with the fleet-wide share, requests within their share were sent while the first event was expected within the whole objective.

Ruled out: the share itself; with half of the objective it serves more than before.

--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -13,9 +13,14 @@
     constexpr std::size_t maxServersMet = 4;
     // With less time than this left, a further attempt cannot be answered.
     constexpr duration leastTimeToRetry = 40ms;
-    // The part of the objective within which a request's first event must be
-    // expected shrinks as its workspace goes beyond its share, down to this.
-    constexpr double leastPartOfObjective = 0.25;
+    // Part of the objective within which a request's first event must be
+    // expected. The other half covers what the estimate does not see: requests
+    // that other routers send at the same moment, and slower engines.
+    constexpr double partOfObjective = 0.5;
+    // The part shrinks as the workspace goes beyond its share, down to this.
+    constexpr double leastPartOfObjective = 0.15;
+    // Part of that time for which a request's own prompt may count.
+    constexpr double mostPartOfLimitForOwnPrompt = 0.6;
     // Margin for the report of a cold server, which is up to one heartbeat old.
     constexpr duration coldMargin = 1s;
     // Shortest wait that a refused caller is told; a shorter one finds the same load.
@@ -175,9 +180,13 @@
     if (!request.received.prompt)
         return true;
     request.shareFill = m_share.fill(now, request.workspace, request.tokens, m_fleet.plan().tokensPerSecond, m_selector.routerCount());
-    const double part = request.shareFill <= 1 ? 1.0 : std::max(leastPartOfObjective, 1 / request.shareFill);
+    const double part = std::max(leastPartOfObjective, partOfObjective / std::max(request.shareFill, 1.0));
     const auto limit = std::chrono::duration<double>(request.target.objective) * part;
-    return std::chrono::duration<double>(best.expectedFirstEvent) <= limit;
+    // A large prompt takes most of the objective by itself; it is refused for the
+    // delay by others only, as it would otherwise never be served.
+    const std::chrono::duration<double> own = prefillTime(best.unreadTokens);
+    const std::chrono::duration<double> others = best.expectedFirstEvent - prefillTime(best.unreadTokens);
+    return others + std::min(own, limit * mostPartOfLimitForOwnPrompt) <= limit;
 }
 
 void dispatcher::startAttempt(time_point now, const tracked& request, dispatch_actions& out)
