Choose readers by processor share, and mend the failure to accept

It happens when descriptors run out. A test with a tight limit fails without the change. (2) All three readers stood in one zone and on small machines; a cut of that zone left everyone reading by themselves.

The callers' limits of the configuration (head, body, idle time) apply now, and the platform's bounds come from the settings.

--- a/include/pimentoladder/Codec/MemberJson.h
+++ b/include/pimentoladder/Codec/MemberJson.h
@@ -10,8 +10,8 @@
 /// Thread-safe.
 class member_json final : public member_codec {
 public:
-    std::string encode(const member& source) const override;
-    result<member> decode(const std::string& text) const override;
+    std::string encode(const fleet_router& source) const override;
+    result<fleet_router> decode(const std::string& text) const override;
 };
 
 }
--- a/include/pimentoladder/Daemon/FleetFollower.h
+++ b/include/pimentoladder/Daemon/FleetFollower.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -46,6 +47,8 @@
     const fleet_codec& codec;
     logger& log;
     metrics& values;
+    relay_limits limits;
+    std::function<void(const serving_plan&)> planApplied; ///< Told of each configuration that comes into force.
 };
 
 /// Runs the relay of rows and the links to other routers, and translates rows
@@ -55,7 +58,7 @@
     /// The references in \p parts outlive the follower. \p self.peerLocation is
     /// where the other routers reach this one; \p freshKey is proposed as the
     /// fleet's key if there is none.
-    fleet_follower(follower_parts parts, const member& self, const std::string& freshKey, std::uint64_t seed);
+    fleet_follower(follower_parts parts, const fleet_router& self, const std::string& freshKey, std::uint64_t seed);
 
     void start();
 
@@ -84,7 +87,7 @@
     peer_mesh_owner meshOwner();
 
     follower_parts m_parts;
-    member m_self;
+    fleet_router m_self;
     decoded_significance m_significance;
     row_relay m_relay;
     relay_driver m_driver;
--- a/include/pimentoladder/Net/HttpServer.h
+++ b/include/pimentoladder/Net/HttpServer.h
@@ -90,6 +90,10 @@
     /// Returns the address in use. Errors: `unavailable` if it cannot be bound.
     result<endpoint> listen(const endpoint& location);
 
+    /// Replaces the limits. Connections that are open keep those on the size of
+    /// heads and bodies.
+    void setLimits(const http_server_limits& limits);
+
     /// Stops accepting connections and ends kept-alive ones after the request
     /// in progress. Requests in progress go on.
     void drain();
--- a/include/pimentoladder/Replica/MemberRegistration.h
+++ b/include/pimentoladder/Replica/MemberRegistration.h
@@ -9,7 +9,7 @@
 
 #include "pimentoladder/Base/Error.h"
 #include "pimentoladder/Base/Time.h"
-#include "pimentoladder/Config/Document.h"
+#include "pimentoladder/Replica/FleetRouter.h"
 #include "pimentoladder/Replica/RowReplica.h"
 
 namespace pimentoladder {
@@ -18,10 +18,10 @@
 class member_codec {
 public:
     virtual ~member_codec() = default;
-    virtual std::string encode(const member& source) const = 0;
+    virtual std::string encode(const fleet_router& source) const = 0;
 
     /// Errors: `corruptData`.
-    virtual result<member> decode(const std::string& text) const = 0;
+    virtual result<fleet_router> decode(const std::string& text) const = 0;
 };
 
 /// A row to be written to the table of members.
@@ -38,7 +38,7 @@
 public:
     /// \p freshKey is proposed as the key of the fleet if there is none yet; it
     /// holds at least 16 characters. \p codec outlives the registration.
-    member_registration(member self, std::string freshKey, const member_codec& codec);
+    member_registration(fleet_router self, std::string freshKey, const member_codec& codec);
 
     /// Returns the next row to write, or nothing if the table, as last read,
     /// holds what it should or a write is in progress.
@@ -51,10 +51,10 @@
     static std::optional<std::string> fleetKey(const row_replica& members);
 
     /// Returns the members that the table names. Unreadable rows name none.
-    std::vector<member> list(const row_replica& members) const;
+    std::vector<fleet_router> list(const row_replica& members) const;
 
 private:
-    member m_self;
+    fleet_router m_self;
     std::string m_freshKey;
     const member_codec& m_codec;
     time_point m_nextWriteAt;
--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -16,8 +16,8 @@
 #include "pimentoladder/Base/Error.h"
 #include "pimentoladder/Base/Random.h"
 #include "pimentoladder/Base/Time.h"
-#include "pimentoladder/Config/Document.h"
 #include "pimentoladder/Protocol/Messages.h"
+#include "pimentoladder/Replica/FleetRouter.h"
 #include "pimentoladder/Replica/RowReplica.h"
 
 namespace pimentoladder {
@@ -32,7 +32,7 @@
 
 /// How a router follows the tables.
 struct relay_limits {
-    std::size_t readers = 3; ///< Routers that read the store for all others.
+    std::size_t leastReaders = 3; ///< Routers that read the store for all others; at least one in each data centre.
     std::array<duration, followedTableCount> wait { std::chrono::milliseconds(400), {}, {} }; ///< Longest wait of one read for a change.
     std::array<duration, followedTableCount> pause { duration::zero(), std::chrono::milliseconds(600), std::chrono::seconds(3) }; ///< Least time between the starts of two reads.
     duration followInterval = std::chrono::milliseconds(400); ///< Between two messages to the reader that is followed.
@@ -104,9 +104,9 @@
 /// Keeps the copies of the tables current, from the store or from a router that
 /// reads it.
 ///
-/// The routers that come first in rendezvous order among the members read the
-/// store; every other router follows one of them and reads the store itself
-/// while it hears from none. A router that is followed reads the store, whatever
+/// In each data centre the router with the largest processor share, and among
+/// equals the first by the hash of its name, reads the store; every other router
+/// follows one of these and reads the store itself while it hears from none. A router that is followed reads the store, whatever
 /// its place in the order, so no agreement is needed. A reader that has lost the
 /// store follows another one until its own reads are answered again.
 /// Not thread-safe; call on the loop's thread.
@@ -116,7 +116,7 @@
     row_relay(vm_id self, data_centre_id ownDataCentre, const row_significance& significance, relay_limits limits, std::uint64_t seed);
 
     /// Sets the routers of the fleet, this one included or not.
-    void setMembers(std::vector<member> members);
+    void setMembers(std::vector<fleet_router> members);
 
     relay_actions onRead(time_point now, followed_table table, const result<rows_page>& answer);
     relay_actions onMessage(time_point now, const member_ref& from, const message& received);
@@ -129,10 +129,13 @@
     relay_actions onTick(time_point now);
     time_point nextDeadline(time_point now) const;
 
-    /// Returns the routers that read the store for the others, by rank; this one
-    /// may be among them.
-    const std::vector<member>& readers() const { return m_readers; }
-    const std::vector<member>& members() const { return m_members; }
+    /// Returns whether a router follows this one.
+    bool isFollowedBy(const vm_id& router) const { return m_followers.contains(router); }
+
+    /// Returns the routers that read the store for the others; this one may be
+    /// among them.
+    const std::vector<fleet_router>& readers() const { return m_readers; }
+    const std::vector<fleet_router>& members() const { return m_members; }
     const row_replica& replica(followed_table table) const { return m_tables[static_cast<std::size_t>(table)].replica; }
     const vm_id& source() const { return m_source; }
 
@@ -174,8 +177,8 @@
     relay_limits m_limits;
     random_source m_random;
     std::vector<table_state> m_tables;
-    std::vector<member> m_members;
-    std::vector<member> m_readers;
+    std::vector<fleet_router> m_members;
+    std::vector<fleet_router> m_readers;
     std::set<vm_id> m_linked;
     std::map<vm_id, time_point> m_followers; ///< When each last asked.
     std::map<vm_id, time_point> m_avoidedUntil;
--- a/include/pimentoladder/Settings/Settings.h
+++ b/include/pimentoladder/Settings/Settings.h
@@ -65,6 +65,13 @@
     std::chrono::nanoseconds deadline = std::chrono::seconds(60); ///< Work in progress is cut after this.
 };
 
+/// Bounds that the platform sets on acting upon old rows.
+struct freshness_bounds {
+    std::chrono::nanoseconds keys = std::chrono::seconds(5); ///< Until a withdrawn key is refused everywhere.
+    std::chrono::nanoseconds configuration = std::chrono::seconds(2); ///< Until a configuration is in force everywhere.
+    std::chrono::nanoseconds drain = std::chrono::seconds(2); ///< Until a leaving server gets no new work.
+};
+
 /// Placement of models; must be the same on all routers.
 struct placement_limits {
     std::uint64_t loadsPerMinute = 60; ///< That the weight store bears from the whole fleet.
@@ -83,6 +90,8 @@
     timeout_settings timeouts;
     shutdown_settings shutdown;
     placement_limits placement;
+    freshness_bounds freshness;
+    double cores = 1; ///< Processor share of this VM.
     std::string logLevel = "info";
 };
 
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -1,5 +1,6 @@
 #include "pimentoladder/Daemon/DispatchProcess.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -23,11 +24,32 @@
     // How often the shutdown looks whether requests are still in progress.
     constexpr duration checkInterval = 20ms;
 
+    // A key is judged at the first byte to the server; the margin covers the way.
+    constexpr duration keyMargin = 400ms;
+    // A router stays ready a little beyond the bound, so that the change of the
+    // reader that it follows does not take it out of rotation.
+    constexpr duration readyMargin = 500ms;
+    // Parts of the shorter bound, on configurations or leaving servers, after which
+    // a silent reader, or one without the store, is left. The rest is for the read.
+    constexpr double silencePart = 0.6;
+    constexpr double stalenessPart = 0.8;
+
+    relay_limits relayLimits(const settings& configured)
+    {
+        const auto bound = std::chrono::duration<double>(std::min(configured.freshness.configuration, configured.freshness.drain));
+        relay_limits limits;
+        limits.silence = std::chrono::duration_cast<duration>(bound * silencePart);
+        limits.staleness = std::chrono::duration_cast<duration>(bound * stalenessPart);
+        return limits;
+    }
+
     dispatch_limits dispatchLimits(const settings& configured)
     {
         dispatch_limits limits;
         limits.selection.ownDataCentre = configured.dataCentre;
         limits.selection.self = configured.vm;
+        limits.freshness.keyBasis = configured.freshness.keys - keyMargin;
+        limits.freshness.readyBasis = configured.freshness.configuration + readyMargin;
         return limits;
     }
 
@@ -51,9 +73,9 @@
         return limits;
     }
 
-    member selfOf(const settings& configured, incarnation start)
+    fleet_router selfOf(const settings& configured, incarnation start)
     {
-        return { configured.vm, start, configured.dataCentre, configured.listen.peersAdvertised };
+        return { configured.vm, start, configured.dataCentre, configured.listen.peersAdvertised, configured.cores };
     }
 
     // Returns 128 random bits in hexadecimal, from the system's generator.
@@ -85,6 +107,7 @@
 
     void handle(const dispatch_action& action) override;
     void answerAdmin(const http_request& received, http_answer& answer);
+    void applyCallerLimits(const serving_plan& plan);
     void refuseNewWork();
     void check();
     void end(std::string_view reason);
@@ -116,7 +139,7 @@
     , driver(loop, core)
     , front(driver, backends, ports.ingress, configured.limits.bufferBytes)
     , report(driver, log, values)
-    , follower({ driver, ports.rows, ports.fleet, log, values }, selfOf(configured, start), secretKey(), seed + 1)
+    , follower({ driver, ports.rows, ports.fleet, log, values, relayLimits(configured), [this](const serving_plan& plan) { applyCallerLimits(plan); } }, selfOf(configured, start), secretKey(), seed + 1)
     , callerServer(loop, callerLimits(configured), [this](http_request request, std::shared_ptr<http_answer> answer) { front.onRequest(std::move(request), std::move(answer)); })
     , adminServer(loop, {}, [this](const http_request& request, const std::shared_ptr<http_answer>& answer) { answerAdmin(request, *answer); })
     , graceTimer(loop, [this] { refuseNewWork(); })
@@ -158,6 +181,20 @@
         replyText(answer, statusNotFound, "text/plain", "paths are /livez, /readyz and /metrics\n");
 }
 
+void dispatch_process::parts::applyCallerLimits(const serving_plan& plan)
+{
+    http_server_limits limits = callerLimits(configured);
+    if (plan.maxHeadBytes > 0)
+        limits.headBytes = plan.maxHeadBytes;
+    if (plan.maxBodyBytes > 0)
+        limits.bodyBytes = plan.maxBodyBytes;
+    if (plan.headTimeout > duration::zero())
+        limits.headTimeout = plan.headTimeout;
+    if (plan.idleTimeout > duration::zero())
+        limits.idleTimeout = plan.idleTimeout;
+    callerServer.setLimits(limits);
+}
+
 void dispatch_process::parts::refuseNewWork()
 {
     log.write(log_level::info, "shutdown_draining", { { "requests", std::uint64_t { front.inProgress() } } });
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -17,7 +17,7 @@
 
     constexpr const char* memberTable = "pimentoladder-members";
 
-    peer_link_settings linkSettings(const member& self)
+    peer_link_settings linkSettings(const fleet_router& self)
     {
         peer_link_settings link;
         link.self = { self.vm, self.start };
@@ -41,11 +41,11 @@
     return !(expected == *now);
 }
 
-fleet_follower::fleet_follower(follower_parts parts, const member& self, const std::string& freshKey, std::uint64_t seed)
+fleet_follower::fleet_follower(follower_parts parts, const fleet_router& self, const std::string& freshKey, std::uint64_t seed)
     : m_parts(parts)
     , m_self(self)
     , m_significance(parts.codec)
-    , m_relay(self.vm, self.dataCentre, m_significance, {}, seed)
+    , m_relay(self.vm, self.dataCentre, m_significance, parts.limits, seed)
     , m_driver(parts.dispatch.loop(), m_relay)
     , m_registration(self, freshKey, m_memberCodec)
     , m_mesh(parts.dispatch.loop(), parts.log, linkSettings(self), meshOwner(), seed + 1)
@@ -67,7 +67,7 @@
     peer_mesh_owner owner;
     owner.targets = [this] {
         std::vector<peer_target> targets;
-        for (const member& each : m_relay.readers()) {
+        for (const fleet_router& each : m_relay.readers()) {
             if (each.vm != m_self.vm)
                 targets.push_back({ each.vm, each.peerLocation });
         }
@@ -91,7 +91,9 @@
     const time_point now = m_driver.loop().now();
     if (const auto* reported = std::get_if<usage_report>(&received)) {
         m_usage.onReport(now, from, *reported);
-        m_mesh.send(from.vm, m_usage.totals(now));
+        // Each router takes the sums from the router that it follows.
+        if (m_relay.isFollowedBy(from.vm))
+            m_mesh.send(from.vm, m_usage.totals(now));
         return;
     }
     if (const auto* totals = std::get_if<usage_totals>(&received)) {
@@ -111,7 +113,7 @@
     m_usageTimer.arm(usageInterval);
     const usage_report own = m_parts.dispatch.core().usage();
     const time_point now = m_driver.loop().now();
-    for (const member& each : m_relay.readers()) {
+    for (const fleet_router& each : m_relay.readers()) {
         if (each.vm != m_self.vm) {
             m_mesh.send(each.vm, own);
             continue;
@@ -229,9 +231,9 @@
 void fleet_follower::updateMembers()
 {
     const row_replica& rows = m_relay.replica(followed_table::members);
-    std::vector<member> members = m_registration.list(rows);
+    std::vector<fleet_router> members = m_registration.list(rows);
     std::vector<vm_id> routers;
-    for (const member& each : members)
+    for (const fleet_router& each : members)
         routers.push_back(each.vm);
     m_relay.setMembers(std::move(members));
     m_parts.dispatch.core().setRouters(std::move(routers));
@@ -269,6 +271,8 @@
             const bool isApplied = core.applyPlan(std::move(*plan));
             m_parts.log.write(log_level::info, isApplied ? "configuration_applied" : "configuration_ignored",
                 { { "version", version.value() }, { "row_revision", row.at.value() }, { "routes", routes } });
+            if (isApplied)
+                m_parts.planApplied(core.fleet().plan());
         }
     }
     std::set<data_centre_id> out;
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -41,11 +41,16 @@
             EVHTTP_REQ_GET | EVHTTP_REQ_HEAD | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS
                 | EVHTTP_REQ_PATCH);
     }
-    ~implementation() override { evhttp_free(m_http); }
+    ~implementation() override
+    {
+        std::erase_if(listenerOwners(), [this](const auto& each) { return each.second == this; });
+        evhttp_free(m_http);
+    }
     implementation(const implementation&) = delete;
     implementation& operator=(const implementation&) = delete;
 
     result<endpoint> listen(const endpoint& location);
+    void setLimits(const http_server_limits& limits) { m_limits = limits; }
     void drain();
     void acceptAgain();
     std::size_t connectionCount() const override { return m_connections.size(); }
@@ -63,6 +68,10 @@
 
     static void onAcceptFailed(evconnlistener* listener, void* context);
 
+    /// evhttp takes the context of a listener's callbacks for itself, so the
+    /// server is found by its listener.
+    static std::map<evconnlistener*, implementation*>& listenerOwners();
+
     event_loop& m_loop;
     http_server_limits m_limits;
     http_handler m_handler;
@@ -96,6 +105,7 @@
         return failure();
     }
     evconnlistener_set_error_cb(listener, onAcceptFailed);
+    listenerOwners()[listener] = this;
     m_sockets.push_back(bound);
     return endpoint { location.address, localPort(evhttp_bound_socket_get_fd(bound)) };
 }
@@ -104,8 +114,10 @@
 {
     m_isDraining = true;
     m_acceptAgain.cancel();
-    for (evhttp_bound_socket* each : std::exchange(m_sockets, {}))
+    for (evhttp_bound_socket* each : std::exchange(m_sockets, {})) {
+        listenerOwners().erase(evhttp_bound_socket_get_listener(each));
         evhttp_del_accept_socket(m_http, each);
+    }
     std::vector<http_server_connection*> idle;
     for (const auto& [channel, each] : m_connections) {
         if (each->isIdle())
@@ -139,10 +151,19 @@
     self->m_connections.at(channel)->requestParsed(request);
 }
 
-void http_server::implementation::onAcceptFailed(evconnlistener*, void* context)
+std::map<evconnlistener*, http_server::implementation*>& http_server::implementation::listenerOwners()
 {
+    static std::map<evconnlistener*, implementation*> owners;
+    return owners;
+}
+
+void http_server::implementation::onAcceptFailed(evconnlistener* listener, void*)
+{
+    const auto owner = listenerOwners().find(listener);
+    if (owner == listenerOwners().end())
+        return;
     // Without file descriptors the listener would report the same failure at once.
-    auto* self = static_cast<implementation*>(context);
+    auto* self = owner->second;
     for (evhttp_bound_socket* each : self->m_sockets)
         evconnlistener_disable(evhttp_bound_socket_get_listener(each));
     self->m_acceptAgain.arm(acceptRetryDelay);
@@ -166,6 +187,11 @@
     return m_implementation->listen(location);
 }
 
+void http_server::setLimits(const http_server_limits& limits)
+{
+    m_implementation->setLimits(limits);
+}
+
 void http_server::drain()
 {
     m_implementation->drain();
--- a/lib/Replica/MemberRegistration.cpp
+++ b/lib/Replica/MemberRegistration.cpp
@@ -25,7 +25,7 @@
 
 }
 
-member_registration::member_registration(member self, std::string freshKey, const member_codec& codec)
+member_registration::member_registration(fleet_router self, std::string freshKey, const member_codec& codec)
     : m_self(std::move(self))
     , m_freshKey(std::move(freshKey))
     , m_codec(codec)
@@ -59,9 +59,9 @@
     return row->value;
 }
 
-std::vector<member> member_registration::list(const row_replica& members) const
+std::vector<fleet_router> member_registration::list(const row_replica& members) const
 {
-    std::vector<member> listed;
+    std::vector<fleet_router> listed;
     members.forEachRow([&](const published_row& row) {
         if (!row.key.starts_with(memberPrefix))
             return;
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -45,11 +45,19 @@
         m_tables.emplace_back(row_replica(static_cast<std::uint32_t>(table), significance));
 }
 
-void row_relay::setMembers(std::vector<member> members)
+void row_relay::setMembers(std::vector<fleet_router> members)
 {
-    std::sort(members.begin(), members.end(), [](const member& left, const member& right) { return rankOf(left.vm) > rankOf(right.vm); });
+    std::sort(members.begin(), members.end(), [](const fleet_router& left, const fleet_router& right) {
+        return std::pair(left.cores, rankOf(left.vm)) > std::pair(right.cores, rankOf(right.vm));
+    });
     m_members = std::move(members);
-    m_readers.assign(m_members.begin(), m_members.begin() + static_cast<std::ptrdiff_t>(std::min(m_limits.readers, m_members.size())));
+    m_readers.clear();
+    std::set<data_centre_id> covered;
+    std::vector<fleet_router> others;
+    for (const fleet_router& each : m_members)
+        (covered.insert(each.dataCentre).second ? m_readers : others).push_back(each);
+    for (std::size_t i = 0; i < others.size() && m_readers.size() < m_limits.leastReaders; ++i)
+        m_readers.push_back(others[i]);
 }
 
 void row_relay::refreshMembers()
@@ -61,7 +69,7 @@
 
 bool row_relay::isReader() const
 {
-    return std::any_of(m_readers.begin(), m_readers.end(), [this](const member& each) { return each.vm == m_self; });
+    return std::any_of(m_readers.begin(), m_readers.end(), [this](const fleet_router& each) { return each.vm == m_self; });
 }
 
 bool row_relay::hasStoreInReach(time_point now) const
@@ -97,7 +105,7 @@
 {
     std::optional<vm_id> best;
     bool isBestNear = false;
-    for (const member& each : m_readers) {
+    for (const fleet_router& each : m_readers) {
         const auto avoided = m_avoidedUntil.find(each.vm);
         const bool isUsable = each.vm != m_self && m_linked.contains(each.vm) && (avoided == m_avoidedUntil.end() || now >= avoided->second);
         const bool isNear = each.dataCentre == m_ownDataCentre;
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -125,6 +125,16 @@
         reader.finish();
     }
 
+    void readFreshness(mapping_reader reader, freshness_bounds& target)
+    {
+        // Below a second, the interval of the reads themselves would exceed a bound.
+        const value_range<std::chrono::nanoseconds> range { 1s, 10min };
+        assignIfSet(target.keys, reader.time("keys", range));
+        assignIfSet(target.configuration, reader.time("configuration", range));
+        assignIfSet(target.drain, reader.time("drain", range));
+        reader.finish();
+    }
+
     void readLog(mapping_reader reader, settings& target)
     {
         assignIfSet(target.logLevel, reader.choice("level", { "debug", "info", "warning", "error" }));
@@ -183,6 +193,8 @@
         readTimeouts(root.section("timeouts", false), target.timeouts);
         readShutdown(root.section("shutdown", false), target.shutdown, faults);
         readPlacement(root.section("placement", false), target.placement);
+        readFreshness(root.section("freshness", false), target.freshness);
+        assignIfSet(target.cores, root.decimal("cores", { 0.01, 1024 }));
         readLog(root.section("log", false), target);
         root.finish();
         checkAddresses(target.listen, root, faults);
--- a/lib/Settings/SettingsReader.cpp
+++ b/lib/Settings/SettingsReader.cpp
@@ -161,6 +161,18 @@
     return std::nullopt;
 }
 
+std::optional<double> mapping_reader::decimal(const std::string& key, value_range<double> range)
+{
+    const auto value = scalar(key, false, "a number");
+    if (!value)
+        return std::nullopt;
+    const auto parsed = parseWhole<double>(*value);
+    if (parsed && *parsed >= range.least && *parsed <= range.most)
+        return parsed;
+    m_faults.add(place(key), pathOf(key) + " is \"" + *value + "\"; expected a number from " + std::to_string(range.least) + " to " + std::to_string(range.most));
+    return std::nullopt;
+}
+
 std::optional<std::uint64_t> mapping_reader::number(const std::string& key, value_range<std::uint64_t> range)
 {
     const auto value = scalar(key, false, "a whole number");
--- a/lib/Settings/SettingsReader.h
+++ b/lib/Settings/SettingsReader.h
@@ -54,6 +54,7 @@
     std::optional<endpoint> address(const std::string& key, bool isRequired);
     std::optional<std::uint64_t> bytes(const std::string& key, value_range<std::uint64_t> range);
     std::optional<std::uint64_t> number(const std::string& key, value_range<std::uint64_t> range);
+    std::optional<double> decimal(const std::string& key, value_range<double> range);
     std::optional<std::chrono::nanoseconds> time(const std::string& key, value_range<std::chrono::nanoseconds> range);
     std::optional<std::string> digest(const std::string& key);
     std::optional<std::string> choice(const std::string& key, const std::vector<std::string>& choices);
--- a/unittests/Net/HttpServerTests.cpp
+++ b/unittests/Net/HttpServerTests.cpp
@@ -3,8 +3,12 @@
 #include "RawSocket.h"
 
 #include <random>
-#include <string>
 #include <vector>
+#include <string>
+
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -353,3 +357,23 @@
     for (const http_request& each : test.requests)
         CHECK(each.target.find('\0') == std::string::npos);
 }
+
+// Guards against a process that ends when it runs out of descriptors (seen on a
+// day of granta-lv-grown), and against a server that accepts nothing afterwards.
+TEST_CASE("a server without descriptors accepts again when there are some")
+{
+    server_fixture test;
+    test.onRequest = [&] { test.answers.back()->reply({}, "served"); };
+    raw_socket caller = test.connect();
+    rlimit before {};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+    const int next = dup(0);
+    rlimit tight = before;
+    tight.rlim_cur = static_cast<rlim_t>(next);
+    close(next);
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &tight) == 0);
+    test.loop.runFor(50ms);
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &before) == 0);
+    caller.send(get);
+    CHECK(caller.waitFor("served"));
+}
--- a/unittests/Replica/Fixture.h
+++ b/unittests/Replica/Fixture.h
@@ -69,14 +69,14 @@
 struct fleet {
     explicit fleet(std::size_t size)
     {
-        std::vector<member> members;
+        std::vector<fleet_router> members;
         for (std::size_t i = 0; i < size; ++i) {
             routers.push_back(std::make_unique<router>("router-" + std::to_string(i), significance));
             members.push_back({ routers.back()->vm, incarnation(1), data_centre_id("a"), { "127.0.0.1", 1 } });
         }
         for (const auto& each : routers) {
             each->relay.setMembers(members);
-            for (const member& peer : each->relay.readers()) {
+            for (const fleet_router& peer : each->relay.readers()) {
                 if (peer.vm == each->vm)
                     continue;
                 each->relay.onLinkOpened(peer.vm);
--- a/unittests/Replica/MemberRegistrationTests.cpp
+++ b/unittests/Replica/MemberRegistrationTests.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-member makeMember(const std::string& name)
+fleet_router makeMember(const std::string& name)
 {
     return { vm_id(name), incarnation(7), data_centre_id("a"), { "10.0.0.1", 7400 } };
 }
