--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -77,11 +77,12 @@
 
     // Other routers.
 
-    /// Returns the tokens of this router's requests, for the other routers.
-    usage_report usage() const { return m_share.report(); }
+    /// Returns the tokens of this router's requests and what it has seen of
+    /// servers since the last call, for the other routers.
+    usage_report takeUsage(time_point now);
 
-    /// Takes over the tokens of all routers' requests.
-    void setFleetUsage(time_point now, const usage_totals& totals) { m_share.setFleet(now, totals); }
+    /// Takes over what all routers have used and seen.
+    void setFleetUsage(time_point now, const usage_totals& totals);
 
     void setRouters(std::vector<vm_id> routers) { m_selector.setRouters(std::move(routers)); }
 
--- a/include/pimentoladder/Dispatch/ServerCondition.h
+++ b/include/pimentoladder/Dispatch/ServerCondition.h
@@ -12,6 +12,7 @@
 
 #include "pimentoladder/Base/Ids.h"
 #include "pimentoladder/Base/Time.h"
+#include "pimentoladder/Protocol/Messages.h"
 
 namespace pimentoladder {
 
@@ -71,6 +72,13 @@
 
     void stated(time_point now, const stated_load& load);
 
+    /// Returns, for the other routers, the delay seen since the last call, the load
+    /// last stated and the tokens that are pending; nothing if there is no news.
+    std::optional<server_observation> takeObservation(time_point now, const server_id& server);
+
+    /// Takes over what all routers have seen of the server lately.
+    void observedByFleet(time_point now, const server_observation& seen);
+
     /// The server is cold until \p until at least.
     void setCold(time_point until);
 
@@ -108,6 +116,8 @@
     };
 
     double pendingTokens() const;
+    double othersPending(time_point now) const;
+    duration overdue(time_point now) const;
     duration ambientDelay(time_point now) const;
 
     std::unordered_map<attempt_number, running_attempt> m_attempts;
@@ -116,6 +126,12 @@
     time_point m_loadAt;
     duration m_ambient {}; ///< Smoothed delay beyond that of the router's own requests, as of m_ambientAt.
     time_point m_ambientAt;
+    duration m_fleetDelay {}; ///< Delay that all routers have seen, as of m_fleetDelayAt.
+    time_point m_fleetDelayAt;
+    double m_reportedPending = 0; ///< Own tokens in the last report.
+    double m_othersPending = 0; ///< Tokens that other routers have sent, as of m_fleetDelayAt.
+    duration m_unreportedDelay {}; ///< Sum of the samples since the last report.
+    std::uint32_t m_unreportedSamples = 0;
     time_point m_coldUntil;
     time_point m_ejectedUntil;
     std::optional<time_point> m_lastStart;
--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -65,7 +65,11 @@
     /// Forgets servers that are no longer registered.
     void retain(const std::map<server_id, registered_server>& registered);
 
-    const std::map<server_id, server_condition>& conditions() const { return m_conditions; }
+    /// Returns what this router has seen of servers since the last call.
+    std::vector<server_observation> takeObservations(time_point now);
+
+    /// Takes over what all routers have seen of servers.
+    void observedByFleet(time_point now, const std::vector<server_observation>& seen);
 
 private:
     struct candidate {
--- a/include/pimentoladder/Dispatch/TenantShare.h
+++ b/include/pimentoladder/Dispatch/TenantShare.h
@@ -46,7 +46,8 @@
     std::array<slot, slotCount> m_slots;
 };
 
-/// Adds up what the routers report. Reports hold counters that only grow, so a
+/// Adds up what the routers report, and smooths what they have seen of servers.
+/// Reports hold counters that only grow, so a
 /// lost or repeated one costs nothing but age.
 /// Not thread-safe; call on the loop's thread.
 class usage_aggregator {
@@ -58,10 +59,19 @@
     struct reporter {
         time_point heardAt;
         std::map<workspace_id, tenant_usage> counted;
+        std::map<server_id, double> pendingTokens;
     };
 
+    struct observed_server {
+        server_observation smoothed;
+        time_point seenAt;
+    };
+
+    void observe(time_point now, const server_observation& seen);
+
     usage_window m_window;
     std::map<member_ref, reporter> m_reporters;
+    std::map<server_id, observed_server> m_servers;
 };
 
 /// Tells how much of its fair share each workspace has had. It counts what this
--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -224,16 +224,28 @@
     cost_units admitted = 0;
 };
 
+/// How a backend server served lately.
+struct server_observation {
+    server_id server;
+    duration delay {}; ///< Until the first event, beyond what the request itself needed.
+    std::uint32_t running = 0; ///< As the server stated.
+    std::uint32_t waiting = 0; ///< As the server stated.
+    double pendingTokens = 0; ///< Prompt tokens sent to it that it has yet to read.
+};
+
 /// Tokens that the sender's requests have asked for and received since its
-/// start. The numbers only grow.
+/// start, which only grow, and what it has seen of servers since its last report.
 struct usage_report {
     std::vector<usage_entry> entries;
+    std::vector<server_observation> observed;
 };
 
-/// Tokens over the last window at all routers that report to the sender.
+/// Tokens over the last window at all routers that report to the sender, and what
+/// they have seen of servers.
 struct usage_totals {
     std::uint32_t routers = 0; ///< That have reported within the window.
     std::vector<usage_entry> entries;
+    std::vector<server_observation> observed;
 };
 
 using message = std::variant<heartbeat, revision_announce, config_request, config_update, suspend, acquire, grant,
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -9,9 +9,9 @@
 
     using namespace std::chrono_literals;
 
-    // Interval at which routers exchange what their requests used; a share is
-    // settled over 4 s.
-    constexpr duration usageInterval = 500ms;
+    // Interval at which routers exchange what their requests used and how servers
+    // served them. A queue at an engine grows within half a second.
+    constexpr duration usageInterval = 300ms;
     // Interval at which the own row among the members is looked after.
     constexpr duration registrationInterval = 250ms;
 
@@ -111,8 +111,8 @@
 void fleet_follower::exchangeUsage()
 {
     m_usageTimer.arm(usageInterval);
-    const usage_report own = m_parts.dispatch.core().usage();
     const time_point now = m_driver.loop().now();
+    const usage_report own = m_parts.dispatch.core().takeUsage(now);
     for (const fleet_router& each : m_relay.readers()) {
         if (each.vm != m_self.vm) {
             m_mesh.send(each.vm, own);
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -524,6 +524,19 @@
     return found == m_byAttempt.end() ? nullptr : m_requests.at(found->second);
 }
 
+usage_report dispatcher::takeUsage(time_point now)
+{
+    usage_report taken = m_share.report();
+    taken.observed = m_selector.takeObservations(now);
+    return taken;
+}
+
+void dispatcher::setFleetUsage(time_point now, const usage_totals& totals)
+{
+    m_share.setFleet(now, totals);
+    m_selector.observedByFleet(now, totals.observed);
+}
+
 bool dispatcher::applyPlan(serving_plan plan)
 {
     return m_fleet.applyPlan(std::move(plan));
--- a/lib/Dispatch/ServerCondition.cpp
+++ b/lib/Dispatch/ServerCondition.cpp
@@ -20,6 +20,8 @@
     constexpr duration delayPerRunning = 300us;
     // A statement of load older than this says nothing about the present.
     constexpr duration loadLifetime = 1s;
+    // What other routers had sent is read, or reported again, within this time.
+    constexpr duration fleetLifetime = 1s;
     // Failures in a row before a server is left out, as single ones are common.
     constexpr std::uint32_t failuresToEject = 4;
     constexpr duration ejectionTime = 1s;
@@ -36,6 +38,13 @@
         return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
     }
 
+    // Returns what is left of a smoothed delay after some time without samples.
+    duration decayed(duration delay, duration elapsed)
+    {
+        const double halfLives = static_cast<double>(elapsed.count()) / static_cast<double>(ambientHalfLife.count());
+        return scaled(delay, std::exp2(-halfLives));
+    }
+
 }
 
 duration prefillTime(double tokens)
@@ -72,8 +81,48 @@
         return;
     found->second.hasResponded = true;
     const duration sample = std::max(duration::zero(), now - found->second.startedAt - found->second.expected);
-    m_ambient = scaled(ambientDelay(now), 1 - ambientGain) + scaled(sample, ambientGain);
+    m_ambient = scaled(decayed(m_ambient, now - m_ambientAt), 1 - ambientGain) + scaled(sample, ambientGain);
     m_ambientAt = now;
+    m_unreportedDelay += sample;
+    ++m_unreportedSamples;
+}
+
+std::optional<server_observation> server_condition::takeObservation(time_point now, const server_id& server)
+{
+    const double pending = pendingTokens();
+    const bool hasNews = m_unreportedSamples > 0 || pending > 0 || m_reportedPending > 0;
+    if (!hasNews)
+        return std::nullopt;
+    const duration mean = m_unreportedSamples > 0 ? m_unreportedDelay / m_unreportedSamples : duration::zero();
+    m_unreportedDelay = {};
+    m_unreportedSamples = 0;
+    m_reportedPending = pending;
+    return server_observation { server, std::max(mean, overdue(now)), m_load.running, m_load.waiting, pending };
+}
+
+void server_condition::observedByFleet(time_point now, const server_observation& seen)
+{
+    m_fleetDelay = {};
+    m_fleetDelayAt = now;
+    m_othersPending = 0;
+    m_load.running = seen.running;
+    m_load.waiting = seen.waiting;
+    m_loadAt = now;
+}
+
+double server_condition::othersPending(time_point now) const
+{
+    return now - m_fleetDelayAt <= fleetLifetime ? m_othersPending : 0;
+}
+
+duration server_condition::overdue(time_point now) const
+{
+    duration most {};
+    for (const auto& [number, attempt] : m_attempts) {
+        if (!attempt.hasResponded)
+            most = std::max(most, now - attempt.startedAt - attempt.expected);
+    }
+    return most;
 }
 
 void server_condition::ended(attempt_number attempt)
@@ -134,19 +183,14 @@
 
 duration server_condition::ambientDelay(time_point now) const
 {
-    const double halfLives = static_cast<double>((now - m_ambientAt).count()) / static_cast<double>(ambientHalfLife.count());
-    duration delay = scaled(m_ambient, std::exp2(-halfLives));
+    const duration seen = std::max(decayed(m_ambient, now - m_ambientAt), decayed(m_fleetDelay, now - m_fleetDelayAt));
     // A request that is overdue shows a delay before any answer does.
-    for (const auto& [number, attempt] : m_attempts) {
-        if (!attempt.hasResponded)
-            delay = std::max(delay, now - attempt.startedAt - attempt.expected);
-    }
-    return delay;
+    return std::max(seen, overdue(now));
 }
 
 duration server_condition::expectedFirstEvent(time_point now, double unreadTokens) const
 {
-    duration expected = ambientDelay(now) + prefillTime(pendingTokens() + unreadTokens);
+    duration expected = ambientDelay(now) + prefillTime(pendingTokens() + othersPending(now) + unreadTokens);
     if (now - m_loadAt <= loadLifetime)
         expected += m_load.waiting * delayPerWaiting + m_load.running * delayPerRunning;
     return expected;
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -14,6 +14,9 @@
     // Advantage of the servers before others in a prefix's rendezvous order, so
     // that all routers spill to the same server.
     constexpr duration delayPerRank = 8ms;
+    // Servers that are compared for one prompt, from the front of its rendezvous
+    // order: enough to avoid a loaded home, few enough to keep its parts together.
+    constexpr std::size_t promptChoices = 2;
     // Expected time that one request of a plain service adds for those behind it.
     constexpr duration serviceTimePerRequest = 15ms;
 
@@ -49,6 +52,24 @@
     std::erase_if(m_conditions, [&](const auto& entry) { return !registered.contains(entry.first); });
 }
 
+std::vector<server_observation> server_selector::takeObservations(time_point now)
+{
+    std::vector<server_observation> taken;
+    for (auto& [id, condition] : m_conditions) {
+        if (const auto seen = condition.takeObservation(now, id))
+            taken.push_back(*seen);
+    }
+    return taken;
+}
+
+void server_selector::observedByFleet(time_point now, const std::vector<server_observation>& seen)
+{
+    for (const server_observation& each : seen) {
+        if (m_fleet.findServer(each.server))
+            m_conditions[each.server].observedByFleet(now, each);
+    }
+}
+
 duration server_selector::coldSpacing(const pool_id& pool) const
 {
     const pool_profile* profile = m_fleet.profileOf(pool);
@@ -119,6 +140,10 @@
     } else {
         std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(m_random.index(candidates.size())), candidates.end());
     }
+    // Comparing all servers by estimates that all routers share would send them
+    // all to the one that looks idle.
+    if (wanted.prompt && candidates.size() > promptChoices)
+        candidates.resize(promptChoices);
     std::optional<selected_server> best;
     duration bestCost {};
     for (std::size_t rank = 0; rank < candidates.size(); ++rank) {
--- a/lib/Dispatch/TenantShare.cpp
+++ b/lib/Dispatch/TenantShare.cpp
@@ -8,6 +8,10 @@
 
     using namespace std::chrono_literals;
 
+    // An observation says nothing about a server's queue after this time.
+    constexpr duration observationLifetime = 1500ms;
+    // Weight of one router's observation; several arrive in each interval.
+    constexpr double observationGain = 0.3;
     // Age from which the fleet's sums no longer describe the present.
     constexpr duration fleetLifetime = 2s;
 
@@ -57,6 +61,12 @@
     std::erase_if(m_reporters, [&](const auto& each) { return now - each.second.heardAt > usage_window::length; });
     const auto [found, isNew] = m_reporters.try_emplace(from);
     found->second.heardAt = now;
+    std::erase_if(m_servers, [&](const auto& each) { return now - each.second.seenAt > usage_window::length; });
+    found->second.pendingTokens.clear();
+    for (const server_observation& seen : reported.observed) {
+        observe(now, seen);
+        found->second.pendingTokens[seen.server] = seen.pendingTokens;
+    }
     for (const usage_entry& entry : reported.entries) {
         tenant_usage& counted = found->second.counted[entry.workspace];
         const tenant_usage grown { entry.asked - counted.asked, entry.admitted - counted.admitted };
@@ -67,12 +77,38 @@
     }
 }
 
+void usage_aggregator::observe(time_point now, const server_observation& seen)
+{
+    const auto [found, isNew] = m_servers.try_emplace(seen.server, observed_server { seen, now });
+    if (isNew)
+        return;
+    observed_server& known = found->second;
+    const double kept = now - known.seenAt > observationLifetime ? 0 : 1 - observationGain;
+    const double delay = static_cast<double>(known.smoothed.delay.count()) * kept + static_cast<double>(seen.delay.count()) * (1 - kept);
+    known.smoothed = seen;
+    known.smoothed.delay = duration(static_cast<duration::rep>(delay));
+    known.seenAt = now;
+}
+
 usage_totals usage_aggregator::totals(time_point now) const
 {
     usage_totals all;
     all.routers = static_cast<std::uint32_t>(m_reporters.size());
     for (const auto& [tenant, used] : m_window.sums(now))
         all.entries.push_back({ tenant, std::max(used.asked, 0.0), std::max(used.admitted, 0.0) });
+    std::map<server_id, double> pending;
+    for (const auto& [from, each] : m_reporters) {
+        if (now - each.heardAt > observationLifetime)
+            continue;
+        for (const auto& [server, tokens] : each.pendingTokens)
+            pending[server] += tokens;
+    }
+    for (const auto& [id, server] : m_servers) {
+        if (now - server.seenAt > observationLifetime)
+            continue;
+        all.observed.push_back(server.smoothed);
+        all.observed.back().pendingTokens = pending[id];
+    }
     return all;
 }
 
--- a/lib/Wire/MessageDecoder.cpp
+++ b/lib/Wire/MessageDecoder.cpp
@@ -194,6 +194,12 @@
             fields.amount(source.admitted(), "admitted") };
     }
 
+    server_observation read(const wire::Observation& source, field_reader& fields)
+    {
+        return { fields.requiredName<server_id>(source.server(), "server"), std::chrono::microseconds(source.delay()), source.running(), source.waiting(),
+            fields.amount(source.pending_tokens(), "pending_tokens") };
+    }
+
     template <typename Table>
     auto readList(const Vector<Offset<Table>>* field, field_reader& fields)
     {
@@ -309,12 +315,12 @@
 
     message read(const wire::UsageReport& source, field_reader& fields)
     {
-        return usage_report { readList(source.entries(), fields) };
+        return usage_report { readList(source.entries(), fields), readList(source.observed(), fields) };
     }
 
     message read(const wire::UsageTotals& source, field_reader& fields)
     {
-        return usage_totals { source.routers(), readList(source.entries(), fields) };
+        return usage_totals { source.routers(), readList(source.entries(), fields), readList(source.observed(), fields) };
     }
 
     template <typename Table>
--- a/lib/Wire/MessageEncoder.cpp
+++ b/lib/Wire/MessageEncoder.cpp
@@ -122,6 +122,12 @@
         return wire::CreateUsage(builder, writeName(builder, source.workspace), source.asked, source.admitted);
     }
 
+    Offset<wire::Observation> write(FlatBufferBuilder& builder, const server_observation& source)
+    {
+        return wire::CreateObservation(builder, writeName(builder, source.server), microseconds(source.delay), source.running, source.waiting,
+            source.pendingTokens);
+    }
+
     // Holds a list itself, so it is defined below.
     Offset<wire::TableUpdate> write(FlatBufferBuilder& builder, const table_update& source);
 
@@ -235,12 +241,14 @@
 
     Offset<wire::UsageReport> write(FlatBufferBuilder& builder, const usage_report& source)
     {
-        return wire::CreateUsageReport(builder, writeList(builder, source.entries));
+        const auto entries = writeList(builder, source.entries);
+        return wire::CreateUsageReport(builder, entries, writeList(builder, source.observed));
     }
 
     Offset<wire::UsageTotals> write(FlatBufferBuilder& builder, const usage_totals& source)
     {
-        return wire::CreateUsageTotals(builder, source.routers, writeList(builder, source.entries));
+        const auto entries = writeList(builder, source.entries);
+        return wire::CreateUsageTotals(builder, source.routers, entries, writeList(builder, source.observed));
     }
 
     Offset<wire::CrashReport> write(FlatBufferBuilder& builder, const crash_report& source)
--- a/unittests/Wire/MessageCodecTests.cpp
+++ b/unittests/Wire/MessageCodecTests.cpp
@@ -42,7 +42,8 @@
         crash_report { server_id("engine-3"), incarnation(3), { fingerprint(0x99aabbccddeeff00) } }, shard_owner { shard, token },
         follow_rows { 7, { { 1, revision(81234) } } },
         rows_update { 7, 20ms, { { 1, revision(1), revision(2), false, { { "i-1", "{}", revision(2), false } } } }, 30ms },
-        usage_report { { { workspace_id("uv-alerts"), 10, 5 } } }, usage_totals { 8, { { workspace_id("uv-alerts"), 10, 5 } } } };
+        usage_report { { { workspace_id("uv-alerts"), 10, 5 } }, { { server_id("i-1"), 20ms, 3, 1, 500 } } },
+        usage_totals { 8, { { workspace_id("uv-alerts"), 10, 5 } }, { { server_id("i-1"), 20ms, 3, 1, 500 } } } };
 }
 
 std::optional<message> decodeKnown(std::string_view payload)
