--- a/include/pimentoladder/Dispatch/ServerCondition.h
+++ b/include/pimentoladder/Dispatch/ServerCondition.h
@@ -117,6 +117,7 @@
 
     double pendingTokens() const;
     double othersPending(time_point now) const;
+    bool hasRecentSample(time_point now) const;
     duration overdue(time_point now) const;
     duration ambientDelay(time_point now) const;
 
--- a/lib/Dispatch/ServerCondition.cpp
+++ b/lib/Dispatch/ServerCondition.cpp
@@ -20,6 +20,10 @@
     constexpr duration delayPerRunning = 300us;
     // A statement of load older than this says nothing about the present.
     constexpr duration loadLifetime = 1s;
+    // Part of the pending tokens of others that is still to be read, on average.
+    constexpr double unreadPartOfPending = 0.5;
+    // An own sample of this age goes before what other routers have seen.
+    constexpr duration sampleLifetime = 2s;
     // What other routers had sent is read, or reported again, within this time.
     constexpr duration fleetLifetime = 1s;
     // Failures in a row before a server is left out, as single ones are common.
@@ -93,18 +97,20 @@
     const bool hasNews = m_unreportedSamples > 0 || pending > 0 || m_reportedPending > 0;
     if (!hasNews)
         return std::nullopt;
-    const duration mean = m_unreportedSamples > 0 ? m_unreportedDelay / m_unreportedSamples : duration::zero();
+    const bool hasSamples = m_unreportedSamples > 0;
+    const duration mean = hasSamples ? m_unreportedDelay / m_unreportedSamples : duration::zero();
     m_unreportedDelay = {};
     m_unreportedSamples = 0;
     m_reportedPending = pending;
-    return server_observation { server, std::max(mean, overdue(now)), m_load.running, m_load.waiting, pending };
+    const duration delay = hasSamples ? mean : overdue(now);
+    return server_observation { server, delay, m_load.running, m_load.waiting, pending };
 }
 
 void server_condition::observedByFleet(time_point now, const server_observation& seen)
 {
-    m_fleetDelay = {};
+    m_fleetDelay = seen.delay;
     m_fleetDelayAt = now;
-    m_othersPending = 0;
+    m_othersPending = std::max(0.0, seen.pendingTokens - m_reportedPending) * unreadPartOfPending;
     m_load.running = seen.running;
     m_load.waiting = seen.waiting;
     m_loadAt = now;
@@ -112,7 +118,13 @@
 
 double server_condition::othersPending(time_point now) const
 {
-    return now - m_fleetDelayAt <= fleetLifetime ? m_othersPending : 0;
+    const bool isUsed = !hasRecentSample(now) && now - m_fleetDelayAt <= fleetLifetime;
+    return isUsed ? m_othersPending : 0;
+}
+
+bool server_condition::hasRecentSample(time_point now) const
+{
+    return now - m_ambientAt <= sampleLifetime;
 }
 
 duration server_condition::overdue(time_point now) const
@@ -183,7 +195,8 @@
 
 duration server_condition::ambientDelay(time_point now) const
 {
-    const duration seen = std::max(decayed(m_ambient, now - m_ambientAt), decayed(m_fleetDelay, now - m_fleetDelayAt));
+    const duration own = decayed(m_ambient, now - m_ambientAt);
+    const duration seen = hasRecentSample(now) ? own : std::max(own, decayed(m_fleetDelay, now - m_fleetDelayAt));
     // A request that is overdue shows a delay before any answer does.
     return std::max(seen, overdue(now));
 }
