Take the retry from the budget before a server's failure is dropped

The budget is now asked first, and without a retry the server's own answer is passed on. The platform's bound on retries comes from the settings; each router takes its part of three quarters of it.

--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -24,6 +24,8 @@
 struct dispatch_limits {
     selection_limits selection;
     freshness_limits freshness;
+    double retryShare = 0.1; ///< Retries of this router for each request.
+    std::uint64_t fleetRetries = 36; ///< Retries of all routers together in 10 s at any rate of requests.
     duration idempotentPatience = std::chrono::milliseconds(300); ///< Without an answer before an idempotent request is sent again.
     duration streamPatience = std::chrono::milliseconds(1500); ///< Without an event, beyond the objective, before a stream is resumed elsewhere.
 };
@@ -84,7 +86,7 @@
     /// Takes over what all routers have used and seen.
     void setFleetUsage(time_point now, const usage_totals& totals);
 
-    void setRouters(std::vector<vm_id> routers) { m_selector.setRouters(std::move(routers)); }
+    void setRouters(std::vector<vm_id> routers);
 
     /// Refuses new requests from now on.
     void drain() { m_isDraining = true; }
--- a/include/pimentoladder/Outcome/RetryBudget.h
+++ b/include/pimentoladder/Outcome/RetryBudget.h
@@ -12,14 +12,26 @@
 
 namespace pimentoladder {
 
+/// Retries that one router may make within the window.
+struct retry_limits {
+    double share = 0.1; ///< For each request.
+    std::uint64_t minimum = 3; ///< At any rate of requests.
+};
+
 /// Counts requests and retries of each pool over a sliding window.
 /// Not thread-safe; call on the loop's thread.
 class retry_budget {
 public:
-    static constexpr double retryShare = 0.1; ///< Retries per request within the window.
-    static constexpr std::uint64_t minimumRetries = 3; ///< Allowed in each window at any rate of requests.
     static constexpr duration window = std::chrono::seconds(10);
 
+    explicit retry_budget(retry_limits limits = {})
+        : m_limits(limits)
+    {
+    }
+
+    void setLimits(retry_limits limits) { m_limits = limits; }
+    const retry_limits& limits() const { return m_limits; }
+
     /// Counts a request that a caller submitted.
     void recordRequest(time_point now, const pool_id& pool);
 
@@ -40,6 +52,7 @@
 
     slot& slotAt(time_point now, const pool_id& pool);
 
+    retry_limits m_limits;
     std::map<pool_id, slots> m_pools;
 };
 
--- a/include/pimentoladder/Settings/Settings.h
+++ b/include/pimentoladder/Settings/Settings.h
@@ -72,6 +72,12 @@
     std::chrono::nanoseconds drain = std::chrono::seconds(2); ///< Until a leaving server gets no new work.
 };
 
+/// Retries that the platform bears from all routers together, in 10 s.
+struct retry_bounds {
+    double share = 0.1; ///< For each request.
+    std::uint64_t extra = 36; ///< At any rate of requests.
+};
+
 /// Placement of models; must be the same on all routers.
 struct placement_limits {
     std::uint64_t loadsPerMinute = 60; ///< That the weight store bears from the whole fleet.
@@ -91,6 +97,7 @@
     shutdown_settings shutdown;
     placement_limits placement;
     freshness_bounds freshness;
+    retry_bounds retries;
     double cores = 1; ///< Processor share of this VM.
     std::string logLevel = "info";
 };
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -31,6 +31,9 @@
     // A router stays ready a little beyond the bound, so that the change of the
     // reader that it follows does not take it out of rotation.
     constexpr duration readyMargin = 500ms;
+    // Part of the platform's bound on retries that the routers use; each judges by
+    // its own requests, and windows of routers and platform differ.
+    constexpr double retryPart = 0.75;
     // Parts of the shorter bound, on configurations or leaving servers, after which
     // a silent reader, or one without the store, is left. The rest is for the read.
     constexpr double silencePart = 0.6;
@@ -50,6 +53,8 @@
         dispatch_limits limits;
         limits.selection.ownDataCentre = configured.dataCentre;
         limits.selection.self = configured.vm;
+        limits.retryShare = configured.retries.share * retryPart;
+        limits.fleetRetries = static_cast<std::uint64_t>(static_cast<double>(configured.retries.extra) * retryPart);
         limits.freshness.keyBasis = configured.freshness.keys - keyMargin;
         limits.freshness.readyBasis = configured.freshness.configuration + readyMargin;
         return limits;
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -1,9 +1,18 @@
 #include "pimentoladder/Daemon/DispatchReport.h"
 
+#include <cmath>
+
 namespace pimentoladder {
 
 namespace {
 
+    // More digits would only lengthen the lines.
+    double hundredths(double value)
+    {
+        constexpr double parts = 100;
+        return std::round(value * parts) / parts;
+    }
+
     std::int64_t milliseconds(duration value)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
@@ -25,7 +34,7 @@
             { "route", std::string_view(decided.routeName) }, { "workspace", std::string_view(decided.workspace.value()) },
             { "server", std::string_view(decided.server.value()) }, { "expected_ms", milliseconds(decided.expectedFirstEvent) },
             { "unread_tokens", static_cast<std::int64_t>(decided.unreadTokens) }, { "candidates", std::uint64_t { decided.candidates } },
-            { "runs_before", std::uint64_t { decided.attemptsSoFar } }, { "cold", decided.isCold }, { "share_fill", decided.shareFill },
+            { "runs_before", std::uint64_t { decided.attemptsSoFar } }, { "cold", decided.isCold }, { "share_fill", hundredths(decided.shareFill) },
             { "config_version", decided.planVersion.value() }, { "basis_age_ms", milliseconds(decided.basisAge) } });
 }
 
@@ -51,7 +60,7 @@
     m_log.write(log_level::info, "request_ended",
         { { "id", std::string_view(ended.callerId) }, { "request", ended.request.value() }, { "route", std::string_view(ended.routeName) },
             { "workspace", std::string_view(ended.workspace.value()) }, { "result", ended.result }, { "reason", ended.reason },
-            { "runs", std::uint64_t { ended.attempts } }, { "share_fill", ended.shareFill }, { "expected_ms", milliseconds(ended.expectedFirstEvent) },
+            { "runs", std::uint64_t { ended.attempts } }, { "share_fill", hundredths(ended.shareFill) }, { "expected_ms", milliseconds(ended.expectedFirstEvent) },
             { "first_event_ms", ended.firstEvent ? milliseconds(*ended.firstEvent) : -1 }, { "longest_pause_ms", milliseconds(ended.longestPause) },
             { "total_ms", milliseconds(ended.total) }, { "objective_ms", milliseconds(ended.objective) } });
 }
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -57,6 +57,13 @@
     // Time to the next tick while nothing is due.
     constexpr duration idleInterval = 1s;
 
+    // Splits the retries of the fleet, with room for routers that are not known yet.
+    retry_limits retryLimits(const dispatch_limits& limits, std::size_t routers)
+    {
+        const std::size_t parts = std::max(limits.selection.coldShares, routers + routers / 4);
+        return { limits.retryShare, limits.fleetRetries / parts };
+    }
+
     constexpr int firstServerFailure = 500;
 
 }
@@ -84,6 +91,7 @@
     int status = 0;
 
     std::uint32_t runs = 0; ///< Attempts that may have run.
+    bool hasRetry = false; ///< Taken from the budget for the next attempt.
     std::set<server_id> met;
     bool hasHead = false; ///< The caller has the head of the answer.
     std::optional<std::uint64_t> lastEvent;
@@ -102,6 +110,7 @@
     : m_limits(std::move(limits))
     , m_fleet(m_limits.freshness)
     , m_selector(m_fleet, m_limits.selection, seed)
+    , m_budget(retryLimits(m_limits, m_limits.selection.coldShares))
     , m_random(seed + 1)
 {
 }
@@ -279,7 +288,10 @@
         condition.failed(now);
     const bool isResumed = request->hasHead;
     const bool isFailure = isResumed ? !isSuccess(head.status) : head.status >= firstServerFailure;
-    const bool isRetried = request->isRepeatable() && canRetry(now, *request, true);
+    // The server's own answer goes to the caller unless another attempt follows.
+    const bool isRetried = isFailure && !isResumed && request->isRepeatable() && canRetry(now, *request, true)
+        && m_budget.tryTake(now, request->pool);
+    request->hasRetry = isRetried;
     if (isFailure && (isResumed || isRetried)) {
         drop(true, "server_failure");
         return out;
@@ -383,7 +395,7 @@
     // An attempt that never reached a server costs no budget.
     const bool hasArrived = mayHaveRun || !request->isDenied;
     const bool isRetried = isAllowed && isCurrent && canRetry(now, *request, false)
-        && (!hasArrived || m_budget.tryTake(now, request->pool));
+        && (!hasArrived || std::exchange(request->hasRetry, false) || m_budget.tryTake(now, request->pool));
     if (isRetried) {
         startAttempt(now, request, out);
         return;
@@ -524,6 +536,12 @@
     return found == m_byAttempt.end() ? nullptr : m_requests.at(found->second);
 }
 
+void dispatcher::setRouters(std::vector<vm_id> routers)
+{
+    m_budget.setLimits(retryLimits(m_limits, routers.size()));
+    m_selector.setRouters(std::move(routers));
+}
+
 usage_report dispatcher::takeUsage(time_point now)
 {
     usage_report taken = m_share.report();
--- a/lib/Outcome/RetryBudget.cpp
+++ b/lib/Outcome/RetryBudget.cpp
@@ -20,8 +20,8 @@
         requests += each.requests;
         retries += each.retries;
     }
-    const auto share = static_cast<std::uint64_t>(static_cast<double>(requests) * retryShare);
-    if (retries >= std::max(minimumRetries, share))
+    const auto share = static_cast<std::uint64_t>(static_cast<double>(requests) * m_limits.share);
+    if (retries >= std::max(m_limits.minimum, share))
         return false;
     ++current.retries;
     return true;
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -135,6 +135,13 @@
         reader.finish();
     }
 
+    void readRetries(mapping_reader reader, retry_bounds& target)
+    {
+        assignIfSet(target.share, reader.decimal("share", { 0, 1 }));
+        assignIfSet(target.extra, reader.number("extra", { 0, 1'000'000 }));
+        reader.finish();
+    }
+
     void readLog(mapping_reader reader, settings& target)
     {
         assignIfSet(target.logLevel, reader.choice("level", { "debug", "info", "warning", "error" }));
@@ -194,6 +201,7 @@
         readShutdown(root.section("shutdown", false), target.shutdown, faults);
         readPlacement(root.section("placement", false), target.placement);
         readFreshness(root.section("freshness", false), target.freshness);
+        readRetries(root.section("retries", false), target.retries);
         assignIfSet(target.cores, root.decimal("cores", { 0.01, 1024 }));
         readLog(root.section("log", false), target);
         root.finish();
--- a/unittests/Dispatch/DispatcherTests.cpp
+++ b/unittests/Dispatch/DispatcherTests.cpp
@@ -188,3 +188,20 @@
     CHECK(find<break_response>(after));
     CHECK(fleet.core.figures().inProgress == 0);
 }
+
+// Guards against a server's own answer that is replaced by the router's because
+// the budget for another attempt is used up (seen in an incident of uvskoly).
+TEST_CASE("without a retry left the server's failure is passed on")
+{
+    dispatch_limits limits;
+    limits.fleetRetries = 0;
+    limits.retryShare = 0;
+    small_fleet fleet(limits);
+    request_number number;
+    const auto actions = fleet.send("/read/1", number);
+    const attempt_number attempt = find<open_dispatch>(actions)->attempt;
+    REQUIRE(fleet.core.mayGiveBytes(fleet.now, attempt));
+    const auto after = fleet.core.onHead(fleet.now, attempt, makeHead(500));
+    CHECK(find<pass_head>(after));
+    CHECK_FALSE(find<refuse_inbound>(after));
+}
