--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -29,6 +29,10 @@
     pool_id pool;
     const prompt_work* prompt = nullptr; ///< Null for requests without a prompt.
     std::set<server_id> excluded; ///< Servers that the request has met already.
+    /// Servers that are compared for a prompt, from the front of its rendezvous
+    /// order. Comparing all by estimates that all routers share would send them all
+    /// to the one that looks idle.
+    std::size_t promptChoices = 2;
 };
 
 struct selected_server {
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -19,6 +19,8 @@
     constexpr double partOfObjective = 0.5;
     // The part shrinks as the workspace goes beyond its share, down to this.
     constexpr double leastPartOfObjective = 0.15;
+    // Servers that are compared where the usual ones have no room.
+    constexpr std::size_t widerPromptChoices = 6;
     // Part of that time for which a request's own prompt may count.
     constexpr double mostPartOfLimitForOwnPrompt = 0.6;
     // Margin for the report of a cold server, which is up to one heartbeat old.
@@ -202,7 +204,8 @@
 void dispatcher::startAttempt(time_point now, const tracked& request, dispatch_actions& out)
 {
     const prompt_work* prompt = request->received.prompt ? &*request->received.prompt : nullptr;
-    const auto best = m_selector.select(now, { request->workspace, request->pool, prompt, request->met });
+    selection_request wanted { request->workspace, request->pool, prompt, request->met };
+    auto best = m_selector.select(now, wanted);
     const bool isFirst = request->met.empty();
     if (!best) {
         if (request->hasHead)
@@ -211,7 +214,15 @@
             refuse(now, request, request->runs == 0 ? refusal_kind::noEligibleServer : refusal_kind::serverFailed, leastRetryAfter, out);
         return;
     }
-    if (isFirst && !isWorthwhile(now, *request, *best)) {
+    bool isAdmitted = !isFirst || isWorthwhile(now, *request, *best);
+    if (!isAdmitted && request->shareFill < 1) {
+        // Other servers may have room for a workspace within its share, at the
+        // price of reading its prompt again.
+        wanted.promptChoices = widerPromptChoices;
+        best = m_selector.select(now, wanted);
+        isAdmitted = isWorthwhile(now, *request, *best);
+    }
+    if (!isAdmitted) {
         refuse(now, request, refusal_kind::queueFull, best->expectedFirstEvent, out);
         return;
     }
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -14,9 +14,6 @@
     // Advantage of the servers before others in a prefix's rendezvous order, so
     // that all routers spill to the same server.
     constexpr duration delayPerRank = 8ms;
-    // Servers that are compared for one prompt, from the front of its rendezvous
-    // order: enough to avoid a loaded home, few enough to keep its parts together.
-    constexpr std::size_t promptChoices = 2;
     // Expected time that one request of a plain service adds for those behind it.
     constexpr duration serviceTimePerRequest = 15ms;
 
@@ -140,10 +137,8 @@
     } else {
         std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(m_random.index(candidates.size())), candidates.end());
     }
-    // Comparing all servers by estimates that all routers share would send them
-    // all to the one that looks idle.
-    if (wanted.prompt && candidates.size() > promptChoices)
-        candidates.resize(promptChoices);
+    if (wanted.prompt && candidates.size() > wanted.promptChoices)
+        candidates.resize(wanted.promptChoices);
     std::optional<selected_server> best;
     duration bestCost {};
     for (std::size_t rank = 0; rank < candidates.size(); ++rank) {
--- a/unittests/Dispatch/SelectionTests.cpp
+++ b/unittests/Dispatch/SelectionTests.cpp
@@ -52,6 +52,30 @@
     CHECK(selector.select(now, wanted)->server != home);
 }
 
+// Guards against a tenant that is refused because the homes of its prompts are
+// full while other engines are idle (FAIR, a hunted day of granta-lv).
+TEST_CASE("a request within its share finds an idle engine beyond its usual ones")
+{
+    small_fleet fleet;
+    serving_plan plan = makePlan(2);
+    plan.tokensPerSecond = 1e6;
+    fleet.core.applyPlan(plan);
+    inbound_request request;
+    request.host = "host";
+    request.path = "/stream/1";
+    request.keyDigest = keyDigest;
+    request.timeLeft = 10s;
+    request.prompt = makePrompt(42, 1);
+    std::set<server_id> used;
+    for (int i = 0; i < 40; ++i) {
+        request_number number;
+        const auto actions = fleet.core.onRequest(fleet.now, request, number);
+        if (const auto* opened = find<open_dispatch>(actions))
+            used.insert(opened->server);
+    }
+    CHECK(used.size() == 3);
+}
+
 // Guards against more requests to a cold server than it bears from all routers
 // together.
 TEST_CASE("a cold server gets this router's part of its allowance")
