Leave a reader without the store at its first answer

Followers waited until their own basis was old (1.6 s) and then as long for the next reader.

The test with two readers cut at once fails without the change.

--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -169,6 +169,7 @@
     void confirm(relay_actions& out);
     bool isReader() const;
     bool hasStoreInReach(time_point now) const;
+    bool isStoreFailing() const;
     bool isStale(time_point now) const;
     std::optional<duration> returnedAge(time_point now) const;
 
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -79,6 +79,11 @@
     });
 }
 
+bool row_relay::isStoreFailing() const
+{
+    return m_source.isEmpty() && std::any_of(m_tables.begin(), m_tables.begin() + basisTables, [](const table_state& each) { return each.isFailing; });
+}
+
 bool row_relay::isStale(time_point now) const
 {
     const time_point from = std::max(m_basis.value_or(time_point()), m_startedAt.value_or(now) + m_limits.startGrace);
@@ -281,7 +286,8 @@
     m_followers[from.vm] = now;
     rows_update answer;
     answer.echoSequence = asked.sequence;
-    if (m_basis)
+    // Without a basis, the follower turns to another reader at once.
+    if (m_basis && !isStoreFailing())
         answer.basisAge = now - *m_basis;
     answer.returnedAge = returnedAge(now);
     for (const table_position& have : asked.have) {
@@ -337,6 +343,14 @@
         confirm(out);
     }
     m_asked.erase(m_asked.begin(), std::next(asked));
+    // Waiting for the own basis to grow old would take too long where several
+    // readers have lost the store.
+    const bool isUseless = !received.basisAge || *received.basisAge > m_limits.staleness;
+    if (!isUseless)
+        return;
+    m_avoidedUntil[m_source] = now + m_limits.avoidance;
+    m_source = {};
+    out.push_back(source_changed { m_source, "without_store" });
 }
 
 }
--- a/unittests/Dispatch/SelectionTests.cpp
+++ b/unittests/Dispatch/SelectionTests.cpp
@@ -130,10 +130,10 @@
     const member_ref first { vm_id("r1"), incarnation(1) };
     const member_ref second { vm_id("r2"), incarnation(1) };
     for (const member_ref& each : { first, second })
-        sums.onReport(now, each, {});
+        sums.onReport(now, each, usage_report {});
     for (int repeat = 0; repeat < 2; ++repeat) {
-        sums.onReport(now, first, { { { workspace_id("large"), 8'000, 3'000 }, { workspace_id("small"), 50, 0 } } });
-        sums.onReport(now, second, { { { workspace_id("large"), 8'000, 3'000 } } });
+        sums.onReport(now, first, { { { workspace_id("large"), 8'000, 3'000 }, { workspace_id("small"), 50, 0 } }, {} });
+        sums.onReport(now, second, { { { workspace_id("large"), 8'000, 3'000 } }, {} });
     }
     const usage_totals totals = sums.totals(now);
     CHECK(totals.routers == 2);
--- a/unittests/Replica/RowRelayTests.cpp
+++ b/unittests/Replica/RowRelayTests.cpp
@@ -63,6 +63,25 @@
     CHECK(all.now - all.at(cut).basis < 2s);
 }
 
+// Guards against followers that try one reader without the store after the other
+// (CONFIG, hunted day trouble-1 --seed 543447122827 of granta-lv).
+TEST_CASE("followers are current within two seconds when two readers lose the store")
+{
+    for (const std::size_t kept : { 0, 1, 2 }) {
+        fleet all(12);
+        all.run(3s);
+        const std::vector<fleet_router> readers = all.routers[0]->relay.readers();
+        REQUIRE(readers.size() == 3);
+        for (std::size_t i = 0; i < readers.size(); ++i)
+            all.at(readers[i].vm).reachesStore = i == kept;
+        all.store.put(followed_table::operators, "config", "2");
+        all.run(1900ms);
+        CHECK(currentRouters(all, "config", "2") >= 10);
+        all.run(1s);
+        CHECK(currentRouters(all, "config", "2") == 12);
+    }
+}
+
 // Guards against a basis that is younger than what was really read.
 TEST_CASE("a relayed basis never overstates what is known")
 {
