--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -233,6 +233,7 @@
     const row_replica& rows = m_relay.replica(followed_table::members);
     std::vector<fleet_router> members = m_registration.list(rows);
     std::vector<vm_id> routers;
+    routers.reserve(members.size());
     for (const fleet_router& each : members)
         routers.push_back(each.vm);
     m_relay.setMembers(std::move(members));
