Remove the sink and the fields that nothing uses

line_batch took the place of descriptorSink, so its tests hold for it: a full and a closed pipe drop lines, and gathered lines arrive whole. The unused fields of routes and pools go.

--- a/include/pimentoladder/Dispatch/ServingPlan.h
+++ b/include/pimentoladder/Dispatch/ServingPlan.h
@@ -40,7 +40,6 @@
     repeat_policy repeat = repeat_policy::atMostOnce;
     bool isStream = false;
     bool isAnonymous = false; ///< Served without a key.
-    bool hasPrompts = false; ///< Requests describe a prompt whose parts engines keep.
     std::vector<weighted_pool> pools;
     std::uint32_t maxAttempts = 1; ///< Servers that may run one request.
     std::uint32_t priority = 0; ///< 0 ranks highest.
@@ -54,10 +53,8 @@
 /// Properties shared by the servers of one pool.
 struct pool_profile {
     pool_kind kind = pool_kind::service;
-    std::uint32_t maxConnections = 0; ///< That one server accepts from all routers; 0: not stated.
     duration coldStart {}; ///< How long a server stays cold after its start.
     double coldRequestsPerSecond = 0; ///< That one cold server bears from all routers; 0: no limit.
-    std::uint64_t memoryTokens = 0; ///< Of one model engine; 0 for other servers.
 
     bool operator==(const pool_profile&) const = default;
 };
--- a/include/pimentoladder/Telemetry/Log.h
+++ b/include/pimentoladder/Telemetry/Log.h
@@ -34,13 +34,9 @@
 /// dropped because the sink could not take it at once.
 using log_sink = std::function<bool(std::string_view line)>;
 
-/// Returns a sink that writes to a file descriptor and never blocks: a line
-/// that a full or closed descriptor cannot take is dropped. Precondition:
-/// SIGPIPE is ignored.
-log_sink descriptorSink(int descriptor);
-
 /// Gathers lines and writes them together, so that a burst of lines costs few
-/// system calls. Not thread-safe; call on the loop's thread.
+/// system calls. It never blocks. Precondition: SIGPIPE is ignored.
+/// Not thread-safe; call on the loop's thread.
 class line_batch {
 public:
     /// \p scheduleFlush asks for a call of `flush` soon; it is called when the
--- a/lib/Telemetry/Log.cpp
+++ b/lib/Telemetry/Log.cpp
@@ -9,7 +9,6 @@
 #include <string>
 
 #include <poll.h>
-#include <sys/uio.h>
 #include <unistd.h>
 
 #include <easylogging++.h>
@@ -112,22 +111,6 @@
     return log_level::info;
 }
 
-log_sink descriptorSink(int descriptor)
-{
-    return [descriptor](std::string_view line) {
-        // A pipe that polls writable takes PIPE_BUF bytes without blocking, so
-        // a longer line is dropped rather than risk a wait on a slow reader.
-        if (line.size() + 1 > PIPE_BUF)
-            return false;
-        pollfd state { descriptor, POLLOUT, 0 };
-        if (::poll(&state, 1, 0) != 1 || !(state.revents & POLLOUT) || (state.revents & (POLLERR | POLLNVAL)))
-            return false;
-        char lineEnd = '\n';
-        std::array<iovec, 2> parts { { { const_cast<char*>(line.data()), line.size() }, { &lineEnd, 1 } } };
-        return ::writev(descriptor, parts.data(), parts.size()) == static_cast<ssize_t>(line.size() + 1);
-    };
-}
-
 line_batch::line_batch(int descriptor, std::function<void()> scheduleFlush)
     : m_descriptor(descriptor)
     , m_scheduleFlush(std::move(scheduleFlush))
--- a/unittests/Dispatch/Fixture.h
+++ b/unittests/Dispatch/Fixture.h
@@ -42,7 +42,7 @@
         makeRoute("/stream/", "llm", repeat_policy::resumable, true),
         makeRoute("/once/", "llm", repeat_policy::atMostOnce, true) };
     plan.pools[pool_id("portal")] = {};
-    plan.pools[pool_id("llm")] = { pool_kind::model, 370, 3s, 7.3, 500'000 };
+    plan.pools[pool_id("llm")] = { pool_kind::model, 3s, 7.3 };
     plan.workspaces = { { workspace_id("school"), { keyDigest }, {} } };
     return plan;
 }
