Stand-ins of the store and the backend servers on the published calls

The store's stand-in keeps rows, conditions, a feed and registrations that lapse, with outages, slow and lost answers, late effects, silent feeds and a dropped history. The backend server's stand-in registers itself, streams events that can be resumed, and refuses what is not for it or does not fit. Whole routers are tested on both over sockets: each kind of request, missing and unreadable configuration, withdrawn keys, leaving servers, broken streams, lost answers, shutdown, reload, a gap in the feed, a silent feed and a store out of reach.

The caller's Host header is no longer doubled by the tools' HTTP client.

--- a/tools/standins/FaultPlan.cpp
+++ b/tools/standins/FaultPlan.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr std::array<std::pair<std::string_view, fault_kind>, 14> kindNames { {
+    constexpr std::array<std::pair<std::string_view, fault_kind>, 15> kindNames { {
         { "outage", fault_kind::outage },
         { "hang", fault_kind::hang },
         { "refuse", fault_kind::refuse },
@@ -22,6 +22,7 @@
         { "stop_forward", fault_kind::stopForward },
         { "stop_backward", fault_kind::stopBackward },
         { "drop_new", fault_kind::dropNew },
+        { "drop_history", fault_kind::dropHistory },
         { "reset_all", fault_kind::resetAll },
     } };
 
--- a/tools/standins/FaultPlan.h
+++ b/tools/standins/FaultPlan.h
@@ -30,6 +30,7 @@
     stopForward, ///< The relay passes no byte from the caller on.
     stopBackward, ///< The relay passes no byte to the caller.
     dropNew, ///< The relay closes new connections.
+    dropHistory, ///< The store forgets the changes before now.
     resetAll, ///< The relay resets every open connection at once.
 };
 
--- a/tools/standins/Main.cpp
+++ b/tools/standins/Main.cpp
@@ -16,8 +16,10 @@
 #include "standins/PlatformService.h"
 #include "standins/PortalService.h"
 #include "standins/Relay.h"
+#include "standins/platform/BackendService.h"
+#include "standins/platform/StoreService.h"
 
-ABSL_FLAG(std::string, role, "", "engine, portal, platform or relay");
+ABSL_FLAG(std::string, role, "", "engine, portal, platform, relay, store or backend");
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to serve HTTP on; port 0 takes a free port");
 ABSL_FLAG(std::string, name, "", "name in histories; default: the role");
 ABSL_FLAG(std::string, history, "", "file for the history; default: standard output");
@@ -45,6 +47,15 @@
 ABSL_FLAG(std::uint32_t, reads_per_second, 0, "platform: further reads get 429; 0: without limit");
 ABSL_FLAG(std::uint32_t, writes_per_second, 0, "platform: further writes get 429; 0: without limit");
 
+ABSL_FLAG(absl::Duration, registration_lifetime, absl::Seconds(3), "store: a registration that is not renewed for this long is removed");
+
+ABSL_FLAG(std::string, store, "", "backend: IP:port of the store to register in; default: none");
+ABSL_FLAG(std::string, advertised, "", "backend: IP:port under which routers reach it; default: the one of --listen");
+ABSL_FLAG(std::string, pool, "", "backend: pool of backend servers that it joins");
+ABSL_FLAG(std::uint32_t, slots, 8, "backend: requests in progress; further ones are refused unrun");
+ABSL_FLAG(absl::Duration, heartbeat, absl::Seconds(1), "backend: time between two registrations");
+ABSL_FLAG(absl::Duration, cold_start, absl::ZeroDuration(), "backend: how long it calls itself cold after its start");
+
 ABSL_FLAG(std::string, links, "", "relay: name=IP:port>IP:port, separated by commas");
 
 namespace pimentoladder::standins {
@@ -86,6 +97,27 @@
         return { flagTime(FLAGS_vm_list_lag), absl::GetFlag(FLAGS_reads_per_second), absl::GetFlag(FLAGS_writes_per_second) };
     }
 
+    store_settings storeSettings()
+    {
+        return { flagTime(FLAGS_registration_lifetime) };
+    }
+
+    backend_settings backendSettings()
+    {
+        backend_settings settings;
+        settings.model = engineSettings().model;
+        settings.pool = absl::GetFlag(FLAGS_pool);
+        settings.dataCentre = absl::GetFlag(FLAGS_data_centre);
+        settings.advertised = absl::GetFlag(FLAGS_advertised).empty() ? absl::GetFlag(FLAGS_listen) : absl::GetFlag(FLAGS_advertised);
+        settings.slots = absl::GetFlag(FLAGS_slots);
+        settings.serviceTime = flagTime(FLAGS_service_time);
+        if (!absl::GetFlag(FLAGS_store).empty())
+            settings.store = tools::parseAddress(absl::GetFlag(FLAGS_store));
+        settings.heartbeat = flagTime(FLAGS_heartbeat);
+        settings.coldStart = flagTime(FLAGS_cold_start);
+        return settings;
+    }
+
     template <typename Service>
     tools::http_server::handler handlerOf(std::shared_ptr<Service> service)
     {
@@ -97,10 +129,12 @@
         tools::http_server::handler (*make)(service_context context);
     };
 
-    constexpr std::array<role, 4> roles { {
+    constexpr std::array<role, 6> roles { {
         { "engine", [](service_context context) { return handlerOf(std::make_shared<engine_service>(std::move(context), engineSettings())); } },
         { "portal", [](service_context context) { return handlerOf(std::make_shared<portal_service>(std::move(context), portalSettings())); } },
         { "platform", [](service_context context) { return handlerOf(std::make_shared<platform_service>(std::move(context), platformSettings())); } },
+        { "store", [](service_context context) { return handlerOf(std::make_shared<store_service>(std::move(context), storeSettings())); } },
+        { "backend", [](service_context context) { return handlerOf(std::make_shared<backend_service>(std::move(context), backendSettings())); } },
         { "relay", [](service_context context) {
              auto service = std::make_shared<relay_service>(std::move(context), parseLinks(absl::GetFlag(FLAGS_links)));
              for (const auto& link : service->links())
@@ -114,7 +148,7 @@
         const std::string name = absl::GetFlag(FLAGS_role);
         const auto* chosen = std::ranges::find(roles, name, &role::name);
         if (chosen == roles.end()) {
-            std::cerr << "unknown role \"" << name << "\"; use --role=engine, portal, platform or relay\n";
+            std::cerr << "unknown role \"" << name << "\"; use --role=engine, portal, platform, relay, store or backend\n";
             return 2;
         }
         const std::string shownName = absl::GetFlag(FLAGS_name).empty() ? name : absl::GetFlag(FLAGS_name);
--- /dev/null
+++ b/tools/standins/platform/BackendService.cpp
@@ -0,0 +1,253 @@
+#include "standins/platform/BackendService.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <utility>
+
+#include "pimentoladder/Codec/Base64.h"
+#include "support/Digest.h"
+
+namespace pimentoladder::standins {
+
+using nlohmann::json;
+using tools::bootTime;
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr const char* attemptHeader = "X-Attempt-Id";
+    constexpr int statusOther = 421;
+    constexpr int statusFull = 503;
+    constexpr int statusInvalid = 400;
+
+    std::uint32_t numberAfterComma(const std::string& text, std::uint32_t otherwise)
+    {
+        const std::size_t comma = text.find(',');
+        return comma == std::string::npos ? otherwise : static_cast<std::uint32_t>(std::strtoul(text.c_str() + comma + 1, nullptr, 10));
+    }
+
+    // The text of an event tells which attempt and which run it belongs to.
+    std::string eventText(const std::string& attempt, const std::string& execution, std::uint32_t index, std::uint32_t total)
+    {
+        const json data { { "of", attempt }, { "run", execution }, { "i", index }, { "total", total } };
+        return "id: " + std::to_string(index) + "\ndata: " + data.dump() + "\n\n";
+    }
+
+}
+
+backend_service::backend_service(service_context context, backend_settings settings)
+    : m_context(std::move(context))
+    , m_settings(std::move(settings))
+    , m_model(m_settings.model, m_context.seed)
+    , m_faults(m_context.seed)
+    , m_client(m_context.events)
+    , m_startedMs(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()))
+    , m_coldUntil(bootTime() + m_settings.coldStart)
+{
+    m_context.history.write(bootTime(), "server_started",
+        { { "server", m_context.name }, { "incarnation", m_startedMs }, { "dataCentre", m_settings.dataCentre } });
+    if (m_settings.store.port != 0)
+        m_context.events.callAfter(duration::zero(), [this] { sendHeartbeat(); });
+}
+
+void backend_service::handle(const exchange_ptr& exchange)
+{
+    static constexpr std::array<route<backend_service>, 3> routes { {
+        { "POST", "/fault", &backend_service::handleFault },
+        { "POST", "/drain", &backend_service::handleDrain },
+        { "POST", "/", &backend_service::handleRequest },
+    } };
+    dispatch<backend_service>(*this, routes, exchange);
+}
+
+void backend_service::handleFault(const exchange_ptr& exchange)
+{
+    const auto ordered = orderFault(m_faults, exchange, bootTime());
+    if (!ordered || ordered->kind != fault_kind::cold)
+        return;
+    m_faults.take(fault_kind::cold, {}, bootTime());
+    m_coldUntil = bootTime() + ordered->latency;
+    m_context.history.write(bootTime(), "server_cold", { { "server", m_context.name } });
+    registerSelf();
+}
+
+void backend_service::handleDrain(const exchange_ptr& exchange)
+{
+    m_isDraining = true;
+    registerSelf();
+    exchange->reply(200, "{}");
+}
+
+void backend_service::sendHeartbeat()
+{
+    registerSelf();
+    m_context.events.callAfter(m_settings.heartbeat, [this] { sendHeartbeat(); });
+}
+
+void backend_service::registerSelf()
+{
+    if (m_settings.store.port == 0)
+        return;
+    const time_point now = bootTime();
+    const auto coldLeft = std::chrono::duration_cast<std::chrono::milliseconds>(std::max(m_coldUntil - now, duration::zero()));
+    json entry { { "service", m_settings.pool }, { "address", m_settings.advertised }, { "zone", m_settings.dataCentre }, { "version", "1" },
+        { "slots", m_settings.slots }, { "state", m_isDraining ? "draining" : "ready" }, { "cold_left_ms", coldLeft.count() }, { "born", m_startedMs } };
+    json body { { "expect", json::array() }, { "remove", json::array() } };
+    body["write"].push_back({ { "table", "servers" }, { "part", "" }, { "key", m_context.name }, { "value", encodeBase64(entry.dump()) } });
+    tools::client_request request { m_settings.store, "POST", "/v1/rows-tx", body.dump() };
+    request.timeout = m_settings.heartbeat;
+    m_client.send(request, [this](const tools::client_answer& answer) {
+        if (answer.status != 200)
+            m_context.history.write(bootTime(), "registration_failed", { { "server", m_context.name }, { "status", answer.status } });
+    });
+}
+
+void backend_service::handleRequest(const exchange_ptr& exchange)
+{
+    const std::string expected = exchange->header("X-Expected-Instance");
+    if (exchange->header(attemptHeader).empty()) {
+        refuse(exchange, statusInvalid, "no id");
+        return;
+    }
+    if (!expected.empty() && expected != m_context.name) {
+        refuse(exchange, statusOther, "other server");
+        return;
+    }
+    if (isStruckBeforeEffect(m_faults, exchange->path(), exchange, bootTime()))
+        return;
+    if (inProgress() >= m_settings.slots) {
+        refuse(exchange, statusFull, "full");
+        return;
+    }
+    if (exchange->header("X-Token-Counts").empty())
+        startPlain(exchange);
+    else
+        startStream(exchange);
+}
+
+void backend_service::refuse(const exchange_ptr& exchange, int status, const char* reason)
+{
+    const std::string attempt = exchange->header(attemptHeader);
+    m_context.history.write(bootTime(), "execution_refused", { { "server", m_context.name }, { "id", attempt }, { "reason", reason } });
+    exchange->reply(status, "{}", { { attemptHeader, attempt }, { "X-Not-Executed", "1" } });
+}
+
+void backend_service::startPlain(const exchange_ptr& exchange)
+{
+    const std::string execution = m_context.name + "-" + std::to_string(m_startedMs) + "-p" + std::to_string(++m_lastPlain);
+    const std::string attempt = exchange->header(attemptHeader);
+    recordStart(exchange, execution);
+    ++m_plainRuns;
+    m_context.events.callAfter(m_settings.serviceTime, [this, exchange, execution, attempt] {
+        --m_plainRuns;
+        const bool isLost = m_faults.take(fault_kind::lostAnswer, exchange->path(), bootTime()).has_value();
+        recordEnd(execution, isLost ? "reset" : "finished");
+        if (isLost)
+            exchange->reset();
+        else
+            exchange->reply(200, json { { "of", attempt }, { "run", execution } }.dump(), headersFor(attempt));
+    });
+}
+
+void backend_service::startStream(const exchange_ptr& exchange)
+{
+    const std::uint32_t total = std::max(numberAfterComma(exchange->header("X-Token-Counts"), 1), 1U);
+    const auto after = static_cast<std::uint32_t>(std::strtoul(exchange->header("Last-Event-Id").c_str(), nullptr, 10));
+    const run_number number = m_model.start(exchange->body(), std::max(total, after + 1) - after);
+    run& started = m_runs[number];
+    started.caller = exchange;
+    started.attempt = exchange->header(attemptHeader);
+    started.sent = after;
+    started.total = std::max(total, after + 1);
+    if (const auto struck = m_faults.take(fault_kind::reset, exchange->path(), bootTime()))
+        started.resetAt = after + struck->afterTokens;
+    if (const auto struck = m_faults.take(fault_kind::truncate, exchange->path(), bootTime()))
+        started.truncateAt = after + struck->afterTokens;
+    if (const auto struck = m_faults.take(fault_kind::stall, exchange->path(), bootTime()))
+        m_model.find(number)->stallAt = struck->afterTokens;
+    recordStart(exchange, executionName(number));
+    exchange->setOnGone([this, number] { end(number, "abandoned"); });
+    scheduleStep();
+}
+
+void backend_service::scheduleStep()
+{
+    if (m_isStepScheduled || m_model.inFlight() == 0)
+        return;
+    m_isStepScheduled = true;
+    m_context.events.callAfter(m_model.stepTime(), [this] { step(); });
+}
+
+void backend_service::step()
+{
+    m_isStepScheduled = false;
+    for (const run_number number : m_model.step())
+        advance(number);
+    scheduleStep();
+}
+
+void backend_service::advance(run_number number)
+{
+    run& running = m_runs.at(number);
+    const exchange_ptr caller = running.caller;
+    if (running.resetAt && running.sent >= *running.resetAt) {
+        end(number, "reset");
+        caller->reset();
+        return;
+    }
+    if (running.truncateAt && running.sent >= *running.truncateAt) {
+        end(number, "truncated");
+        caller->close();
+        return;
+    }
+    if (!std::exchange(running.hasHead, true)) {
+        std::vector<tools::http_header> headers = headersFor(running.attempt);
+        headers.push_back({ "Content-Type", "text/event-stream" });
+        caller->startStream(200, headers);
+    }
+    ++running.sent;
+    caller->sendChunk(eventText(running.attempt, executionName(number), running.sent, running.total));
+    if (running.sent < running.total)
+        return;
+    end(number, "finished");
+    caller->endStream();
+}
+
+void backend_service::end(run_number number, const char* result)
+{
+    const auto found = m_runs.find(number);
+    if (found == m_runs.end())
+        return;
+    found->second.caller->setOnGone({});
+    m_runs.erase(found);
+    m_model.finish(number);
+    recordEnd(executionName(number), result);
+}
+
+void backend_service::recordStart(const exchange_ptr& exchange, const std::string& execution)
+{
+    m_context.history.write(bootTime(), "execution_started",
+        { { "server", m_context.name }, { "incarnation", m_startedMs }, { "execution", execution }, { "id", exchange->header(attemptHeader) },
+            { "path", exchange->path() }, { "workspace", exchange->header("X-Tenant-Name") }, { "key", exchange->header("Api-Key") },
+            { "deadlineMs", exchange->header("X-Deadline-Ms") }, { "after", exchange->header("Last-Event-Id") },
+            { "digest", tools::digestOf(exchange->body()) }, { "isCold", bootTime() < m_coldUntil } });
+}
+
+void backend_service::recordEnd(const std::string& execution, const char* result)
+{
+    m_context.history.write(bootTime(), "execution_ended", { { "server", m_context.name }, { "execution", execution }, { "result", result } });
+}
+
+std::vector<tools::http_header> backend_service::headersFor(const std::string& attempt) const
+{
+    const std::string load = std::to_string(inProgress()) + ",0," + std::to_string(m_settings.slots);
+    return { { attemptHeader, attempt }, { "X-Response-Seal", m_context.name }, { "X-Instance-Load", load } };
+}
+
+std::string backend_service::executionName(run_number number) const
+{
+    return m_context.name + "-" + std::to_string(m_startedMs) + "-" + std::to_string(number);
+}
+
+}
--- /dev/null
+++ b/tools/standins/platform/RowTables.h
@@ -0,0 +1,79 @@
+/// \file
+/// Tables of the platform's metadata store, without input or output.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pimentoladder::standins {
+
+/// Names a row. All rows of a table are ordered by key within their part.
+struct row_name {
+    std::string table;
+    std::string part;
+    std::string key;
+
+    auto operator<=>(const row_name&) const = default;
+};
+
+/// A row must have this version; 0: it must not exist.
+struct row_expectation {
+    row_name name;
+    std::uint64_t version = 0;
+};
+
+/// A row to write, or without a value to remove.
+struct row_write {
+    row_name name;
+    std::optional<std::string> value;
+};
+
+/// A row as read. Without a value it was removed at \c version.
+struct stored_row {
+    row_name name;
+    std::optional<std::string> value;
+    std::uint64_t version = 0;
+};
+
+/// Rows with one counter of versions for all tables, and their history.
+/// Not thread-safe; call on the loop's thread.
+class row_tables {
+public:
+    std::uint64_t newest() const { return m_newest; }
+
+    /// Carries out all writes as one version, or none if an expectation does not hold.
+    /// Returns whether it did.
+    bool commit(const std::vector<row_expectation>& expected, const std::vector<row_write>& writes);
+
+    /// Returns the row's version, or 0 if it does not exist.
+    std::uint64_t versionOf(const row_name& name) const;
+
+    /// Returns the row's value, or nothing if it does not exist.
+    std::optional<std::string> valueOf(const row_name& name) const;
+
+    /// Returns up to \p limit rows of a part from \p startKey on, in order of key.
+    std::vector<stored_row> list(const std::string& table, const std::string& part, const std::string& startKey, std::size_t limit) const;
+
+    /// Returns the rows of a table changed after \p since, in order of version, or
+    /// nothing if that history has been dropped.
+    std::optional<std::vector<stored_row>> changes(const std::string& table, std::uint64_t since) const;
+
+    /// Forgets the history up to now: changes since an earlier version are unknown.
+    void dropHistory() { m_historyFrom = m_newest; }
+
+private:
+    struct row {
+        std::optional<std::string> value;
+        std::uint64_t version = 0;
+    };
+
+    std::map<row_name, row> m_rows;
+    std::uint64_t m_newest = 0;
+    std::uint64_t m_historyFrom = 0;
+};
+
+}
--- /dev/null
+++ b/tools/standins/platform/StoreService.h
@@ -0,0 +1,58 @@
+/// \file
+/// Stand-in of the platform's metadata store: rows, conditional transactions and a
+/// feed of changes, in the published form.
+
+#pragma once
+
+#include <list>
+#include <map>
+#include <string>
+
+#include "standins/Service.h"
+#include "standins/platform/RowTables.h"
+
+namespace pimentoladder::standins {
+
+struct store_settings {
+    /// A registration that is not written again within this time is removed.
+    duration registrationLifetime = std::chrono::seconds(3);
+};
+
+/// Not thread-safe; call on the loop's thread.
+class store_service {
+public:
+    store_service(service_context context, store_settings settings);
+
+    void handle(const exchange_ptr& exchange);
+
+private:
+    struct waiting_feed {
+        exchange_ptr exchange;
+        std::string table;
+        std::uint64_t since = 0;
+        tools::loop::timer_number timeout = 0;
+    };
+    using effect = std::function<void()>;
+
+    void handleFault(const exchange_ptr& exchange);
+    void handleTransaction(const exchange_ptr& exchange);
+    void handleList(const exchange_ptr& exchange);
+    void handleFeed(const exchange_ptr& exchange);
+
+    /// Answers \p exchange through \p action, subject to the faults of its path.
+    void carryOut(const exchange_ptr& exchange, const effect& action);
+    void commit(const exchange_ptr& exchange);
+    void answer(const exchange_ptr& exchange, int status, const nlohmann::json& body);
+    bool answerFeed(const exchange_ptr& exchange, const std::string& table, std::uint64_t since);
+    void wakeFeeds();
+    void expireRegistrations();
+
+    service_context m_context;
+    store_settings m_settings;
+    fault_plan m_faults;
+    row_tables m_tables;
+    std::list<waiting_feed> m_feeds;
+    std::map<row_name, time_point> m_registered; ///< When each registration was last written.
+};
+
+}
--- a/tools/support/HttpClient.cpp
+++ b/tools/support/HttpClient.cpp
@@ -82,9 +82,10 @@
     evhttp_request_set_chunked_cb(sent, onChunk);
     evhttp_request_set_error_cb(sent, onError);
     evkeyvalq* headers = evhttp_request_get_output_headers(sent);
-    evhttp_add_header(headers, "Host", running->poolKey.c_str());
     for (const http_header& entry : request.headers)
         evhttp_add_header(headers, entry.name.c_str(), entry.value.c_str());
+    if (!evhttp_find_header(headers, "Host"))
+        evhttp_add_header(headers, "Host", running->poolKey.c_str());
     if (!request.body.empty())
         evbuffer_add(evhttp_request_get_output_buffer(sent), request.body.data(), request.body.size());
     if (evhttp_make_request(running->connection.get(), sent, commandOf(request.method), request.path.c_str()) != 0)
--- /dev/null
+++ b/unittests/PlatformAdapter/RouterTests.cpp
@@ -0,0 +1,185 @@
+#include "RouterFixture.h"
+
+using namespace pimentoladder;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<tools::http_header> fiveEvents { { "X-Token-Counts", "10,5" } };
+
+}
+
+// Guards against a path that is whole in its parts but not from end to end.
+TEST_CASE("a router serves each kind of request from the rows of the store")
+{
+    router_fixture fleet;
+    fleet.serve();
+    const auto streamed = fleet.ask("/stream/a", "key", fiveEvents);
+    CHECK(streamed.status == 200);
+    CHECK(streamed.end == tools::call_end::answered);
+    CHECK(streamed.body.find("id: 5\n") != std::string::npos);
+    CHECK(streamed.header("X-Response-Seal") == "s-0");
+    CHECK(fleet.ask("/order/a").status == 200);
+    CHECK(fleet.ask("/order/a", "unknown").status == 401);
+    CHECK(fleet.ask("/other/a").status == 404);
+}
+
+// Guards against a router that counts as ready before it knows a configuration, and
+// against a refusal that a caller must not repeat.
+TEST_CASE("without a configuration a router is not ready and refuses for the moment")
+{
+    router_fixture fleet;
+    fleet.addBackend("s-0");
+    fleet.startRouter();
+    fleet.runFor(300ms);
+    CHECK(fleet.call(fleet.configured.listen.admin.port, "GET", "/readyz").status == 503);
+    CHECK(fleet.call(fleet.configured.listen.admin.port, "GET", "/livez").status == 200);
+    CHECK(fleet.ask("/read/a").status == 503);
+    CHECK(fleet.call(fleet.configured.listen.admin.port, "GET", "/nowhere").status == 404);
+}
+
+// Guards against a withdrawn key that still opens the fleet.
+TEST_CASE("a key that a new configuration lacks is refused")
+{
+    router_fixture fleet;
+    fleet.serve();
+    fleet.writeConfiguration(2, { "other" });
+    CHECK(fleet.runUntil([&] { return fleet.ask("/read/a", "other").status == 200; }, 2s));
+    CHECK(fleet.ask("/read/a", "key").status == 401);
+}
+
+// Guards against a row that cannot be read and takes a router out of service.
+TEST_CASE("a configuration or registration that cannot be read is logged and changes nothing")
+{
+    router_fixture fleet;
+    fleet.serve();
+    fleet.writeRow("op", "config", "{\"version\":2,\"routes\":7}");
+    fleet.writeRow("servers", "broken", "not json");
+    CHECK(fleet.runUntil([&] { return fleet.logged("row_unreadable") == 2; }, 2s));
+    CHECK(fleet.ask("/read/a").status == 200);
+}
+
+// Guards against requests that reach a server after it has announced its leaving.
+TEST_CASE("a leaving server gets no more requests")
+{
+    router_fixture fleet;
+    fleet.serve();
+    fleet.addBackend("s-1");
+    CHECK(fleet.runUntil([&] { return fleet.ask("/read/a").header("X-Response-Seal") == "s-1"; }));
+    fleet.call(fleet.backendPorts[0], "POST", "/drain");
+    fleet.runFor(1s);
+    for (int i = 0; i < 20; ++i)
+        CHECK(fleet.ask("/read/a").header("X-Response-Seal") == "s-1");
+}
+
+// Guards against a stream that ends with its server although it may go on elsewhere.
+TEST_CASE("a stream that breaks off goes on at another server without a gap")
+{
+    router_fixture fleet;
+    fleet.serve();
+    fleet.addBackend("s-1");
+    fleet.addBackend("s-2");
+    CHECK(fleet.runUntil([&] { return fleet.ask("/read/a").header("X-Response-Seal") == "s-2"; }));
+    fleet.runFor(100ms);
+    fleet.orderFault(fleet.backendPorts[0], R"({"kind":"truncate","count":1,"afterTokens":3})");
+    fleet.orderFault(fleet.backendPorts[1], R"({"kind":"truncate","count":1,"afterTokens":3})");
+    const auto streamed = fleet.ask("/stream/a", "key", { { "X-Token-Counts", "10,8" } });
+    CHECK(streamed.end == tools::call_end::answered);
+    for (int i = 1; i <= 8; ++i) {
+        const std::string id = "id: " + std::to_string(i) + "\n";
+        const std::size_t first = streamed.body.find(id);
+        CHECK(first != std::string::npos);
+        CHECK(streamed.body.find(id, first + 1) == std::string::npos);
+    }
+}
+
+// Guards against a request that runs twice, and against a false statement that it
+// did not run.
+TEST_CASE("an order whose answer is lost is not repeated and not called unrun")
+{
+    router_fixture fleet;
+    fleet.serve();
+    fleet.orderFault(fleet.backendPorts[0], R"({"kind":"lost_answer","count":1})");
+    const int status = fleet.ask("/order/a").status;
+    CHECK(status == 502);
+}
+
+// Guards against a shutdown that cuts requests in progress, or keeps its listener.
+TEST_CASE("a router that shuts down ends its requests first")
+{
+    router_fixture fleet;
+    fleet.serve();
+    const auto answer = fleet.begin("/stream/a", "key", { { "X-Token-Counts", "10,200" } });
+    fleet.runFor(100ms);
+    REQUIRE_FALSE(answer->has_value());
+    fleet.router->process.shutDown();
+    CHECK(fleet.runUntil([&] { return answer->has_value(); }));
+    CHECK((*answer)->end == tools::call_end::answered);
+    CHECK((*answer)->body.find("id: 200\n") != std::string::npos);
+    CHECK(fleet.runUntil([&] { return fleet.logged("shutdown_ended") == 1; }));
+    CHECK(fleet.logged("shutdown_begun") == 1);
+    CHECK(fleet.lines.back()["requests_cut"] == 0);
+}
+
+// Guards against a start that goes on without one of its addresses.
+TEST_CASE("a router whose address is taken does not start")
+{
+    router_fixture fleet;
+    const tools::http_server other(fleet.events, "127.0.0.1:" + std::to_string(fleet.configured.listen.callers.port), [](const standins::exchange_ptr&) {});
+    fleet.router.emplace(fleet.configured, fleet.lines);
+    const auto started = fleet.router->process.start();
+    REQUIRE_FALSE(started);
+    CHECK(started.error().kind == error_kind::unavailable);
+}
+
+// Guards against a reload that leaves no trace or changes nothing.
+TEST_CASE("a reload takes over the log level")
+{
+    router_fixture fleet;
+    fleet.serve();
+    settings changed = fleet.configured;
+    changed.logLevel = "warning";
+    fleet.router->process.reload(changed);
+    const std::size_t before = fleet.lines.size();
+    CHECK(fleet.ask("/read/a").status == 200);
+    CHECK(fleet.lines.size() == before);
+}
+
+// Guards against a follower that stays at the state from before a gap in the feed.
+TEST_CASE("a router reads everything again after the store has dropped its history")
+{
+    router_fixture fleet;
+    fleet.serve();
+    fleet.orderFault(fleet.store.server.port(), R"({"kind":"outage","durationMs":300})");
+    fleet.runFor(100ms);
+    fleet.runFor(300ms);
+    fleet.writeConfiguration(2, { "other" });
+    fleet.orderFault(fleet.store.server.port(), R"({"kind":"drop_history","count":1})");
+    CHECK(fleet.runUntil([&] { return fleet.ask("/read/a", "other").status == 200; }, 4s));
+}
+
+// Guards against a feed that is silent, so that changes are not seen for as long as
+// its connection lasts.
+TEST_CASE("a router notices a silent feed and reads the change in time")
+{
+    router_fixture fleet;
+    fleet.serve();
+    fleet.orderFault(fleet.store.server.port(), R"({"kind":"hang","target":"/v1/rows-feed","count":2})");
+    fleet.runFor(500ms);
+    fleet.writeConfiguration(2, { "other" });
+    CHECK(fleet.runUntil([&] { return fleet.ask("/read/a", "other").status == 200; }, 2s));
+}
+
+// Guards against a key that is used on knowledge that is too old.
+TEST_CASE("keyed requests are refused while the store has been out of reach for too long")
+{
+    router_fixture fleet;
+    fleet.configured.freshness.keys = 1s;
+    fleet.serve();
+    fleet.orderFault(fleet.store.server.port(), R"({"kind":"outage"})");
+    CHECK(fleet.runUntil([&] { return fleet.ask("/read/a").status == 503; }, 2s));
+    fleet.orderFault(fleet.store.server.port(), R"({"kind":"none"})");
+    CHECK(fleet.runUntil([&] { return fleet.ask("/read/a").status == 200; }, 3s));
+    CHECK(fleet.logged("dependency_lost") >= 1);
+    CHECK(fleet.logged("dependency_regained") >= 1);
+}
--- a/unittests/Standins/ServiceTests.cpp
+++ b/unittests/Standins/ServiceTests.cpp
@@ -2,12 +2,8 @@
 #include "standins/PlatformService.h"
 #include "standins/PortalService.h"
 #include "standins/Relay.h"
-#include "support/HttpClient.h"
 
-#include <filesystem>
-#include <fstream>
-
-#include <doctest/doctest.h>
+#include "StandinFixture.h"
 
 using namespace pimentoladder;
 using namespace pimentoladder::standins;
@@ -16,55 +12,9 @@
 
 namespace {
 
-/// One stand-in, served on a free port, and a client for it.
-template <typename Service, typename Settings>
-struct fixture {
-    explicit fixture(Settings settings)
-        : path(std::filesystem::temp_directory_path() / ("standins-" + std::to_string(bootTime().time_since_epoch().count())))
-        , history(path, "test")
-        , service({ events, history, "server", 1 }, std::move(settings))
-        , server(events, "127.0.0.1:0", [this](const exchange_ptr& exchange) { service.handle(exchange); })
-        , client(events)
-    {
-    }
-    ~fixture() { std::filesystem::remove(path); }
-
-    std::optional<client_answer> call(std::string method, std::string target, std::string body = {}, duration wait = 2s)
-    {
-        client_request request { { "127.0.0.1", port ? port : server.port() }, std::move(method), std::move(target), std::move(body), { { "X-Load-Id", "id-1" } } };
-        std::optional<client_answer> answer;
-        client.send(request, [&](const client_answer& ended) {
-            answer = ended;
-            events.stop();
-        });
-        events.runFor(wait);
-        return answer;
-    }
-
-    std::vector<nlohmann::json> recorded(const std::string& kind) const
-    {
-        std::vector<nlohmann::json> found;
-        std::ifstream file(path);
-        for (std::string line; std::getline(file, line);) {
-            const auto event = nlohmann::json::parse(line);
-            if (event["event"] == kind)
-                found.push_back(event);
-        }
-        return found;
-    }
-
-    loop events;
-    std::filesystem::path path;
-    history_writer history;
-    Service service;
-    http_server server;
-    http_client client;
-    std::uint16_t port = 0; ///< Overrides the server's port.
-};
-
-using engine_fixture = fixture<engine_service, engine_service_settings>;
-using portal_fixture = fixture<portal_service, portal_settings>;
-using platform_fixture = fixture<platform_service, platform_settings>;
+using engine_fixture = standin_fixture<engine_service, engine_service_settings>;
+using portal_fixture = standin_fixture<portal_service, portal_settings>;
+using platform_fixture = standin_fixture<platform_service, platform_settings>;
 
 engine_service_settings quickEngine()
 {
