--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -93,7 +93,9 @@
     followed_table table {};
 };
 
-/// This router follows another router, or none and reads the store itself.
+/// This router follows another router, or none and reads the store itself. It is
+/// reported once the router has passed on a basis, and when one is lost that had;
+/// routers that have lost the store are tried in turn without report.
 struct source_changed {
     vm_id source;
     std::string_view reason;
@@ -172,6 +174,7 @@
     bool isWanted(followed_table table, time_point now) const;
     void chooseSource(time_point now, relay_actions& out);
     std::optional<vm_id> bestSource(time_point now) const;
+    void leaveSource(vm_id next, std::string_view reason, relay_actions& out);
     void follow(time_point now, relay_actions& out);
     void answerFollower(time_point now, const member_ref& from, const follow_rows& asked, relay_actions& out);
     void applyUpdate(time_point now, const member_ref& from, const rows_update& received, relay_actions& out);
@@ -201,6 +204,7 @@
     time_point m_heardAt; ///< Last answer of the source, or the time at which it was chosen.
     time_point m_followAt;
     time_point m_chosenAt;
+    bool m_isSourceProven = false; ///< The source has passed on a basis.
     std::uint64_t m_sequence = 0;
     std::map<std::uint64_t, time_point> m_asked; ///< Messages to the source that are not answered.
     std::optional<time_point> m_basis; ///< Both tables were current then.
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -153,15 +153,22 @@
         return;
     if (isLost)
         m_avoidedUntil[m_source] = now + m_limits.avoidance;
-    const vm_id before = std::exchange(m_source, isNeeded ? bestSource(now).value_or(vm_id()) : vm_id());
-    if (before == m_source)
+    const vm_id next = isNeeded ? bestSource(now).value_or(vm_id()) : vm_id();
+    if (next == m_source)
         return;
     m_chosenAt = now;
     m_heardAt = now;
     m_followAt = now;
     m_asked.clear();
     const std::string_view lost = isGone ? "link_closed" : (isSilent ? "silent" : "stale");
-    out.push_back(source_changed { m_source, isLost ? lost : (isNeeded ? "found" : "store_in_reach") });
+    leaveSource(next, isLost ? lost : "store_in_reach", out);
+}
+
+void row_relay::leaveSource(vm_id next, std::string_view reason, relay_actions& out)
+{
+    m_source = std::move(next);
+    if (std::exchange(m_isSourceProven, false))
+        out.push_back(source_changed { {}, reason });
 }
 
 void row_relay::follow(time_point now, relay_actions& out)
@@ -364,6 +371,9 @@
         for (std::size_t table = 0; table < static_cast<std::size_t>(basisTables); ++table)
             m_tables[table].confirmedAt = std::max(m_tables[table].confirmedAt.value_or(basis), basis);
         confirm(out);
+        const bool isUseful = *received.basisAge <= m_limits.staleness;
+        if (isUseful && !std::exchange(m_isSourceProven, true))
+            out.push_back(source_changed { m_source, "found" });
     }
     m_asked.erase(m_asked.begin(), std::next(asked));
     // Waiting for the own basis to grow old would take too long where several
@@ -372,8 +382,7 @@
     if (!isUseless)
         return;
     m_avoidedUntil[m_source] = now + m_limits.avoidanceWithoutStore;
-    m_source = {};
-    out.push_back(source_changed { m_source, "without_store" });
+    leaveSource({}, "without_store", out);
 }
 
 }
--- a/unittests/Replica/Fixture.h
+++ b/unittests/Replica/Fixture.h
@@ -63,6 +63,7 @@
     std::map<std::string, std::string> rows; ///< Operators' rows, as told.
     time_point basis;
     std::uint64_t reads = 0;
+    std::uint64_t sourceChanges = 0; ///< As reported.
     time_point dueAt; ///< Set after each event, as the loop's timer is.
 };
 
@@ -99,6 +100,8 @@
                 const result<rows_page> answer = by.reachesStore ? result<rows_page>(store.read(*read)) : makeError(error_kind::unavailable, "down");
                 perform(by, by.relay.onRead(now, read->table, answer));
             }
+            if (std::holds_alternative<source_changed>(action))
+                ++by.sourceChanges;
             if (const auto* sent = std::get_if<send_to_router>(&action))
                 frames.push_back({ by.vm, sent->to, sent->content });
             if (const auto* changed = std::get_if<row_changed>(&action); changed && changed->table == followed_table::operators) {
--- a/unittests/Replica/RowRelayTests.cpp
+++ b/unittests/Replica/RowRelayTests.cpp
@@ -132,3 +132,23 @@
     all.run(2s);
     CHECK(currentRouters(all, "config", "2") == 40);
 }
+
+// Guards against a log that fills with the same news: six lines a second and router
+// on inc-647d of uvskoly, while each reader without the store was tried in turn.
+TEST_CASE("an outage is reported once, however often the readers are tried")
+{
+    fleet all(8);
+    all.run(3s);
+    for (const auto& each : all.routers) {
+        each->reachesStore = false;
+        each->sourceChanges = 0;
+    }
+    all.run(10s);
+    for (const auto& each : all.routers) {
+        each->reachesStore = true;
+        CHECK(each->sourceChanges <= 2);
+    }
+    all.run(3s);
+    for (const auto& each : all.routers)
+        CHECK(each->sourceChanges <= 4);
+}
