Overload from 60 ms of lateness, for four seconds at least; lateness spares workspaces within their share

Change: the lateness counts for workspaces beyond their share. The guard reports the router unready from 60 ms on, so that larger VMs take over, and for four seconds at least; one late event, however long, is no overload.

A check that an overload ends after two calm seconds is replaced by one that it lasts four seconds and ends right after.

--- a/include/pimentoladder/Dispatch/OverloadGuard.h
+++ b/include/pimentoladder/Dispatch/OverloadGuard.h
@@ -14,10 +14,12 @@
 /// after their answers. Not thread-safe; call on the loop's thread.
 class overload_guard {
 public:
-    /// Smoothed lateness at which the router counts as overloaded: a tenth of a
-    /// second is the whole objective of the shortest requests.
-    static constexpr duration enterLag = std::chrono::milliseconds(100);
+    /// Smoothed lateness at which the router counts as overloaded: a request waits for
+    /// the loop four times, and half of the shortest objective of a stream is 250 ms.
+    static constexpr duration enterLag = std::chrono::milliseconds(60);
     static constexpr duration leaveLag = std::chrono::milliseconds(20);
+    /// Shortest overload, so that the load that has gone does not come back at once.
+    static constexpr duration leastOverload = std::chrono::seconds(4);
     /// Time until the balancer has noticed that the router is unready.
     static constexpr duration shedDelay = std::chrono::milliseconds(2200);
 
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -200,7 +200,10 @@
     // A large prompt takes most of the objective by itself; it is refused for the
     // delay by others only, as it would otherwise never be served.
     const std::chrono::duration<double> own = prefillTime(best.unreadTokens);
-    const std::chrono::duration<double> others = best.expectedFirstEvent - prefillTime(best.unreadTokens) + m_loopLag * loopTurnsPerRequest;
+    // A router that is late serves the workspaces within their share all the same:
+    // it may be late for the refusals of others.
+    const duration lateness = request.shareFill > 1 ? m_loopLag * loopTurnsPerRequest : duration::zero();
+    const std::chrono::duration<double> others = best.expectedFirstEvent - prefillTime(best.unreadTokens) + lateness;
     return others + std::min(own, limit * mostPartOfLimitForOwnPrompt) <= limit;
 }
 
--- a/unittests/Dispatch/DispatcherTests.cpp
+++ b/unittests/Dispatch/DispatcherTests.cpp
@@ -205,3 +205,30 @@
     CHECK(find<pass_head>(after));
     CHECK_FALSE(find<refuse_inbound>(after));
 }
+
+// Guards against a late router that passes on requests whose callers have left by
+// then, and against one that refuses a workspace within its share for the refusals
+// of another (GONE on scale-2, FAIR on scale-1 of uvskoly-grown).
+TEST_CASE("a late loop refuses only workspaces beyond their share")
+{
+    for (const std::uint32_t promptTokens : { 100, 1000000 }) {
+        small_fleet fleet;
+        serving_plan plan = makePlan(2);
+        plan.tokensPerSecond = 1000;
+        fleet.core.applyPlan(plan);
+        fleet.core.setLoopLag(150ms);
+        inbound_request request;
+        request.callerId = "id";
+        request.host = "host";
+        request.path = "/stream/1";
+        request.keyDigest = keyDigest;
+        request.timeLeft = 10s;
+        request.prompt.emplace();
+        request.prompt->promptTokens = promptTokens;
+        request.prompt->outputTokens = 1;
+        request.prompt->parts = { { 1, promptTokens } };
+        request_number number;
+        const bool isSent = find<open_dispatch>(fleet.core.onRequest(fleet.now, request, number)) != nullptr;
+        CHECK(isSent == (promptTokens < 1000));
+    }
+}
--- a/unittests/Dispatch/SelectionTests.cpp
+++ b/unittests/Dispatch/SelectionTests.cpp
@@ -173,14 +173,32 @@
 {
     time_point now { 100s };
     overload_guard guard;
-    guard.onLag(now, 500ms);
+    guard.onLag(now, 5s);
     CHECK_FALSE(guard.isOverloaded());
     for (int i = 0; i < 40; ++i)
         guard.onLag(now += 50ms, 300ms);
     CHECK(guard.isOverloaded());
     CHECK_FALSE(guard.shedsConnections(now));
     CHECK(guard.shedsConnections(now + 3s));
-    for (int i = 0; i < 40; ++i)
+    // The shortest overload is four seconds, of which two have passed.
+    for (int i = 0; i < 60; ++i)
         guard.onLag(now += 50ms, 1ms);
     CHECK_FALSE(guard.isOverloaded());
 }
+
+// Guards against a router that takes the load back as soon as it is gone.
+TEST_CASE("an overload lasts four seconds at least")
+{
+    time_point now { 100s };
+    overload_guard guard;
+    while (!guard.isOverloaded())
+        guard.onLag(now += 50ms, 200ms);
+    const time_point entered = now;
+    while (now < entered + 3900ms) {
+        guard.onLag(now += 50ms, 0ms);
+        CHECK(guard.isOverloaded());
+    }
+    for (int i = 0; i < 4; ++i)
+        guard.onLag(now += 50ms, 0ms);
+    CHECK_FALSE(guard.isOverloaded());
+}
