--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -195,6 +195,10 @@
     if (!request.received.prompt)
         return true;
     request.shareFill = m_share.fill(now, request.workspace, request.tokens, m_fleet.plan().tokensPerSecond, m_selector.routerCount());
+    const std::vector<prompt_part>& parts = request.received.prompt->parts;
+    const double ownTokens = parts.empty() ? best.unreadTokens : parts.back().tokens;
+    if (request.shareFill > 1 && best.unreadTokens > ownTokens)
+        return false;
     const double part = std::max(leastPartOfObjective, partOfObjective / std::max(request.shareFill, 1.0));
     const auto limit = std::chrono::duration<double>(request.target.objective) * part;
     // A large prompt takes most of the objective by itself; it is refused for the
