--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -119,6 +119,7 @@
     std::string_view result; ///< served, refused, broken or abandoned.
     std::string_view reason; ///< Name of the refusal; empty otherwise.
     std::uint32_t attempts = 0;
+    double tokens = 0; ///< Counted against the workspace's share; zero without a prompt.
     double shareFill = 0; ///< Above 1: the workspace is beyond its fair share.
     duration expectedFirstEvent {}; ///< Of the best server, where the request was refused for its load.
     std::optional<duration> firstEvent;
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -79,7 +79,7 @@
     m_log.write(log_level::info, "request_ended",
         { { "id", std::string_view(ended.callerId) }, { "request", ended.request.value() }, { "route", std::string_view(ended.routeName) },
             { "workspace", std::string_view(ended.workspace.value()) }, { "result", ended.result }, { "reason", ended.reason },
-            { "runs", std::uint64_t { ended.attempts } }, { "share_fill", hundredths(ended.shareFill) }, { "expected_ms", milliseconds(ended.expectedFirstEvent) },
+            { "runs", std::uint64_t { ended.attempts } }, { "tokens", static_cast<std::int64_t>(ended.tokens) }, { "share_fill", hundredths(ended.shareFill) }, { "expected_ms", milliseconds(ended.expectedFirstEvent) },
             { "first_event_ms", ended.firstEvent ? milliseconds(*ended.firstEvent) : -1 }, { "longest_pause_ms", milliseconds(ended.longestPause) },
             { "total_ms", milliseconds(ended.total) }, { "objective_ms", milliseconds(ended.objective) } });
 }
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -457,7 +457,7 @@
         m_deadlines.erase({ *request->wakeAt, request->number });
     m_requests.erase(request->number);
     out.push_back(request_outcome { request->number, request->received.callerId, request->target.name, request->workspace,
-        result, reason, request->runs, request->shareFill, request->expectedFirstEvent, request->firstEvent, request->longestPause,
+        result, reason, request->runs, request->tokens, request->shareFill, request->expectedFirstEvent, request->firstEvent, request->longestPause,
         now - request->receivedAt, request->target.objective });
 }
 
