--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "TrackedRequest.h"
+#include "pimentoladder/Dispatch/PromptAdmission.h"
+
 namespace pimentoladder {
 
 namespace {
@@ -13,19 +16,8 @@
     constexpr std::size_t maxServersMet = 4;
     // With less time than this left, a further attempt cannot be answered.
     constexpr duration leastTimeToRetry = 40ms;
-    // Part of the objective within which a request's first event must be
-    // expected. The other half covers what the estimate does not see: requests
-    // that other routers send at the same moment, and slower engines.
-    constexpr double partOfObjective = 0.5;
-    // The part shrinks as the workspace goes beyond its share, down to this.
-    constexpr double leastPartOfObjective = 0.15;
     // Servers that are compared where the usual ones have no room.
     constexpr std::size_t widerPromptChoices = 6;
-    // Part of that time for which a request's own prompt may count.
-    constexpr double mostPartOfLimitForOwnPrompt = 0.6;
-    // Turns of the event loop between a request and its first event: its body, the
-    // connection to the server, the bytes to it, and the answer.
-    constexpr int loopTurnsPerRequest = 4;
     // Margin for the report of a cold server, which is up to one heartbeat old.
     constexpr duration coldMargin = 1s;
     // Shortest wait that a refused caller is told; a shorter one finds the same load.
@@ -73,44 +65,6 @@
 
 }
 
-struct dispatcher::tracked_request {
-    request_number number;
-    inbound_request received;
-    route target;
-    workspace_id workspace;
-    bool hasKey = false; ///< Admitted by a key, which may be withdrawn.
-    pool_id pool;
-    double tokens = 0; ///< Counted against the workspace's share.
-    time_point receivedAt;
-    time_point deadline; ///< Of the caller or of the route, whichever is earlier.
-
-    attempt_number attempt; ///< Zero: none is open.
-    server_id server;
-    time_point openedAt;
-    time_point progressAt; ///< Sent, or last event.
-    bool isSent = false;
-    bool isDenied = false; ///< This router withheld the first byte.
-    bool hasCallerClosed = false; ///< Seen at the caller's socket before the event.
-    bool isPassing = false; ///< The open attempt's bytes go to the caller.
-    bool hasWaited = false; ///< Patience ran out, and no other server could take over.
-    int status = 0;
-
-    std::uint32_t runs = 0; ///< Attempts that may have run.
-    bool hasRetry = false; ///< Taken from the budget for the next attempt.
-    std::set<server_id> met;
-    bool hasHead = false; ///< The caller has the head of the answer.
-    std::optional<std::uint64_t> lastEvent;
-    std::optional<duration> firstEvent;
-    duration longestPause {};
-    duration expectedFirstEvent {};
-    double unreadTokens = 0;
-    double shareFill = 0; ///< Part of its workspace's share that is used up.
-    std::optional<time_point> wakeAt;
-
-    bool isRepeatable() const { return target.repeat != repeat_policy::atMostOnce; }
-    bool isResumable() const { return target.isStream && target.repeat == repeat_policy::resumable; }
-};
-
 dispatcher::dispatcher(dispatch_limits limits, std::uint64_t seed)
     : m_limits(std::move(limits))
     , m_fleet(m_limits.freshness)
@@ -197,18 +151,7 @@
     request.shareFill = m_share.fill(now, request.workspace, request.tokens, m_fleet.plan().tokensPerSecond, m_selector.routerCount());
     const std::vector<prompt_part>& parts = request.received.prompt->parts;
     const double ownTokens = parts.empty() ? best.unreadTokens : parts.back().tokens;
-    if (request.shareFill > 1 && best.unreadTokens > ownTokens)
-        return false;
-    const double part = std::max(leastPartOfObjective, partOfObjective / std::max(request.shareFill, 1.0));
-    const auto limit = std::chrono::duration<double>(request.target.objective) * part;
-    // A large prompt takes most of the objective by itself; it is refused for the
-    // delay by others only, as it would otherwise never be served.
-    const std::chrono::duration<double> own = prefillTime(best.unreadTokens);
-    // A router that is late serves the workspaces within their share all the same:
-    // it may be late for the refusals of others.
-    const duration lateness = request.shareFill > 1 ? m_loopLag * loopTurnsPerRequest : duration::zero();
-    const std::chrono::duration<double> others = best.expectedFirstEvent - prefillTime(best.unreadTokens) + lateness;
-    return others + std::min(own, limit * mostPartOfLimitForOwnPrompt) <= limit;
+    return isWorthSending({ request.target.objective, best.expectedFirstEvent, best.unreadTokens, ownTokens, request.shareFill, m_loopLag });
 }
 
 void dispatcher::startAttempt(time_point now, const tracked& request, dispatch_actions& out)
