--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include "ConnectionLimits.h"
 #include "pimentoladder/Daemon/CoreDriver.h"
 #include "pimentoladder/Daemon/DispatchFront.h"
 #include "pimentoladder/Daemon/DispatchReport.h"
@@ -65,26 +66,6 @@
         return limits;
     }
 
-    http_client_limits backendLimits(const settings& configured)
-    {
-        http_client_limits limits;
-        limits.connectTimeout = configured.timeouts.connect;
-        limits.firstByteTimeout = configured.timeouts.firstByte;
-        limits.idleTimeout = configured.timeouts.idle;
-        return limits;
-    }
-
-    http_server_limits callerLimits(const settings& configured)
-    {
-        http_server_limits limits;
-        limits.headBytes = configured.limits.headBytes;
-        limits.bodyBytes = configured.limits.bodyBytes;
-        limits.connections = configured.limits.connections;
-        limits.headTimeout = configured.timeouts.head;
-        limits.bodyTimeout = configured.timeouts.body;
-        return limits;
-    }
-
     fleet_router selfOf(const settings& configured, incarnation start)
     {
         return { configured.vm, start, configured.dataCentre, configured.listen.peersAdvertised, configured.cores };
--- a/lib/Daemon/RouterProcess.cpp
+++ b/lib/Daemon/RouterProcess.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "ConnectionLimits.h"
 #include "pimentoladder/Admin/AdminService.h"
 #include "pimentoladder/Daemon/AdminFront.h"
 #include "pimentoladder/Daemon/CallerFront.h"
@@ -49,15 +50,6 @@
         return placement;
     }
 
-    http_client_limits backendLimits(const settings& configured)
-    {
-        http_client_limits limits;
-        limits.connectTimeout = configured.timeouts.connect;
-        limits.firstByteTimeout = configured.timeouts.firstByte;
-        limits.idleTimeout = configured.timeouts.idle;
-        return limits;
-    }
-
     http_client_limits pollLimits()
     {
         http_client_limits limits;
@@ -67,17 +59,6 @@
         return limits;
     }
 
-    http_server_limits callerLimits(const settings& configured)
-    {
-        http_server_limits limits;
-        limits.headBytes = configured.limits.headBytes;
-        limits.bodyBytes = configured.limits.bodyBytes;
-        limits.connections = configured.limits.connections;
-        limits.headTimeout = configured.timeouts.head;
-        limits.bodyTimeout = configured.timeouts.body;
-        return limits;
-    }
-
     peer_link_settings linkSettings(const settings& configured, incarnation start)
     {
         peer_link_settings link;
--- a/unittests/Dispatch/DispatcherTests.cpp
+++ b/unittests/Dispatch/DispatcherTests.cpp
@@ -71,9 +71,7 @@
 {
     for (const bool isForeign : { false, true }) {
         small_fleet fleet;
-        request_number number;
-        const auto actions = fleet.send("/order/1", number);
-        const attempt_number attempt = find<open_dispatch>(actions)->attempt;
+        const attempt_number attempt = fleet.open("/order/1");
         REQUIRE(fleet.core.mayGiveBytes(fleet.now, attempt));
         served_head head = makeHead(200);
         head.isAuthentic = isForeign;
@@ -88,9 +86,7 @@
 TEST_CASE("a stream is resumed after the last whole event")
 {
     small_fleet fleet;
-    request_number number;
-    const auto actions = fleet.send("/stream/1", number);
-    const attempt_number first = find<open_dispatch>(actions)->attempt;
+    const attempt_number first = fleet.open("/stream/1");
     REQUIRE(fleet.core.mayGiveBytes(fleet.now, first));
     CHECK(find<pass_head>(fleet.core.onHead(fleet.now, first, makeHead(200))));
     CHECK(find<pass_bytes>(fleet.core.onBytes(fleet.now, first, "id: 4\n\n", 4)));
@@ -107,9 +103,7 @@
 TEST_CASE("a stream that may not be resumed is broken off")
 {
     small_fleet fleet;
-    request_number number;
-    const auto actions = fleet.send("/once/1", number);
-    const attempt_number first = find<open_dispatch>(actions)->attempt;
+    const attempt_number first = fleet.open("/once/1");
     REQUIRE(fleet.core.mayGiveBytes(fleet.now, first));
     fleet.core.onHead(fleet.now, first, makeHead(200));
     fleet.core.onBytes(fleet.now, first, "id: 4\n\n", 4);
@@ -123,9 +117,7 @@
 TEST_CASE("the basis of a key is judged again at the first byte")
 {
     small_fleet fleet;
-    request_number number;
-    const auto actions = fleet.send("/order/1", number);
-    const attempt_number attempt = find<open_dispatch>(actions)->attempt;
+    const attempt_number attempt = fleet.open("/order/1");
     fleet.now += 4700ms;
     CHECK_FALSE(fleet.core.mayGiveBytes(fleet.now, attempt));
     const auto after = fleet.core.onAttemptEnded(fleet.now, attempt, { attempt_end_kind::notSent, false });
@@ -148,9 +140,7 @@
 TEST_CASE("at the route's timeout a sent request ends as unknown")
 {
     small_fleet fleet;
-    request_number number;
-    const auto actions = fleet.send("/order/1", number);
-    const attempt_number attempt = find<open_dispatch>(actions)->attempt;
+    const attempt_number attempt = fleet.open("/order/1");
     REQUIRE(fleet.core.mayGiveBytes(fleet.now, attempt));
     fleet.now += 10s;
     const auto ended = fleet.core.onTick(fleet.now);
@@ -164,9 +154,7 @@
 TEST_CASE("an answer that breaks after its head is not continued by another server")
 {
     small_fleet fleet;
-    request_number number;
-    const auto actions = fleet.send("/read/1", number);
-    const attempt_number attempt = find<open_dispatch>(actions)->attempt;
+    const attempt_number attempt = fleet.open("/read/1");
     REQUIRE(fleet.core.mayGiveBytes(fleet.now, attempt));
     CHECK(find<pass_head>(fleet.core.onHead(fleet.now, attempt, makeHead(200))));
     const auto ended = fleet.core.onAttemptEnded(fleet.now, attempt, { attempt_end_kind::truncated, true });
@@ -179,9 +167,7 @@
 TEST_CASE("nothing is sent for a caller that has closed")
 {
     small_fleet fleet;
-    request_number number;
-    const auto actions = fleet.send("/read/1", number);
-    const attempt_number attempt = find<open_dispatch>(actions)->attempt;
+    const attempt_number attempt = fleet.open("/read/1");
     CHECK_FALSE(fleet.core.mayGiveBytes(fleet.now, attempt, true));
     const auto after = fleet.core.onAttemptEnded(fleet.now, attempt, { attempt_end_kind::notSent, false });
     CHECK_FALSE(find<open_dispatch>(after));
@@ -197,9 +183,7 @@
     limits.fleetRetries = 0;
     limits.retryShare = 0;
     small_fleet fleet(limits);
-    request_number number;
-    const auto actions = fleet.send("/read/1", number);
-    const attempt_number attempt = find<open_dispatch>(actions)->attempt;
+    const attempt_number attempt = fleet.open("/read/1");
     REQUIRE(fleet.core.mayGiveBytes(fleet.now, attempt));
     const auto after = fleet.core.onHead(fleet.now, attempt, makeHead(500));
     CHECK(find<pass_head>(after));
--- a/unittests/Dispatch/Fixture.h
+++ b/unittests/Dispatch/Fixture.h
@@ -59,6 +59,14 @@
     return made;
 }
 
+/// Returns the first action of a kind, or null.
+template <typename Action>
+const Action* find(const dispatch_actions& actions)
+{
+    const auto found = std::find_if(actions.begin(), actions.end(), [](const dispatch_action& each) { return std::holds_alternative<Action>(each); });
+    return found == actions.end() ? nullptr : &std::get<Action>(*found);
+}
+
 /// A dispatcher that follows a fresh plan with two portals and three engines.
 struct small_fleet {
     explicit small_fleet(dispatch_limits limits = {})
@@ -82,16 +90,15 @@
         return core.onRequest(now, request, number);
     }
 
+    /// Sends a request and returns the attempt that is opened for it.
+    attempt_number open(const std::string& path)
+    {
+        request_number number;
+        return find<open_dispatch>(send(path, number))->attempt;
+    }
+
     time_point now { 100s };
     dispatcher core;
 };
 
-/// Returns the first action of a kind, or null.
-template <typename Action>
-const Action* find(const dispatch_actions& actions)
-{
-    const auto found = std::find_if(actions.begin(), actions.end(), [](const dispatch_action& each) { return std::holds_alternative<Action>(each); });
-    return found == actions.end() ? nullptr : &std::get<Action>(*found);
-}
-
 }
