Log what an attempt had delivered and which prompt parts it carried

A backend server that ends takes down every attempt on it. The lines about these attempts did not say whether the response had begun, nor what the requests have in common, so three explanations of a series of server losses could not be told apart: overload of the servers that are left, a request that is sent again to server after server, or a part of the prompt that ends each server that begins to answer on it.

attempt_ended now has "begun" and, for a failed attempt that had not begun, the ids of the shared parts.

--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -109,6 +109,8 @@
     std::string_view result;
     int status = 0;
     duration sinceSent {};
+    bool hasBegun = false; ///< The server had sent a response head or, for a stream, an event.
+    std::vector<prompt_part> sharedParts; ///< Of the prompt, if the attempt failed before it began.
 };
 
 /// Log record of the end of a request.
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -1,6 +1,7 @@
 #include "pimentoladder/Daemon/DispatchReport.h"
 
 #include <cmath>
+#include <sstream>
 
 namespace pimentoladder {
 
@@ -18,6 +19,15 @@
         return std::round(value * parts) / parts;
     }
 
+    // Returns the parts' ids as callers write them: hexadecimal, separated by commas.
+    std::string partsText(const std::vector<prompt_part>& parts)
+    {
+        std::ostringstream text;
+        for (const prompt_part& part : parts)
+            text << (text.tellp() == 0 ? "" : ",") << std::hex << part.id;
+        return text.str();
+    }
+
     std::int64_t milliseconds(duration value)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
@@ -61,10 +71,11 @@
     const bool isUsual = ended.result == "complete";
     if (!isUsual && !mayWrite())
         return;
+    const std::string parts = partsText(ended.sharedParts);
     m_log.write(isUsual ? log_level::debug : log_level::info, "attempt_ended",
         { { "id", std::string_view(ended.callerId) }, { "request", ended.request.value() }, { "attempt", ended.attempt.value() },
             { "server", std::string_view(ended.server.value()) }, { "result", ended.result }, { "status", std::int64_t { ended.status } },
-            { "after_ms", milliseconds(ended.sinceSent) } });
+            { "after_ms", milliseconds(ended.sinceSent) }, { "begun", ended.hasBegun }, { "parts", std::string_view(parts) } });
 }
 
 void dispatch_report::perform(const request_outcome& ended)
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -191,6 +191,7 @@
     request->isSent = false;
     request->isDenied = false;
     request->isForwarding = false;
+    request->hasBegun = false;
     request->isWaitingForDeadline = false;
     request->status = 0;
     request->uncachedTokens = best->uncachedTokens;
@@ -264,8 +265,10 @@
         return out;
     }
     request->isForwarding = true;
-    if (!request->target.isStream)
+    if (!request->target.isStream) {
+        request->hasBegun = true;
         condition.responded(now, attempt);
+    }
     if (!isResumed) {
         request->hasHead = true;
         out.push_back(forward_response_head { request->number });
@@ -282,6 +285,7 @@
     if (lastEvent) {
         server_condition& condition = m_selector.condition(request->server);
         condition.responded(now, attempt);
+        request->hasBegun = true;
         if (!request->firstEvent) {
             request->firstEvent = now - request->receivedAt;
             if (request->received.prompt)
@@ -335,7 +339,11 @@
 {
     m_byAttempt.erase(request.attempt);
     m_selector.condition(request.server).ended(request.attempt);
-    out.push_back(attempt_outcome { request.number, request.attempt, request.received.callerId, request.server, result, status, now - request.openedAt });
+    attempt_outcome outcome { request.number, request.attempt, request.received.callerId, request.server, result, status, now - request.openedAt, request.hasBegun, {} };
+    const bool hasSharedParts = request.received.prompt && request.received.prompt->parts.size() >= 2;
+    if (!request.hasBegun && hasSharedParts)
+        outcome.sharedParts.assign(request.received.prompt->parts.begin(), request.received.prompt->parts.end() - 1);
+    out.push_back(std::move(outcome));
     request.attempt = {};
     request.isForwarding = false;
 }
--- a/lib/Dispatch/TrackedRequest.h
+++ b/lib/Dispatch/TrackedRequest.h
@@ -31,6 +31,7 @@
     bool isDenied = false; ///< This router withheld the first byte.
     bool hasCallerClosed = false; ///< Detected at the caller's socket before `onCallerDisconnected`.
     bool isForwarding = false; ///< The open attempt's bytes are forwarded to the caller.
+    bool hasBegun = false; ///< The open attempt has sent a response head or, for a stream, an event.
     bool isWaitingForDeadline = false; ///< A timeout passed and no other server was available; the attempt may run until the deadline.
     int status = 0;
 
