--- a/include/pimentoladder/Daemon/DispatchReport.h
+++ b/include/pimentoladder/Daemon/DispatchReport.h
@@ -20,6 +20,11 @@
     void perform(const dispatch_decision& decided);
     void perform(const attempt_outcome& ended);
     void perform(const request_outcome& ended);
+    void perform(const trait_change& changed);
+    void perform(const quarantine_trial& tried);
+
+    /// Returns the suspected and quarantined traits with their evidence, as JSON.
+    std::string quarantineText() const;
 
     /// Returns the metrics in the Prometheus text format.
     std::string metricsText();
--- a/include/pimentoladder/Daemon/FleetFollower.h
+++ b/include/pimentoladder/Daemon/FleetFollower.h
@@ -83,6 +83,8 @@
     void updateMembers();
     void registerSelf();
     void exchangeUsage();
+    void sendEvidence();
+    void sendLosses(const std::set<vm_id>& peers, const server_losses& losses);
     void onMessage(const member_ref& from, const message& received);
     peer_mesh_owner meshOwner();
 
@@ -97,6 +99,7 @@
     peer_mesh m_mesh;
     loop_timer m_registrationTimer;
     loop_timer m_usageTimer;
+    loop_timer m_evidenceTimer;
     bool m_isListening = false;
     std::map<std::string, data_centre_id> m_outOfServiceByRow; ///< Data centres out of service, by the key of the row that lists them.
 };
--- a/include/pimentoladder/Daemon/PeerMesh.h
+++ b/include/pimentoladder/Daemon/PeerMesh.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,9 @@
     /// is dialled if the location of \p to is known.
     void send(const vm_id& to, const message& content);
 
+    /// Returns the routers to which a link is open.
+    std::set<vm_id> openPeers() const;
+
     /// Closes all links and opens them again under a new incarnation.
     void perform(const change_incarnation& changed);
 
--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -14,6 +14,7 @@
 #include "pimentoladder/Base/Time.h"
 #include "pimentoladder/Dispatch/ServerCondition.h"
 #include "pimentoladder/Dispatch/ServingPlan.h"
+#include "pimentoladder/Outcome/CrashAttribution.h"
 #include "pimentoladder/Outcome/Refusal.h"
 
 namespace pimentoladder {
@@ -27,6 +28,7 @@
     std::optional<duration> timeLeft; ///< Remaining time for which the caller waits.
     std::optional<prompt_work> prompt;
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that the caller received, if it resumes a stream.
+    std::uint64_t contentHash = 0; ///< Hash of method, target and body.
 };
 
 /// Head of a backend server's response.
@@ -129,10 +131,19 @@
     duration longestPause {};
     duration total {};
     duration objective {};
+    std::optional<request_trait> quarantinedBy; ///< Trait for which the request was refused.
+};
+
+/// Log record of a request that is sent to find out whether a quarantined trait still
+/// crashes servers.
+struct quarantine_trial {
+    request_number request;
+    std::string callerId;
+    request_trait trait;
 };
 
 using dispatch_action = std::variant<open_dispatch, cancel_dispatch, forward_response_head, forward_response_bytes, end_response,
-    abort_response, refuse_inbound, dispatch_decision, attempt_outcome, request_outcome>;
+    abort_response, refuse_inbound, dispatch_decision, attempt_outcome, request_outcome, trait_change, quarantine_trial>;
 using dispatch_actions = std::vector<dispatch_action>;
 
 }
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -16,6 +16,7 @@
 #include "pimentoladder/Dispatch/ServerSelector.h"
 #include "pimentoladder/Dispatch/WorkspaceShare.h"
 #include "pimentoladder/Outcome/AttemptEnd.h"
+#include "pimentoladder/Outcome/CrashAttribution.h"
 #include "pimentoladder/Outcome/RetryBudget.h"
 
 namespace pimentoladder {
@@ -86,6 +87,16 @@
     /// Sets the token usage and the server observations of the whole fleet.
     void setFleetUsage(time_point now, const usage_totals& totals);
 
+    /// Merges the other routers' evidence on lost servers. Ends the attempts whose
+    /// requests are quarantined by it.
+    dispatch_actions onServerLosses(time_point now, const server_losses& received);
+
+    /// Returns the evidence on lost servers that is new since the last call, for the other routers.
+    server_losses takeServerLosses(time_point now) { return m_crashes.takeChanges(now); }
+
+    /// Evidence on lost servers and the traits of requests that it speaks against.
+    const crash_attribution& crashes() const { return m_crashes; }
+
     void setRouters(std::vector<vm_id> routers);
 
     /// Sets the lag of this router's event loop, which delays each request several times.
@@ -120,6 +131,9 @@
     void onRequestTimer(time_point now, const tracked& request, dispatch_actions& out);
     time_point nextCheck(const tracked_request& request) const;
     tracked findByAttempt(attempt_number attempt) const;
+    void recordLoss(time_point now, const tracked_request& request);
+    void evaluateCrashes(time_point now, dispatch_actions& out);
+    bool mayTryQuarantined(time_point now, const request_trait& trait) const;
     void markCold(time_point now, const registered_server& server);
 
     dispatch_limits m_limits;
@@ -127,6 +141,8 @@
     server_selector m_selector;
     workspace_share m_share;
     retry_budget m_budget;
+    crash_attribution m_crashes;
+    std::map<request_trait, time_point> m_trialsAt; ///< This router's last trial of each quarantined trait.
     random_source m_random;
     std::unordered_map<request_number, tracked> m_requests;
     std::unordered_map<attempt_number, request_number> m_byAttempt;
--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -64,6 +64,9 @@
     /// Sets the routers of the fleet, among which the cold servers are divided.
     void setRouters(std::vector<vm_id> routers) { m_routers = std::move(routers); }
 
+    /// Returns whether this router is among the first \p count in the rendezvous order of the routers for \p key.
+    bool isAmongOwners(std::uint64_t key, std::size_t count) const;
+
     /// Returns the number of routers, and at least `coldSenders`.
     std::size_t routerCount() const { return std::max(m_routers.size(), m_limits.coldSenders); }
 
--- /dev/null
+++ b/include/pimentoladder/Outcome/CrashAttribution.h
@@ -0,0 +1,186 @@
+/// \file
+/// Attributes losses of backend servers to the requests, or to the parts of their
+/// prompts, that make servers crash.
+
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "pimentoladder/Base/Ids.h"
+#include "pimentoladder/Base/Time.h"
+#include "pimentoladder/Protocol/Messages.h"
+
+namespace pimentoladder {
+
+/// What the evidence says about a trait.
+enum class trait_state {
+    clear,
+    suspected, ///< Two or more losses: requests with it are not sent again after a loss.
+    quarantined, ///< Requests with it are refused.
+};
+
+/// Returns the name of \p state in snake case. Thread-safe.
+std::string_view traitStateName(trait_state state);
+
+/// Returns the trait as logs and operators see it: its kind and its hexadecimal id.
+/// Thread-safe.
+std::string traitText(const request_trait& trait);
+
+/// The traits of one request. A trait that is not listed is never suspected.
+struct traits_of_request {
+    fingerprint request; ///< Identifies equal requests; zero: none.
+    std::vector<request_trait> traits; ///< The request itself, then the shared parts of its prompt in order.
+};
+
+/// Change of the state of one trait, with its evidence.
+struct trait_change {
+    request_trait trait;
+    trait_state state = trait_state::clear;
+    std::vector<server_id> servers; ///< Lost with such a request that had not begun.
+    std::vector<vm_id> reporters;
+    duration firstLossAge {};
+    duration lastLossAge {};
+};
+
+/// Attributes server losses to traits, from the evidence of all routers.
+///
+/// A server that ends takes down every request on it, but a trait that makes servers
+/// crash is among those that had not begun at each loss, and no request with it begins.
+/// A trait is quarantined once `quarantineThreshold` servers have been lost under it
+/// and no request with it has begun since, unless rarer quarantined traits explain the
+/// losses.
+///
+/// The evidence is a set of losses that only gains entries and flags, so that merging
+/// reports is idempotent and independent of their order. What one router alone reports is
+/// used by that router only.
+/// It performs no I/O and has no clock. Not thread-safe; call on the loop's thread.
+class crash_attribution {
+public:
+    static constexpr std::size_t quarantineThreshold = 3; ///< Distinct servers lost before a trait is quarantined.
+    static constexpr std::size_t suspicionThreshold = 2;
+    /// Time for requests with the trait to begin elsewhere, and for that to become known
+    /// here, before a trait is quarantined.
+    static constexpr duration settleTime = std::chrono::milliseconds(600);
+    static constexpr duration lifetime = std::chrono::hours(1); ///< Of a loss as evidence.
+    static constexpr duration firstTrialDelay = std::chrono::seconds(10); ///< From the last loss to the first trial of a quarantined trait.
+    static constexpr std::uint32_t trialDelayGrowth = 4; ///< Factor for each further loss.
+    static constexpr std::size_t maxLosses = 64; ///< The oldest is evicted above this.
+    static constexpr std::size_t maxSuspects = 256; ///< For each loss; further ones are ignored.
+    static constexpr std::size_t maxTraits = 32; ///< For each request; further parts are ignored.
+
+    /// \p self: this router, as it appears among the reporters.
+    explicit crash_attribution(vm_id self)
+        : m_self(std::move(self))
+    {
+    }
+
+    /// Records that the connection to a server broke before a request on it had begun.
+    void onLost(time_point now, const server_id& server, incarnation start, const traits_of_request& request);
+
+    /// Records that a request has begun on a server. Clears its traits of the losses
+    /// known so far, since it would have crashed that server too.
+    void onBegun(time_point now, const traits_of_request& request);
+
+    /// Records bytes of an attempt that was opened at \p openedAt. A server that still
+    /// sends on a connection that is older than its loss has not ended.
+    void onServerAlive(time_point now, const server_id& server, time_point openedAt);
+
+    /// Counts a caller's request, to tell rare traits from common ones.
+    void onRequest(const traits_of_request& request);
+
+    /// Merges the evidence of another router, which may arrive late, repeatedly and in any order.
+    void merge(time_point now, const server_losses& received);
+
+    /// Returns the evidence that is new or has changed since the last call, for the other routers.
+    server_losses takeChanges(time_point now);
+
+    /// Returns all evidence, for a router that may have none.
+    server_losses evidence(time_point now) const;
+
+    /// Evaluates the evidence if it has changed or a trait is due, and returns the traits
+    /// whose state has changed.
+    std::vector<trait_change> evaluate(time_point now);
+
+    /// Returns when `evaluate` is due, or nothing if only new evidence makes it due.
+    std::optional<time_point> nextEvaluation() const { return m_isDirty ? std::optional(time_point()) : m_nextEvaluation; }
+
+    trait_state stateOf(const request_trait& trait) const;
+
+    /// Returns the first trait of the request that is in the given state or a worse one.
+    std::optional<request_trait> findTrait(const traits_of_request& request, trait_state state) const;
+
+    /// Returns when a quarantined trait may be tried again, or nothing if it is not quarantined.
+    std::optional<time_point> trialDue(const request_trait& trait) const;
+
+    /// Returns all traits that are not clear, with their evidence.
+    std::vector<trait_change> list(time_point now) const;
+
+    std::size_t lossCount() const { return m_losses.size(); }
+
+private:
+    struct loss_key {
+        server_id server;
+        incarnation start;
+
+        auto operator<=>(const loss_key&) const = default;
+    };
+
+    struct suspect {
+        std::uint32_t depth = 0;
+        bool isCleared = false;
+        std::set<vm_id> reporters; ///< The lowest `maxReporters`.
+        std::set<fingerprint> requests; ///< The lowest `maxRequests`.
+    };
+
+    struct loss {
+        time_point at;
+        bool isRefuted = false;
+        std::optional<time_point> aliveAt; ///< First bytes on a connection that is older than the loss.
+        bool isChanged = false; ///< Since `takeChanges`.
+        std::map<request_trait, suspect> suspects;
+    };
+
+    /// Evidence against one trait.
+    struct finding {
+        std::vector<const loss_key*> losses;
+        std::vector<time_point> times; ///< In ascending order after `collect`.
+        std::set<vm_id> reporters;
+        std::set<fingerprint> requests;
+        std::size_t ownLosses = 0;
+        std::uint32_t depth = 0;
+    };
+    using findings = std::map<request_trait, finding>;
+
+    /// Evaluated state of a trait.
+    struct verdict {
+        trait_state state = trait_state::clear;
+        std::size_t losses = 0;
+        time_point lastLossAt;
+    };
+
+    loss& lossFor(time_point at, const loss_key& key);
+    void removeExpired(time_point now);
+    findings collect() const;
+    bool isSufficient(const request_trait& trait, const finding& found) const;
+    std::map<request_trait, verdict> judge(time_point now, const findings& found);
+    static trait_change describe(time_point now, const request_trait& trait, trait_state state, const finding& found);
+    static server_loss encode(time_point now, const loss_key& key, const loss& held);
+
+    vm_id m_self;
+    std::map<loss_key, loss> m_losses;
+    std::map<request_trait, std::uint64_t> m_requestCounts; ///< Of suspected traits, since their first loss.
+    std::map<request_trait, verdict> m_verdicts; ///< Only traits that are not clear.
+    std::optional<time_point> m_nextEvaluation;
+    bool m_isDirty = false;
+};
+
+}
--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -190,6 +190,43 @@
     std::vector<fingerprint> running;
 };
 
+/// What a request trait identifies.
+enum class trait_kind : std::uint8_t {
+    request = 1, ///< Equal requests.
+    promptPart = 2, ///< Requests whose prompts share a part.
+};
+
+/// Property that several requests can share, and that may make servers crash.
+struct request_trait {
+    trait_kind kind = trait_kind::request;
+    std::uint64_t id = 0; ///< Fingerprint of the request, or id of the part.
+
+    auto operator<=>(const request_trait&) const = default;
+};
+
+/// A trait of requests that had not begun when a server was lost.
+struct crash_suspect {
+    request_trait trait;
+    std::uint32_t depth = 0; ///< Position among the traits of its request; a later one is more specific.
+    bool isCleared = false; ///< A request with it has begun on another server since.
+    std::vector<vm_id> reporters; ///< Some of the routers that had such a request on the server.
+    std::vector<fingerprint> requests; ///< Some of these requests.
+};
+
+/// A backend server that was lost while requests on it had not begun.
+struct server_loss {
+    server_id server;
+    incarnation serverStart;
+    duration age {}; ///< Time since the loss.
+    bool isRefuted = false; ///< The server has answered on a connection that is older than the loss.
+    std::vector<crash_suspect> suspects;
+};
+
+/// Losses of servers that the sender has seen or been told of.
+struct server_losses {
+    std::vector<server_loss> entries;
+};
+
 /// Revision up to which a router has read one table of the store.
 struct table_position {
     std::uint32_t table = 0; ///< Index that all routers of a version share.
@@ -255,6 +292,6 @@
 
 using message = std::variant<heartbeat, revision_announce, config_request, config_update, suspend, acquire, grant,
     grant_report, recall, in_flight_report, shard_release, service_counters, crash_report, shard_owner, follow_rows, rows_update,
-    usage_report, usage_totals>;
+    usage_report, usage_totals, server_losses>;
 
 }
--- a/lib/Daemon/DispatchFront.cpp
+++ b/lib/Daemon/DispatchFront.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 #include "pimentoladder/Net/EventStream.h"
 
@@ -21,6 +22,13 @@
         return head.status == statusOk && type && type->starts_with(eventStreamType);
     }
 
+    std::uint64_t contentHashOf(const http_request& request)
+    {
+        const std::uint64_t head = XXH3_64bits(request.target.data(), request.target.size())
+            ^ XXH3_64bits(request.method.data(), request.method.size());
+        return XXH3_64bits_withSeed(request.body.data(), request.body.size(), head);
+    }
+
     std::string secondsText(duration wait)
     {
         std::string text(32, '\0');
@@ -72,7 +80,9 @@
     target->request = std::move(received);
     target->answer = std::move(answer);
     m_driver.post([&](dispatcher& core, time_point now) {
-        dispatch_actions actions = core.onRequest(now, m_codec.describe(target->request), target->number);
+        inbound_request described = m_codec.describe(target->request);
+        described.contentHash = contentHashOf(target->request);
+        dispatch_actions actions = core.onRequest(now, described, target->number);
         m_exchanges[target->number] = target;
         return actions;
     });
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -158,6 +158,8 @@
         void operator()(const dispatch_decision& step) const { to.report.perform(step); }
         void operator()(const attempt_outcome& step) const { to.report.perform(step); }
         void operator()(const request_outcome& step) const { to.report.perform(step); }
+        void operator()(const trait_change& step) const { to.report.perform(step); }
+        void operator()(const quarantine_trial& step) const { to.report.perform(step); }
         void operator()(const open_dispatch& step) const { to.front.perform(step); }
         void operator()(const cancel_dispatch& step) const { to.front.perform(step); }
         void operator()(const forward_response_head& step) const { to.front.perform(step); }
@@ -178,8 +180,10 @@
         replyText(answer, isReady ? statusOk : statusUnavailable, "text/plain", isReady ? "ready\n" : "not ready\n");
     else if (received.method == "GET" && received.target == "/metrics")
         replyText(answer, statusOk, "text/plain; version=0.0.4", report.metricsText());
+    else if (received.method == "GET" && received.target == "/quarantine")
+        replyText(answer, statusOk, "application/json", report.quarantineText());
     else
-        replyText(answer, statusNotFound, "text/plain", "paths are /livez, /readyz and /metrics\n");
+        replyText(answer, statusNotFound, "text/plain", "paths are /livez, /readyz, /metrics and /quarantine\n");
 }
 
 void dispatch_process::parts::applyCallerLimits(const serving_plan& plan)
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -3,6 +3,8 @@
 #include <cmath>
 #include <sstream>
 
+#include <nlohmann/json.hpp>
+
 namespace pimentoladder {
 
 namespace {
@@ -28,6 +30,15 @@
         return text.str();
     }
 
+    template <typename Name>
+    std::string joined(const std::vector<Name>& names)
+    {
+        std::string text;
+        for (const Name& each : names)
+            text += (text.empty() ? "" : ",") + each.value();
+        return text;
+    }
+
     std::int64_t milliseconds(duration value)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
@@ -88,12 +99,47 @@
         m_metrics.observe("pimentoladder_longest_pause_seconds", { { "route", ended.routeName } }, ended.longestPause);
     if (!mayWrite())
         return;
+    const std::string quarantinedBy = ended.quarantinedBy ? traitText(*ended.quarantinedBy) : std::string();
     m_log.write(log_level::info, "request_ended",
         { { "id", std::string_view(ended.callerId) }, { "request", ended.request.value() }, { "route", std::string_view(ended.routeName) },
             { "workspace", std::string_view(ended.workspace.value()) }, { "result", ended.result }, { "reason", ended.reason },
             { "runs", std::uint64_t { ended.attempts } }, { "tokens", static_cast<std::int64_t>(ended.tokens) }, { "share_fill", roundToHundredths(ended.shareUtilisation) }, { "expected_ms", milliseconds(ended.expectedFirstEvent) },
             { "first_event_ms", ended.firstEvent ? milliseconds(*ended.firstEvent) : -1 }, { "longest_pause_ms", milliseconds(ended.longestPause) },
-            { "total_ms", milliseconds(ended.total) }, { "objective_ms", milliseconds(ended.objective) } });
+            { "total_ms", milliseconds(ended.total) }, { "objective_ms", milliseconds(ended.objective) }, { "quarantined_by", std::string_view(quarantinedBy) } });
+}
+
+void dispatch_report::perform(const trait_change& changed)
+{
+    const std::string_view state = traitStateName(changed.state);
+    m_metrics.count("pimentoladder_crash_trait_changes_total", { { "state", std::string(state) } });
+    if (!mayWrite())
+        return;
+    const std::string trait = traitText(changed.trait);
+    const std::string servers = joined(changed.servers);
+    const std::string reporters = joined(changed.reporters);
+    const log_level level = changed.state == trait_state::quarantined ? log_level::warning : log_level::info;
+    m_log.write(level, "crash_trait_changed",
+        { { "trait", std::string_view(trait) }, { "state", state }, { "losses", std::uint64_t { changed.servers.size() } },
+            { "servers", std::string_view(servers) }, { "routers", std::string_view(reporters) },
+            { "first_loss_ms_ago", milliseconds(changed.firstLossAge) }, { "last_loss_ms_ago", milliseconds(changed.lastLossAge) } });
+}
+
+void dispatch_report::perform(const quarantine_trial& tried)
+{
+    m_metrics.count("pimentoladder_quarantine_trials_total", {});
+    const std::string trait = traitText(tried.trait);
+    m_log.write(log_level::info, "quarantine_trial",
+        { { "id", std::string_view(tried.callerId) }, { "request", tried.request.value() }, { "trait", std::string_view(trait) } });
+}
+
+std::string dispatch_report::quarantineText() const
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const trait_change& each : m_driver.core().crashes().list(m_driver.loop().now())) {
+        rows.push_back({ { "trait", traitText(each.trait) }, { "state", traitStateName(each.state) }, { "servers", joined(each.servers) },
+            { "routers", joined(each.reporters) }, { "firstLossMsAgo", milliseconds(each.firstLossAge) }, { "lastLossMsAgo", milliseconds(each.lastLossAge) } });
+    }
+    return nlohmann::json { { "traits", std::move(rows) } }.dump() + "\n";
 }
 
 std::string dispatch_report::metricsText()
@@ -103,6 +149,8 @@
     m_metrics.set("pimentoladder_requests_in_progress", {}, static_cast<double>(core.figures().inProgress));
     m_metrics.set("pimentoladder_servers_registered", {}, static_cast<double>(core.fleet().servers().size()));
     m_metrics.set("pimentoladder_configuration_version", {}, core.fleet().hasPlan() ? static_cast<double>(core.fleet().plan().version.value()) : 0);
+    m_metrics.set("pimentoladder_crash_traits", {}, static_cast<double>(core.crashes().list(now).size()));
+    m_metrics.set("pimentoladder_crash_losses", {}, static_cast<double>(core.crashes().lossCount()));
     m_metrics.set("pimentoladder_loop_lag_seconds", {}, std::chrono::duration<double>(m_driver.loopLag()).count());
     m_metrics.set("pimentoladder_log_lines_omitted", {}, static_cast<double>(m_allowance.totalOmitted()));
     m_metrics.set("pimentoladder_log_lines_dropped", {}, static_cast<double>(m_log.droppedLines()));
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -12,6 +12,12 @@
     // Interval at which routers exchange usage and observed service of servers.
     // A queue at an engine grows within half a second, so the interval must be shorter.
     constexpr duration usageInterval = 300ms;
+    // Interval at which changed evidence on lost servers is sent. A server takes down the
+    // requests of many routers at once, so that their reports arrive together.
+    constexpr duration evidenceInterval = 100ms;
+    // Losses in one message, which keeps it below the maximum size of a frame.
+    constexpr std::size_t maxLossesPerMessage = 8;
+
     // Interval at which this router's own member row is checked, and written if needed.
     constexpr duration registrationInterval = 250ms;
 
@@ -52,6 +58,7 @@
     , m_mesh(parts.dispatch.loop(), parts.log, linkSettings(self), meshOwner(), seed + 1)
     , m_registrationTimer(parts.dispatch.loop(), [this] { registerSelf(); })
     , m_usageTimer(parts.dispatch.loop(), [this] { exchangeUsage(); })
+    , m_evidenceTimer(parts.dispatch.loop(), [this] { sendEvidence(); })
 {
     m_driver.setHandler(*this);
 }
@@ -60,6 +67,7 @@
 {
     m_registrationTimer.arm(registrationInterval);
     m_usageTimer.arm(usageInterval);
+    m_evidenceTimer.arm(evidenceInterval);
     m_driver.post([](row_relay& relay, time_point now) { return relay.onTick(now); });
 }
 
@@ -77,6 +85,7 @@
     owner.locate = [](const vm_id&) { return std::nullopt; };
     owner.opened = [this](const member_ref& peer, const endpoint&) {
         m_relay.onLinkOpened(peer.vm);
+        sendLosses({ peer.vm }, m_parts.dispatch.core().crashes().evidence(m_driver.loop().now()));
         m_driver.post([](row_relay& relay, time_point now) { return relay.onTick(now); });
     };
     owner.closed = [this](const vm_id& peer) {
@@ -101,6 +110,10 @@
         m_parts.dispatch.core().setFleetUsage(now, *totals);
         return;
     }
+    if (const auto* losses = std::get_if<server_losses>(&received)) {
+        m_parts.dispatch.post([losses](dispatcher& core, time_point at) { return core.onServerLosses(at, *losses); });
+        return;
+    }
     m_driver.post([&](row_relay& relay, time_point at) {
         relay_actions actions = relay.onMessage(at, from, received);
         for (relay_action& each : relay.onTick(at))
@@ -124,6 +137,25 @@
     }
 }
 
+void fleet_follower::sendEvidence()
+{
+    m_evidenceTimer.arm(evidenceInterval);
+    server_losses changed = m_parts.dispatch.core().takeServerLosses(m_driver.loop().now());
+    if (!changed.entries.empty())
+        sendLosses(m_mesh.openPeers(), changed);
+}
+
+void fleet_follower::sendLosses(const std::set<vm_id>& peers, const server_losses& losses)
+{
+    for (std::size_t first = 0; first < losses.entries.size(); first += maxLossesPerMessage) {
+        const auto begin = losses.entries.begin() + static_cast<std::ptrdiff_t>(first);
+        const std::size_t count = std::min(maxLossesPerMessage, losses.entries.size() - first);
+        const server_losses part { { begin, begin + static_cast<std::ptrdiff_t>(count) } };
+        for (const vm_id& peer : peers)
+            m_mesh.send(peer, part);
+    }
+}
+
 void fleet_follower::registerSelf()
 {
     m_registrationTimer.arm(registrationInterval);
--- a/lib/Daemon/PeerMesh.cpp
+++ b/lib/Daemon/PeerMesh.cpp
@@ -127,6 +127,16 @@
         known->second.usedAt = m_loop.now();
 }
 
+std::set<vm_id> peer_mesh::openPeers() const
+{
+    std::set<vm_id> peers;
+    for (const auto& [vm, link] : m_open) {
+        if (link->isOpen())
+            peers.insert(vm);
+    }
+    return peers;
+}
+
 void peer_mesh::perform(const change_incarnation& changed)
 {
     m_settings.self.start = changed.start;
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -52,6 +52,24 @@
         return status >= 200 && status < 300;
     }
 
+    // Pause between two trials of a quarantined trait, in which the end of the first becomes
+    // known to all routers. Each pause doubles the number of routers that may start a trial,
+    // so that a rare trait is tried too.
+    constexpr duration trialInterval = 10s;
+
+    traits_of_request traitsOf(const inbound_request& received, const workspace_id& workspace)
+    {
+        traits_of_request traits;
+        const std::uint64_t content = rendezvousWeight(hashName(workspace.value() + '\n' + received.host), received.contentHash);
+        traits.request = fingerprint(std::max<std::uint64_t>(content, 1));
+        traits.traits.push_back({ trait_kind::request, traits.request.value() });
+        const std::size_t parts = received.prompt ? received.prompt->parts.size() : 0;
+        // The last part belongs to this request or to its session alone.
+        for (std::size_t i = 0; i + 1 < std::min(parts, crash_attribution::maxTraits); ++i)
+            traits.traits.push_back({ trait_kind::promptPart, received.prompt->parts[i].id });
+        return traits;
+    }
+
     // Time to the next tick while nothing is due.
     constexpr duration idleInterval = 1s;
 
@@ -72,6 +90,7 @@
     , m_fleet(m_limits.freshness)
     , m_selector(m_fleet, m_limits.selection, seed)
     , m_budget(retryLimits(m_limits, m_limits.selection.coldShares))
+    , m_crashes(m_limits.selection.self)
     , m_random(seed + 1)
 {
 }
@@ -136,8 +155,20 @@
     const duration allowed = std::min(received.timeLeft.value_or(request->target.timeout), request->target.timeout);
     request->deadline = now + allowed;
     request->lastEvent = received.resumeAfter;
+    request->traits = traitsOf(received, request->workspace);
+    m_crashes.onRequest(request->traits);
     choosePool(*request);
     m_budget.recordRequest(now, request->pool);
+    if (const auto trait = m_crashes.findTrait(request->traits, trait_state::quarantined)) {
+        if (!mayTryQuarantined(now, *trait)) {
+            request->quarantinedBy = trait;
+            refuse(now, request, refusal_kind::quarantined, {}, out);
+            return out;
+        }
+        m_trialsAt[*trait] = now;
+        request->isTrial = true;
+        out.push_back(quarantine_trial { number, received.callerId, *trait });
+    }
     if (received.prompt) {
         request->tokens = received.prompt->promptTokens + outputTokenWeight * received.prompt->outputTokens;
         m_share.recordAsked(now, request->workspace, request->tokens);
@@ -267,6 +298,7 @@
     request->isForwarding = true;
     if (!request->target.isStream) {
         request->hasBegun = true;
+        m_crashes.onBegun(now, request->traits);
         condition.responded(now, attempt);
     }
     if (!isResumed) {
@@ -282,10 +314,12 @@
     const tracked request = findByAttempt(attempt);
     if (!request || !request->isForwarding || bytes.empty())
         return out;
+    m_crashes.onServerAlive(now, request->server, request->openedAt);
     if (lastEvent) {
         server_condition& condition = m_selector.condition(request->server);
         condition.responded(now, attempt);
-        request->hasBegun = true;
+        if (!std::exchange(request->hasBegun, true))
+            m_crashes.onBegun(now, request->traits);
         if (!request->firstEvent) {
             request->firstEvent = now - request->receivedAt;
             if (request->received.prompt)
@@ -322,10 +356,67 @@
         return out;
     }
     condition.failed(now);
-    failAttempt(now, request, true, endName(end.kind), request->status, out);
+    const bool isServerLost = end.kind == attempt_end_kind::resetAfterSent || end.kind == attempt_end_kind::truncated;
+    if (isServerLost && !request->hasBegun)
+        recordLoss(now, *request);
+    evaluateCrashes(now, out);
+    // The evaluation may have ended the request.
+    if (findByAttempt(attempt))
+        failAttempt(now, request, true, endName(end.kind), request->status, out);
+    return out;
+}
+
+void dispatcher::recordLoss(time_point now, const tracked_request& request)
+{
+    const registered_server* server = m_fleet.findServer(request.server);
+    m_crashes.onLost(now, request.server, server ? server->start : incarnation(), request.traits);
+}
+
+dispatch_actions dispatcher::onServerLosses(time_point now, const server_losses& received)
+{
+    dispatch_actions out;
+    m_crashes.merge(now, received);
+    evaluateCrashes(now, out);
     return out;
 }
 
+void dispatcher::evaluateCrashes(time_point now, dispatch_actions& out)
+{
+    const std::vector<trait_change> changes = m_crashes.evaluate(now);
+    bool isAnyQuarantined = false;
+    for (const trait_change& each : changes) {
+        isAnyQuarantined = isAnyQuarantined || each.state == trait_state::quarantined;
+        if (each.state == trait_state::clear)
+            m_trialsAt.erase(each.trait);
+        out.push_back(each);
+    }
+    if (!isAnyQuarantined)
+        return;
+    // A server drops a request that has not begun when its connection closes.
+    std::vector<tracked> held;
+    for (const auto& [number, request] : m_requests) {
+        const bool isWaiting = request->attempt != attempt_number() && !request->hasBegun && !request->isTrial;
+        if (isWaiting && m_crashes.findTrait(request->traits, trait_state::quarantined))
+            held.push_back(request);
+    }
+    for (const tracked& request : held) {
+        out.push_back(cancel_dispatch { request->number, request->attempt });
+        failAttempt(now, request, request->isSent, "quarantined", request->status, out);
+    }
+}
+
+bool dispatcher::mayTryQuarantined(time_point now, const request_trait& trait) const
+{
+    const auto due = m_crashes.trialDue(trait);
+    if (!due || now < *due)
+        return false;
+    const auto last = m_trialsAt.find(trait);
+    if (last != m_trialsAt.end() && now - last->second < trialInterval)
+        return false;
+    const auto doublings = std::min<std::int64_t>((now - *due) / trialInterval, 16);
+    return m_selector.isAmongOwners(trait.id, std::size_t { 1 } << doublings);
+}
+
 void dispatcher::failAttempt(time_point now, const tracked& request, bool mayHaveRun, std::string_view result, int status, dispatch_actions& out)
 {
     closeAttempt(now, *request, result, status, out);
@@ -367,9 +458,15 @@
     // body of another server's response does not belong to that head.
     const bool isAllowed = request->hasHead ? request->isResumable() : hasNotRun || request->isRepeatable();
     const bool isCurrent = !request->hasKey || m_fleet.mayUseKeys(now);
+    // Sending a suspected request again is likely to cost another server.
+    const auto suspected = m_crashes.findTrait(request->traits, mayHaveRun ? trait_state::suspected : trait_state::quarantined);
+    const bool isDangerous = suspected && (mayHaveRun || !request->isTrial);
+    const auto quarantined = m_crashes.findTrait(request->traits, trait_state::quarantined);
+    if (quarantined)
+        request->quarantinedBy = quarantined;
     // An attempt whose first byte this router withheld does not use the retry budget.
     const bool needsBudget = mayHaveRun || !request->isDenied;
-    const bool isRetried = isAllowed && isCurrent && canRetry(now, *request, false)
+    const bool isRetried = isAllowed && isCurrent && !isDangerous && canRetry(now, *request, false)
         && (!needsBudget || std::exchange(request->hasReservedRetry, false) || m_budget.tryAcquireRetry(now, request->pool));
     if (isRetried) {
         startAttempt(now, request, out);
@@ -383,6 +480,10 @@
         refuse(now, request, request->isRepeatable() ? refusal_kind::serverFailed : refusal_kind::outcomeUnknown, {}, out);
         return;
     }
+    if (quarantined) {
+        refuse(now, request, refusal_kind::quarantined, {}, out);
+        return;
+    }
     refuse(now, request, isCurrent ? refusal_kind::serverUnreachable : refusal_kind::notFresh, minRetryAfter, out);
 }
 
@@ -412,7 +513,7 @@
     m_requests.erase(request->number);
     out.push_back(request_outcome { request->number, request->received.callerId, request->target.name, request->workspace,
         result, reason, request->runs, request->tokens, request->shareUtilisation, request->expectedFirstEvent, request->firstEvent, request->longestPause,
-        now - request->receivedAt, request->target.objective });
+        now - request->receivedAt, request->target.objective, request->quarantinedBy });
 }
 
 dispatch_actions dispatcher::onCallerDisconnected(time_point now, request_number number)
@@ -485,6 +586,7 @@
     dispatch_actions out;
     if (m_fleet.onTick(now))
         m_selector.retain(m_fleet.servers());
+    evaluateCrashes(now, out);
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const request_number number = m_deadlines.begin()->second;
         m_deadlines.erase(m_deadlines.begin());
@@ -500,6 +602,8 @@
     time_point next = now + idleInterval;
     if (const auto removal = m_fleet.nextRemoval())
         next = std::min(next, *removal);
+    if (const auto evaluation = m_crashes.nextEvaluation())
+        next = std::min(next, *evaluation);
     if (!m_deadlines.empty())
         next = std::min(next, m_deadlines.begin()->first);
     return next;
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -98,12 +98,16 @@
 
 bool server_selector::maySendCold(const server_id& server) const
 {
-    if (m_routers.size() <= m_limits.coldSenders)
+    return isAmongOwners(hashName(server.value()), m_limits.coldSenders);
+}
+
+bool server_selector::isAmongOwners(std::uint64_t key, std::size_t count) const
+{
+    if (m_routers.size() <= count)
         return true;
-    const std::uint64_t key = hashName(server.value());
     const std::uint64_t own = rendezvousWeight(hashName(m_limits.self.value()), key);
     const auto before = std::count_if(m_routers.begin(), m_routers.end(), [&](const vm_id& each) { return rendezvousWeight(hashName(each.value()), key) > own; });
-    return static_cast<std::size_t>(before) < m_limits.coldSenders;
+    return static_cast<std::size_t>(before) < count;
 }
 
 std::vector<server_selector::candidate> server_selector::candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored)
--- a/lib/Dispatch/TrackedRequest.h
+++ b/lib/Dispatch/TrackedRequest.h
@@ -19,6 +19,9 @@
     workspace_id workspace;
     bool hasKey = false; ///< Admitted by a key, which may be revoked.
     pool_id pool;
+    traits_of_request traits;
+    std::optional<request_trait> quarantinedBy; ///< Trait for which it was refused.
+    bool isTrial = false; ///< Sent although a trait of it is quarantined.
     double tokens = 0; ///< Counted against the workspace's share.
     time_point receivedAt;
     time_point deadline; ///< The earlier of the caller's and the route's.
--- /dev/null
+++ b/lib/Outcome/CrashAttribution.cpp
@@ -0,0 +1,335 @@
+#include "pimentoladder/Outcome/CrashAttribution.h"
+
+#include <algorithm>
+#include <iterator>
+#include <sstream>
+#include <tuple>
+
+namespace pimentoladder {
+
+namespace {
+
+    // Two routers that confirm a trait suffice; more would only lengthen the messages.
+    constexpr std::size_t maxReporters = 3;
+    // Two different requests tell a common part from one request that is sent repeatedly.
+    constexpr std::size_t maxRequests = 2;
+    constexpr std::size_t minReporters = 2;
+    // Bytes that a server sent before it ended are read up to this much later.
+    constexpr duration minAliveDelay = std::chrono::milliseconds(100);
+    // A router that was suspended reads all that had arrived before the server ended at
+    // once, so bytes must arrive over this time to show that the server is alive.
+    constexpr duration minAliveSpan = std::chrono::milliseconds(200);
+    // Above this, the trial delay exceeds the lifetime of the evidence.
+    constexpr std::size_t maxTrialDelaySteps = 5;
+
+    // Merges two sets and keeps the lowest entries, which makes the result independent
+    // of the order of merges. Returns whether \p into has changed.
+    template <typename Value, typename Values>
+    bool mergeLowest(std::set<Value>& into, const Values& from, std::size_t limit)
+    {
+        const std::set<Value> before = into;
+        into.insert(from.begin(), from.end());
+        while (into.size() > limit)
+            into.erase(std::prev(into.end()));
+        return into != before;
+    }
+
+}
+
+std::string_view traitStateName(trait_state state)
+{
+    switch (state) {
+    case trait_state::clear:
+        return "clear";
+    case trait_state::suspected:
+        return "suspected";
+    case trait_state::quarantined:
+        return "quarantined";
+    }
+    return "clear";
+}
+
+std::string traitText(const request_trait& trait)
+{
+    std::ostringstream text;
+    text << (trait.kind == trait_kind::request ? "request:" : "part:") << std::hex << trait.id;
+    return text.str();
+}
+
+crash_attribution::loss& crash_attribution::lossFor(time_point at, const loss_key& key)
+{
+    const auto [entry, isNew] = m_losses.try_emplace(key);
+    loss& held = entry->second;
+    if (!isNew) {
+        held.at = std::min(held.at, at);
+        return held;
+    }
+    held.at = at;
+    held.isChanged = true;
+    m_isDirty = true;
+    if (m_losses.size() > maxLosses) {
+        auto oldest = m_losses.end();
+        for (auto each = m_losses.begin(); each != m_losses.end(); ++each) {
+            const bool isOlder = each != entry && (oldest == m_losses.end() || each->second.at < oldest->second.at);
+            oldest = isOlder ? each : oldest;
+        }
+        m_losses.erase(oldest);
+    }
+    return held;
+}
+
+void crash_attribution::onLost(time_point now, const server_id& server, incarnation start, const traits_of_request& request)
+{
+    server_loss own { server, start, {}, false, {} };
+    for (std::size_t i = 0; i < std::min(request.traits.size(), maxTraits); ++i)
+        own.suspects.push_back({ request.traits[i], static_cast<std::uint32_t>(i), false, { m_self }, { request.request } });
+    merge(now, { { std::move(own) } });
+}
+
+void crash_attribution::onBegun(time_point, const traits_of_request& request)
+{
+    for (auto& [key, held] : m_losses) {
+        for (const request_trait& trait : request.traits) {
+            const auto found = held.suspects.find(trait);
+            if (found == held.suspects.end() || std::exchange(found->second.isCleared, true))
+                continue;
+            held.isChanged = true;
+            m_isDirty = true;
+        }
+    }
+}
+
+void crash_attribution::onServerAlive(time_point now, const server_id& server, time_point openedAt)
+{
+    if (m_losses.empty())
+        return;
+    for (auto each = m_losses.lower_bound({ server, {} }); each != m_losses.end() && each->first.server == server; ++each) {
+        loss& held = each->second;
+        if (held.isRefuted || openedAt >= held.at || now - held.at < minAliveDelay)
+            continue;
+        if (!held.aliveAt)
+            held.aliveAt = now;
+        if (now - *held.aliveAt < minAliveSpan)
+            continue;
+        held.isRefuted = true;
+        held.isChanged = true;
+        m_isDirty = true;
+    }
+}
+
+void crash_attribution::onRequest(const traits_of_request& request)
+{
+    if (m_requestCounts.empty())
+        return;
+    for (const request_trait& trait : request.traits) {
+        if (const auto found = m_requestCounts.find(trait); found != m_requestCounts.end())
+            ++found->second;
+    }
+}
+
+void crash_attribution::merge(time_point now, const server_losses& received)
+{
+    for (const server_loss& each : received.entries) {
+        if (each.age >= lifetime)
+            continue;
+        loss& held = lossFor(now - each.age, { each.server, each.serverStart });
+        bool isChanged = each.isRefuted && !std::exchange(held.isRefuted, true);
+        for (const crash_suspect& entry : each.suspects) {
+            const bool isKnown = held.suspects.contains(entry.trait);
+            if (!isKnown && held.suspects.size() >= maxSuspects)
+                continue;
+            suspect& known = held.suspects[entry.trait];
+            isChanged = isChanged || !isKnown;
+            known.depth = std::max(known.depth, entry.depth);
+            isChanged = (entry.isCleared && !std::exchange(known.isCleared, true)) || isChanged;
+            isChanged = mergeLowest(known.reporters, entry.reporters, maxReporters) || isChanged;
+            isChanged = mergeLowest(known.requests, entry.requests, maxRequests) || isChanged;
+        }
+        held.isChanged = held.isChanged || isChanged;
+        m_isDirty = m_isDirty || isChanged;
+    }
+}
+
+server_loss crash_attribution::encode(time_point now, const loss_key& key, const loss& held)
+{
+    server_loss made { key.server, key.start, std::max(now - held.at, duration::zero()), held.isRefuted, {} };
+    for (const auto& [trait, known] : held.suspects) {
+        made.suspects.push_back({ trait, known.depth, known.isCleared, { known.reporters.begin(), known.reporters.end() },
+            { known.requests.begin(), known.requests.end() } });
+    }
+    return made;
+}
+
+server_losses crash_attribution::takeChanges(time_point now)
+{
+    server_losses taken;
+    for (auto& [key, held] : m_losses) {
+        if (std::exchange(held.isChanged, false))
+            taken.entries.push_back(encode(now, key, held));
+    }
+    return taken;
+}
+
+server_losses crash_attribution::evidence(time_point now) const
+{
+    server_losses all;
+    for (const auto& [key, held] : m_losses)
+        all.entries.push_back(encode(now, key, held));
+    return all;
+}
+
+void crash_attribution::removeExpired(time_point now)
+{
+    std::erase_if(m_losses, [now](const auto& each) { return now - each.second.at >= lifetime; });
+}
+
+crash_attribution::findings crash_attribution::collect() const
+{
+    findings found;
+    for (const auto& [key, held] : m_losses) {
+        if (held.isRefuted)
+            continue;
+        for (const auto& [trait, known] : held.suspects) {
+            if (known.isCleared)
+                continue;
+            finding& sum = found[trait];
+            sum.losses.push_back(&key);
+            sum.times.push_back(held.at);
+            sum.reporters.insert(known.reporters.begin(), known.reporters.end());
+            sum.requests.insert(known.requests.begin(), known.requests.end());
+            sum.ownLosses += known.reporters.contains(m_self) ? 1 : 0;
+            sum.depth = std::max(sum.depth, known.depth);
+        }
+    }
+    for (auto& [trait, sum] : found)
+        std::sort(sum.times.begin(), sum.times.end());
+    return found;
+}
+
+bool crash_attribution::isSufficient(const request_trait& trait, const finding& found) const
+{
+    const bool isConfirmed = found.reporters.size() >= minReporters || found.ownLosses >= quarantineThreshold;
+    // If only one request has been lost under a part, that request is at fault.
+    const bool isCommon = trait.kind == trait_kind::request || found.requests.size() >= maxRequests;
+    return found.losses.size() >= quarantineThreshold && isConfirmed && isCommon;
+}
+
+std::map<request_trait, crash_attribution::verdict> crash_attribution::judge(time_point now, const findings& found)
+{
+    std::map<request_trait, verdict> verdicts;
+    std::vector<const findings::value_type*> sufficient;
+    for (const auto& entry : found) {
+        const auto& [trait, sum] = entry;
+        if (sum.losses.size() >= suspicionThreshold)
+            verdicts[trait] = { trait_state::suspected, sum.losses.size(), sum.times.back() };
+        if (!isSufficient(trait, sum))
+            continue;
+        const time_point settled = sum.times[quarantineThreshold - 1] + settleTime;
+        if (now >= settled)
+            sufficient.push_back(&entry);
+        else
+            m_nextEvaluation = std::min(m_nextEvaluation.value_or(settled), settled);
+    }
+    // A common trait is on every server, so it is among the suspects of every loss. The
+    // rarest trait that explains a loss is held responsible for it.
+    const auto rank = [this](const findings::value_type* entry) {
+        const auto count = m_requestCounts.find(entry->first);
+        return std::tuple(count == m_requestCounts.end() ? 0 : count->second, ~entry->second.depth, entry->first);
+    };
+    std::sort(sufficient.begin(), sufficient.end(), [&](const auto* left, const auto* right) { return rank(left) < rank(right); });
+    std::set<const loss_key*> explained;
+    for (const auto* entry : sufficient) {
+        const auto& [trait, sum] = *entry;
+        const auto unexplained = std::count_if(sum.losses.begin(), sum.losses.end(), [&](const loss_key* each) { return !explained.contains(each); });
+        const bool isPart = trait.kind == trait_kind::promptPart;
+        if (isPart && static_cast<std::size_t>(unexplained) < quarantineThreshold)
+            continue;
+        verdicts[trait].state = trait_state::quarantined;
+        if (isPart)
+            explained.insert(sum.losses.begin(), sum.losses.end());
+    }
+    return verdicts;
+}
+
+std::vector<trait_change> crash_attribution::evaluate(time_point now)
+{
+    std::vector<trait_change> changes;
+    const bool isDue = m_nextEvaluation && now >= *m_nextEvaluation;
+    if (!m_isDirty && !isDue)
+        return changes;
+    m_isDirty = false;
+    m_nextEvaluation.reset();
+    removeExpired(now);
+    const findings found = collect();
+    std::erase_if(m_requestCounts, [&](const auto& each) { return !found.contains(each.first); });
+    for (const auto& [trait, sum] : found)
+        m_requestCounts.try_emplace(trait, 0);
+    for (const auto& [key, held] : m_losses)
+        m_nextEvaluation = std::min(m_nextEvaluation.value_or(held.at + lifetime), held.at + lifetime);
+    const std::map<request_trait, verdict> before = std::exchange(m_verdicts, judge(now, found));
+    static const finding none;
+    for (const auto& [trait, was] : before) {
+        if (!m_verdicts.contains(trait))
+            changes.push_back(describe(now, trait, trait_state::clear, none));
+    }
+    for (const auto& [trait, is] : m_verdicts) {
+        const auto was = before.find(trait);
+        if (was == before.end() || was->second.state != is.state)
+            changes.push_back(describe(now, trait, is.state, found.at(trait)));
+    }
+    return changes;
+}
+
+trait_change crash_attribution::describe(time_point now, const request_trait& trait, trait_state state, const finding& found)
+{
+    trait_change made { trait, state, {}, { found.reporters.begin(), found.reporters.end() }, {}, {} };
+    for (const loss_key* each : found.losses)
+        made.servers.push_back(each->server);
+    if (!found.times.empty()) {
+        made.firstLossAge = now - found.times.front();
+        made.lastLossAge = now - found.times.back();
+    }
+    return made;
+}
+
+trait_state crash_attribution::stateOf(const request_trait& trait) const
+{
+    const auto found = m_verdicts.find(trait);
+    return found == m_verdicts.end() ? trait_state::clear : found->second.state;
+}
+
+std::optional<request_trait> crash_attribution::findTrait(const traits_of_request& request, trait_state state) const
+{
+    if (m_verdicts.empty())
+        return std::nullopt;
+    for (const request_trait& trait : request.traits) {
+        if (stateOf(trait) >= state)
+            return trait;
+    }
+    return std::nullopt;
+}
+
+std::optional<time_point> crash_attribution::trialDue(const request_trait& trait) const
+{
+    const auto found = m_verdicts.find(trait);
+    if (found == m_verdicts.end() || found->second.state != trait_state::quarantined)
+        return std::nullopt;
+    duration delay = firstTrialDelay;
+    const std::size_t steps = std::min(found->second.losses - quarantineThreshold, maxTrialDelaySteps);
+    for (std::size_t i = 0; i < steps; ++i)
+        delay *= trialDelayGrowth;
+    return found->second.lastLossAt + delay;
+}
+
+std::vector<trait_change> crash_attribution::list(time_point now) const
+{
+    std::vector<trait_change> all;
+    const findings found = collect();
+    for (const auto& [trait, is] : m_verdicts) {
+        if (const auto evidence = found.find(trait); evidence != found.end())
+            all.push_back(describe(now, trait, is.state, evidence->second));
+    }
+    return all;
+}
+
+}
--- a/lib/Wire/MessageDecoder.cpp
+++ b/lib/Wire/MessageDecoder.cpp
@@ -201,6 +201,23 @@
             fields.nonNegative(source.pending_tokens(), "pending_tokens") };
     }
 
+    crash_suspect read(const wire::Suspect& source, field_reader& fields)
+    {
+        crash_suspect decoded;
+        const auto kind = static_cast<trait_kind>(source.kind());
+        if (kind != trait_kind::request && kind != trait_kind::promptPart)
+            fields.failField("kind", "must be 1 or 2");
+        decoded.trait = { kind, source.id() };
+        decoded.depth = source.depth();
+        decoded.isCleared = source.is_cleared();
+        if (source.reporters()) {
+            for (const flatbuffers::String* each : *source.reporters())
+                decoded.reporters.push_back(fields.requiredName<vm_id>(each, "reporters"));
+        }
+        decoded.requests = readNumbers<fingerprint>(source.requests());
+        return decoded;
+    }
+
     template <typename Table>
     auto readList(const Vector<Offset<Table>>* field, field_reader& fields)
     {
@@ -304,6 +321,17 @@
         return { source.table(), revision(source.from()), revision(source.to()), source.is_whole(), readList(source.rows(), fields) };
     }
 
+    server_loss read(const wire::ServerLoss& source, field_reader& fields)
+    {
+        return { fields.requiredName<server_id>(source.server(), "server"), incarnation(source.server_start()),
+            std::chrono::milliseconds(source.age()), source.is_refuted(), readList(source.suspects(), fields) };
+    }
+
+    message read(const wire::ServerLosses& source, field_reader& fields)
+    {
+        return server_losses { readList(source.entries(), fields) };
+    }
+
     message read(const wire::FollowRows& source, field_reader& fields)
     {
         return follow_rows { source.sequence(), readList(source.have(), fields) };
@@ -345,7 +373,8 @@
         &decodeAs<wire::Suspend>, &decodeAs<wire::Acquire>, &decodeAs<wire::Grant>, &decodeAs<wire::GrantReport>,
         &decodeAs<wire::Recall>, &decodeAs<wire::InFlightReport>, &decodeAs<wire::ShardRelease>,
         &decodeAs<wire::ServiceCounters>, &decodeAs<wire::CrashReport>, &decodeAs<wire::ShardOwner>,
-        &decodeAs<wire::FollowRows>, &decodeAs<wire::RowsUpdate>, &decodeAs<wire::UsageReport>, &decodeAs<wire::UsageTotals> };
+        &decodeAs<wire::FollowRows>, &decodeAs<wire::RowsUpdate>, &decodeAs<wire::UsageReport>, &decodeAs<wire::UsageTotals>,
+        &decodeAs<wire::ServerLosses> };
 
 }
 
--- a/lib/Wire/MessageEncoder.cpp
+++ b/lib/Wire/MessageEncoder.cpp
@@ -128,8 +128,20 @@
             source.pendingTokens);
     }
 
-    // Defined below, because it contains a list and so needs `writeList`.
+    Offset<wire::Suspect> write(FlatBufferBuilder& builder, const crash_suspect& source)
+    {
+        std::vector<Offset<flatbuffers::String>> reporters;
+        reporters.reserve(source.reporters.size());
+        for (const vm_id& each : source.reporters)
+            reporters.push_back(builder.CreateSharedString(each.value()));
+        const auto reporterVector = builder.CreateVector(reporters);
+        const auto requests = writeNumbers(builder, source.requests);
+        return wire::CreateSuspect(builder, static_cast<std::uint8_t>(source.trait.kind), source.trait.id, source.depth, source.isCleared, reporterVector, requests);
+    }
+
+    // Defined below, because they contain a list and so need `writeList`.
     Offset<wire::TableUpdate> write(FlatBufferBuilder& builder, const table_update& source);
+    Offset<wire::ServerLoss> write(FlatBufferBuilder& builder, const server_loss& source);
 
     template <typename Entry>
     auto writeList(FlatBufferBuilder& builder, const std::vector<Entry>& entries)
@@ -251,6 +263,20 @@
         return wire::CreateUsageTotals(builder, source.routers, entries, writeList(builder, source.observed));
     }
 
+    Offset<wire::ServerLoss> write(FlatBufferBuilder& builder, const server_loss& source)
+    {
+        const auto server = writeName(builder, source.server);
+        const auto suspects = writeList(builder, source.suspects);
+        const auto age = std::chrono::floor<std::chrono::milliseconds>(source.age).count();
+        return wire::CreateServerLoss(builder, server, source.serverStart.value(),
+            static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max())), source.isRefuted, suspects);
+    }
+
+    Offset<wire::ServerLosses> write(FlatBufferBuilder& builder, const server_losses& source)
+    {
+        return wire::CreateServerLosses(builder, writeList(builder, source.entries));
+    }
+
     Offset<wire::CrashReport> write(FlatBufferBuilder& builder, const crash_report& source)
     {
         const auto server = writeName(builder, source.server);
--- a/unittests/Wire/MessageCodecTests.cpp
+++ b/unittests/Wire/MessageCodecTests.cpp
@@ -43,7 +43,9 @@
         follow_rows { 7, { { 1, revision(81234) } } },
         rows_update { 7, 20ms, { { 1, revision(1), revision(2), false, { { "i-1", "{}", revision(2), false } } } }, 30ms },
         usage_report { { { workspace_id("uv-alerts"), 10, 5 } }, { { server_id("i-1"), 20ms, 3, 1, 500 } } },
-        usage_totals { 8, { { workspace_id("uv-alerts"), 10, 5 } }, { { server_id("i-1"), 20ms, 3, 1, 500 } } } };
+        usage_totals { 8, { { workspace_id("uv-alerts"), 10, 5 } }, { { server_id("i-1"), 20ms, 3, 1, 500 } } },
+        server_losses { { { server_id("i-1"), incarnation(3), 20ms, true,
+            { { { trait_kind::promptPart, 0x99aabbccddeeff00 }, 1, true, { peer.vm }, { fingerprint(7) } } } } } } };
 }
 
 std::optional<message> decodeKnown(std::string_view payload)
