Decode a server's request limit and log what each router learns of it

A server may name in its responses the requests per second that it takes from all routers together. Nothing read the header, so the logs could not tell a router that does not know of a limit from one that knows and exceeds it.

The header is decoded once, in platform/. Absent, or above a million: no limit. Zero and other decimals: that limit; the lowest, if there are several. Anything else (negative, not a number, out of range) is unreadable: a warning, and what is known of the server holds. server_limit_changed states each change with its source and age.

--- a/include/pimentoladder/Daemon/DispatchReport.h
+++ b/include/pimentoladder/Daemon/DispatchReport.h
@@ -22,6 +22,7 @@
     void perform(const request_outcome& ended);
     void perform(const trait_change& changed);
     void perform(const quarantine_trial& tried);
+    void perform(const limit_change& changed);
 
     /// Returns the suspected and quarantined traits with their evidence, as JSON.
     std::string quarantineText() const;
--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -39,6 +39,7 @@
     bool isMisdirected = false; ///< The address now belongs to another server, which did not run the request.
     bool isAuthentic = false; ///< Carries the server's signature.
     std::optional<reported_load> load;
+    named_limit limit;
 };
 
 /// Open an attempt at a backend server.
@@ -142,8 +143,18 @@
     request_trait trait;
 };
 
+/// Log record of a change in a server's request limit.
+struct limit_change {
+    server_id server;
+    limit_notice notice = limit_notice::none;
+    double perSecond = 0;
+    std::string text; ///< As received, if it is unreadable.
+    bool isOwn = true; ///< Seen in a response to this router; otherwise reported by another one.
+    duration age {}; ///< Of the response.
+};
+
 using dispatch_action = std::variant<open_dispatch, cancel_dispatch, forward_response_head, forward_response_bytes, end_response,
-    abort_response, refuse_inbound, dispatch_decision, attempt_outcome, request_outcome, trait_change, quarantine_trial>;
+    abort_response, refuse_inbound, dispatch_decision, attempt_outcome, request_outcome, trait_change, quarantine_trial, limit_change>;
 using dispatch_actions = std::vector<dispatch_action>;
 
 }
--- a/include/pimentoladder/Dispatch/ServerCondition.h
+++ b/include/pimentoladder/Dispatch/ServerCondition.h
@@ -6,6 +6,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -36,6 +38,23 @@
     std::uint32_t slots = 0;
 };
 
+/// What a response says about the request rate that its server takes.
+enum class limit_notice {
+    none, ///< The server takes any rate.
+    limited, ///< It takes `perSecond` requests per second from all routers together.
+    unreadable, ///< The value has no defined meaning; what is known of the server holds.
+};
+
+/// Returns the name of \p notice. Thread-safe.
+std::string_view limitNoticeName(limit_notice notice);
+
+/// Request limit in a backend server's response.
+struct named_limit {
+    limit_notice notice = limit_notice::none;
+    double perSecond = 0;
+    std::string text {}; ///< As received, if it is unreadable.
+};
+
 /// Prompt tokens that an engine reads per millisecond; 51.1 is specified for the engines
 /// of the supported deployments.
 inline constexpr double prefillTokensPerMillisecond = 51.1;
@@ -83,6 +102,10 @@
     /// Applies the recent observations of all routers.
     void observedByFleet(time_point now, const server_observation& seen);
 
+    /// Sets the request limit that the server named in a response to an attempt that was
+    /// opened at \p openedAt. Returns whether what is known of the limit has changed.
+    bool setLimit(time_point now, const named_limit& named, time_point openedAt);
+
     /// Marks the server as cold until at least \p until.
     void setCold(time_point until);
 
@@ -137,6 +160,8 @@
     double m_othersPending = 0; ///< Estimated unread tokens of other routers' requests, as of m_fleetDelayAt.
     duration m_unreportedDelay {}; ///< Sum of the samples since the last report.
     std::uint32_t m_unreportedSamples = 0;
+    named_limit m_limit;
+    time_point m_limitAt; ///< Time of the response that last named the limit, or its absence.
     time_point m_coldUntil;
     time_point m_ejectedUntil;
     std::optional<time_point> m_lastStart;
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -132,6 +132,18 @@
         { { "id", std::string_view(tried.callerId) }, { "request", tried.request.value() }, { "trait", std::string_view(trait) } });
 }
 
+void dispatch_report::perform(const limit_change& changed)
+{
+    const std::string_view notice = limitNoticeName(changed.notice);
+    m_metrics.count("pimentoladder_server_limit_changes_total", { { "notice", std::string(notice) } });
+    if (!mayWrite())
+        return;
+    const log_level level = changed.notice == limit_notice::unreadable ? log_level::warning : log_level::info;
+    m_log.write(level, "server_limit_changed",
+        { { "server", std::string_view(changed.server.value()) }, { "notice", notice }, { "per_second", roundToHundredths(changed.perSecond) },
+            { "text", std::string_view(changed.text) }, { "source", changed.isOwn ? "response" : "router" }, { "age_ms", milliseconds(changed.age) } });
+}
+
 std::string dispatch_report::quarantineText() const
 {
     nlohmann::json rows = nlohmann::json::array();
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -262,6 +262,9 @@
     server_condition& condition = m_selector.condition(request->server);
     if (head.load)
         condition.setLoad(now, *head.load);
+    const bool isFromServer = head.isFromExpectedAttempt && !head.isMisdirected;
+    if (isFromServer && condition.setLimit(now, head.limit, request->openedAt))
+        out.push_back(limit_change { request->server, head.limit.notice, head.limit.perSecond, head.limit.text, true, {} });
     request->status = head.status;
     const auto drop = [&](bool mayHaveRun, std::string_view result) {
         out.push_back(cancel_dispatch { request->number, attempt });
--- a/lib/Dispatch/ServerCondition.cpp
+++ b/lib/Dispatch/ServerCondition.cpp
@@ -74,6 +74,19 @@
     return hashes;
 }
 
+std::string_view limitNoticeName(limit_notice notice)
+{
+    switch (notice) {
+    case limit_notice::none:
+        return "none";
+    case limit_notice::limited:
+        return "limited";
+    case limit_notice::unreadable:
+        return "unreadable";
+    }
+    return "none";
+}
+
 void server_condition::started(time_point now, attempt_number attempt, double uncachedTokens)
 {
     const duration expected = expectedFirstEvent(now, uncachedTokens);
@@ -171,6 +184,21 @@
     m_loadAt = now;
 }
 
+bool server_condition::setLimit(time_point now, const named_limit& named, time_point openedAt)
+{
+    if (named.notice == limit_notice::unreadable)
+        return true;
+    const bool wasLimited = m_limit.notice == limit_notice::limited;
+    // The response to an older attempt may have been made before the limit was named.
+    const bool isOutdated = named.notice == limit_notice::none && wasLimited && openedAt < m_limitAt;
+    if (isOutdated)
+        return false;
+    const bool isChanged = m_limit.notice != named.notice || m_limit.perSecond != named.perSecond;
+    m_limit = named;
+    m_limitAt = now;
+    return isChanged;
+}
+
 void server_condition::setCold(time_point until)
 {
     m_coldUntil = std::max(m_coldUntil, until);
--- a/unittests/PlatformAdapter/RequestHeadersTests.cpp
+++ b/unittests/PlatformAdapter/RequestHeadersTests.cpp
@@ -80,3 +80,28 @@
     CHECK(load->slots == 8);
     CHECK_FALSE(describe(200, { { "X-Instance-Load", "3" } }).load);
 }
+
+// Guards against a limit that is missed or misread, and against values without a defined meaning.
+TEST_CASE("a server's request limit is decoded, whatever its value")
+{
+    const platform::request_headers codec;
+    const auto decode = [&](const std::vector<std::string>& values) {
+        http_response_head head { 200, {} };
+        for (const std::string& value : values)
+            head.headers.push_back({ "server-limit", value });
+        return codec.describeHead(head, makeRequest()).limit;
+    };
+    CHECK(decode({}).notice == limit_notice::none);
+    CHECK(decode({ "2.5" }).notice == limit_notice::limited);
+    CHECK(decode({ "2.5" }).perSecond == doctest::Approx(2.5));
+    CHECK(decode({ "0" }).notice == limit_notice::limited);
+    CHECK(decode({ "0" }).perSecond == 0);
+    CHECK(decode({ "4", "1.5" }).perSecond == doctest::Approx(1.5));
+    CHECK(decode({ "1e300" }).notice == limit_notice::none);
+    for (const char* value : { "-1", "many", "", "1.5x", "nan", "inf", "1e999" }) {
+        CHECK(decode({ value }).notice == limit_notice::unreadable);
+        CHECK(decode({ value }).text == value);
+    }
+    CHECK(decode({ "2.5", "x" }).notice == limit_notice::unreadable);
+    CHECK(decode({ std::string(5000, 'x') }).text.size() < 100);
+}
