Hold the request limit of a server at all routers together

A server in need names in its responses how many requests a second it takes from all routers together.

Cause: the dispatcher has no rate at a server. Its only mechanism of this kind, for cold servers, is tied to their profile and to a start-up. The limits named are 1.2 to 4.6 a second, so that at 91 routers no fixed split among all can use them.

fleet_rate makes the mechanism of cold servers a parameter: a rate, the number of routers that may send, the parts that it is split into, and how early a request may be. Limits pass from each router to the readers and on to their followers with the age of the response, and the newest one counts. A limit ends with a response to a later request that names none, or after 10 s without a response; then the rate doubles every half second for 3 s. A limit of zero is held at one request in four seconds, since a server that gets none cannot say that its limit has ended. If no server may be used now, the request is refused at once with the time of the next start.

--- a/include/pimentoladder/Daemon/FleetFollower.h
+++ b/include/pimentoladder/Daemon/FleetFollower.h
@@ -14,6 +14,7 @@
 #include "pimentoladder/Daemon/CoreDriver.h"
 #include "pimentoladder/Daemon/PeerMesh.h"
 #include "pimentoladder/Dispatch/FleetCodec.h"
+#include "pimentoladder/Dispatch/FleetLimits.h"
 #include "pimentoladder/Dispatch/WorkspaceShare.h"
 #include "pimentoladder/Platform/RowStore.h"
 #include "pimentoladder/Replica/MemberRegistration.h"
@@ -96,6 +97,7 @@
     member_json_codec m_memberCodec;
     member_registration m_registration;
     usage_aggregator m_usage;
+    fleet_limits m_limits;
     peer_mesh m_mesh;
     loop_timer m_registrationTimer;
     loop_timer m_usageTimer;
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -87,6 +87,13 @@
     /// Sets the token usage and the server observations of the whole fleet.
     void setFleetUsage(time_point now, const usage_totals& totals);
 
+    /// Returns what responses to this router say about request limits of servers, to be sent
+    /// to the other routers.
+    server_rate_limits ownServerLimits(time_point now) const { return { m_selector.ownLimits(now) }; }
+
+    /// Applies what responses to other routers say about request limits.
+    dispatch_actions onServerLimits(time_point now, const server_rate_limits& received);
+
     /// Merges the other routers' evidence on lost servers. Ends the attempts whose
     /// requests are quarantined by it.
     dispatch_actions onServerLosses(time_point now, const server_losses& received);
--- a/include/pimentoladder/Dispatch/ServerCondition.h
+++ b/include/pimentoladder/Dispatch/ServerCondition.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -14,6 +15,7 @@
 
 #include "pimentoladder/Base/Ids.h"
 #include "pimentoladder/Base/Time.h"
+#include "pimentoladder/Dispatch/FleetRate.h"
 #include "pimentoladder/Protocol/Messages.h"
 
 namespace pimentoladder {
@@ -55,6 +57,9 @@
     std::string text {}; ///< As received, if it is unreadable.
 };
 
+/// Number of this router's last requests to a server that a `fleet_rate` takes into account.
+inline constexpr std::size_t rateHistory = 4;
+
 /// Prompt tokens that an engine reads per millisecond; 51.1 is specified for the engines
 /// of the supported deployments.
 inline constexpr double prefillTokensPerMillisecond = 51.1;
@@ -116,9 +121,21 @@
     /// Returns whether the server is ejected as an outlier.
     bool isEjected(time_point now) const { return now < m_ejectedUntil; }
 
-    /// Returns whether the next request may be sent to a cold server, given the minimum
-    /// time between two of them.
-    bool mayStartCold(time_point now, duration spacing) const;
+    /// Returns when this router may send the next request under \p rate.
+    time_point nextStart(const fleet_rate& rate) const;
+
+    /// Returns the rate at which the server may be sent requests because of its request
+    /// limit, or nothing if it takes any rate. After the end of a limit the rate rises step
+    /// by step. \p routers: size of the fleet.
+    std::optional<fleet_rate> limitRate(time_point now, std::size_t routers) const;
+
+    /// Returns what this router's own responses say about the limit, for the other routers,
+    /// or nothing if they say nothing new.
+    std::optional<server_rate_limit> ownLimit(time_point now, const server_id& server) const;
+
+    /// Applies what a response to another router says about the limit. Returns whether it
+    /// was newer than what was known, and different.
+    bool limitSeenByFleet(time_point now, const server_rate_limit& seen);
 
     /// Returns the expected time until the first event of a request for which
     /// the server reads \p uncachedTokens.
@@ -142,6 +159,8 @@
         bool hasResponded = false;
     };
 
+    bool applyLimit(time_point at, const named_limit& named, bool isOwn);
+    bool isLimited(time_point now) const;
     double pendingTokens() const;
     double othersPending(time_point now) const;
     bool hasRecentSample(time_point now) const;
@@ -162,9 +181,12 @@
     std::uint32_t m_unreportedSamples = 0;
     named_limit m_limit;
     time_point m_limitAt; ///< Time of the response that last named the limit, or its absence.
+    bool m_isLimitOwn = false; ///< That response was this router's.
+    time_point m_limitEndedAt;
+    double m_endedLimit = 0; ///< The limit in force before its end, from which the rate rises.
     time_point m_coldUntil;
     time_point m_ejectedUntil;
-    std::optional<time_point> m_lastStart;
+    std::array<std::optional<time_point>, rateHistory> m_lastStarts; ///< The latest one first.
     std::uint32_t m_consecutiveFailures = 0;
 };
 
--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -79,6 +79,17 @@
     /// Applies the observations of servers by all routers.
     void observedByFleet(time_point now, const std::vector<server_observation>& seen);
 
+    /// Returns what this router's own responses say about request limits of servers.
+    std::vector<server_rate_limit> ownLimits(time_point now) const;
+
+    /// Applies what responses to other routers say about request limits. Returns those that
+    /// have changed what was known here.
+    std::vector<server_rate_limit> limitsSeenByFleet(time_point now, const std::vector<server_rate_limit>& seen);
+
+    /// Returns the time until a server that the request may use takes another request of
+    /// this router, or zero if none is limited. Call it when `select` returns nothing.
+    duration timeToNextStart(time_point now, const selection_request& wanted);
+
 private:
     /// Data of a server that each selection uses, by its position in the access index.
     struct known_server {
@@ -97,8 +108,8 @@
     void refreshKnown();
     std::vector<candidate> candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored);
     selected_server assess(time_point now, const candidate& assessed, const selection_request& wanted, const std::vector<std::uint64_t>& hashes) const;
-    duration coldSpacing(const pool_id& pool) const;
-    bool maySendCold(const server_id& server) const;
+    std::optional<fleet_rate> coldRate(const pool_id& pool) const;
+    std::optional<time_point> nextStart(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold) const;
 
     const fleet_view& m_fleet;
     selection_limits m_limits;
--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -290,8 +290,22 @@
     std::vector<server_observation> observed;
 };
 
+/// What a response of a backend server says about the request rate that it takes.
+struct server_rate_limit {
+    server_id server;
+    bool isLimited = false; ///< False: the limit that it named before has ended.
+    double perSecond = 0; ///< Requests per second from all routers together.
+    duration age {}; ///< Of the response.
+};
+
+/// What the sender knows of the servers' request limits: from responses to itself, or, sent
+/// by a router that others follow, the newest of each server.
+struct server_rate_limits {
+    std::vector<server_rate_limit> entries;
+};
+
 using message = std::variant<heartbeat, revision_announce, config_request, config_update, suspend, acquire, grant,
     grant_report, recall, in_flight_report, shard_release, service_counters, crash_report, shard_owner, follow_rows, rows_update,
-    usage_report, usage_totals, server_losses>;
+    usage_report, usage_totals, server_losses, server_rate_limits>;
 
 }
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -102,14 +102,22 @@
     if (const auto* reported = std::get_if<usage_report>(&received)) {
         m_usage.onReport(now, from, *reported);
         // Each router gets the totals from the router that it follows.
-        if (m_relay.isFollowedBy(from.vm))
+        if (m_relay.isFollowedBy(from.vm)) {
             m_mesh.send(from.vm, m_usage.totals(now));
+            if (server_rate_limits limits = m_limits.newest(now); !limits.entries.empty())
+                m_mesh.send(from.vm, std::move(limits));
+        }
         return;
     }
     if (const auto* totals = std::get_if<usage_totals>(&received)) {
         m_parts.dispatch.core().setFleetUsage(now, *totals);
         return;
     }
+    if (const auto* limits = std::get_if<server_rate_limits>(&received)) {
+        m_limits.merge(now, *limits);
+        m_parts.dispatch.post([limits](dispatcher& core, time_point at) { return core.onServerLimits(at, *limits); });
+        return;
+    }
     if (const auto* losses = std::get_if<server_losses>(&received)) {
         m_parts.dispatch.post([losses](dispatcher& core, time_point at) { return core.onServerLosses(at, *losses); });
         return;
@@ -127,8 +135,12 @@
     m_usageTimer.arm(usageInterval);
     const time_point now = m_driver.loop().now();
     const usage_report own = m_parts.dispatch.core().takeUsage(now);
+    const server_rate_limits ownLimits = m_parts.dispatch.core().ownServerLimits(now);
+    m_limits.merge(now, ownLimits);
     for (const fleet_router& each : m_relay.readers()) {
         if (each.vm != m_self.vm) {
+            if (!ownLimits.entries.empty())
+                m_mesh.send(each.vm, ownLimits);
             m_mesh.send(each.vm, own);
             continue;
         }
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -198,7 +198,7 @@
         if (request->hasHead)
             abortResponse(now, request, out);
         else
-            refuse(now, request, request->runs == 0 ? refusal_kind::noEligibleServer : refusal_kind::serverFailed, minRetryAfter, out);
+            refuse(now, request, request->runs == 0 ? refusal_kind::noEligibleServer : refusal_kind::serverFailed, m_selector.timeToNextStart(now, wanted), out);
         return;
     }
     bool isAdmitted = !isFirst || isAdmissible(now, *request, *best);
@@ -637,6 +637,16 @@
     m_selector.observedByFleet(now, totals.observed);
 }
 
+dispatch_actions dispatcher::onServerLimits(time_point now, const server_rate_limits& received)
+{
+    dispatch_actions out;
+    for (const server_rate_limit& each : m_selector.limitsSeenByFleet(now, received.entries)) {
+        const limit_notice notice = each.isLimited ? limit_notice::limited : limit_notice::none;
+        out.push_back(limit_change { each.server, notice, each.perSecond, {}, false, each.age });
+    }
+    return out;
+}
+
 bool dispatcher::applyPlan(serving_plan plan)
 {
     return m_fleet.applyPlan(std::move(plan));
--- a/lib/Dispatch/ServerCondition.cpp
+++ b/lib/Dispatch/ServerCondition.cpp
@@ -40,6 +40,26 @@
     // Maximum number of recorded prefixes per engine; each takes tens of bytes.
     constexpr std::size_t maxCachedPrefixes = 4096;
 
+    // Routers that may send to a server with a request limit. Four that take themselves for
+    // senders, because their views of the members differ, stay below one and a half
+    // times the limit.
+    constexpr std::size_t limitSenders = 3;
+    // Share of the spacing by which a request may be early, since requests do not arrive
+    // just when one is allowed.
+    constexpr double limitTolerance = 0.5;
+    // Fraction of a limit that is used; the remainder covers requests that arrive closer
+    // together than they were sent.
+    constexpr double limitFraction = 0.95;
+    // Rate at a server that names a lower limit, or zero. Without any request it could
+    // not tell that the limit has ended.
+    constexpr double minLimitPerSecond = 0.25;
+    // Time without a response after which a limit counts as ended.
+    constexpr duration limitLifetime = 10s;
+    // After the end of a limit the allowed rate doubles at this interval, so that the
+    // server does not get all that was held back at once.
+    constexpr duration limitDoublingTime = 500ms;
+    constexpr duration limitRampTime = 3s;
+
     duration scaled(duration value, double factor)
     {
         return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
@@ -91,7 +111,8 @@
 {
     const duration expected = expectedFirstEvent(now, uncachedTokens);
     m_attempts[attempt] = { now, uncachedTokens, expected - excessDelay(now), false };
-    m_lastStart = now;
+    std::shift_right(m_lastStarts.begin(), m_lastStarts.end(), 1);
+    m_lastStarts.front() = now;
 }
 
 void server_condition::responded(time_point now, attempt_number attempt)
@@ -188,17 +209,65 @@
 {
     if (named.notice == limit_notice::unreadable)
         return true;
-    const bool wasLimited = m_limit.notice == limit_notice::limited;
     // The response to an older attempt may have been made before the limit was named.
-    const bool isOutdated = named.notice == limit_notice::none && wasLimited && openedAt < m_limitAt;
-    if (isOutdated)
+    const bool isOutdated = named.notice == limit_notice::none && isLimited(now) && openedAt < m_limitAt;
+    return !isOutdated && applyLimit(now, named, true);
+}
+
+bool server_condition::limitSeenByFleet(time_point now, const server_rate_limit& seen)
+{
+    const time_point at = now - seen.age;
+    if (at <= m_limitAt)
         return false;
+    named_limit named;
+    named.notice = seen.isLimited ? limit_notice::limited : limit_notice::none;
+    named.perSecond = seen.perSecond;
+    return applyLimit(at, named, false);
+}
+
+bool server_condition::applyLimit(time_point at, const named_limit& named, bool isOwn)
+{
     const bool isChanged = m_limit.notice != named.notice || m_limit.perSecond != named.perSecond;
+    const bool isEnd = named.notice == limit_notice::none;
+    if (isEnd && m_limit.notice == limit_notice::limited) {
+        m_endedLimit = m_limit.perSecond;
+        m_limitEndedAt = at;
+    }
     m_limit = named;
-    m_limitAt = now;
+    m_limitAt = at;
+    m_isLimitOwn = isOwn;
     return isChanged;
 }
 
+bool server_condition::isLimited(time_point now) const
+{
+    return m_limit.notice == limit_notice::limited && now - m_limitAt < limitLifetime;
+}
+
+std::optional<fleet_rate> server_condition::limitRate(time_point now, std::size_t routers) const
+{
+    if (isLimited(now)) {
+        const double perSecond = std::max(m_limit.perSecond * limitFraction, minLimitPerSecond);
+        const std::size_t senders = std::clamp<std::size_t>(routers, 1, limitSenders);
+        return fleet_rate { perSecond, senders, static_cast<double>(senders), limitTolerance };
+    }
+    const bool hasExpired = m_limit.notice == limit_notice::limited;
+    const time_point endedAt = hasExpired ? m_limitAt + limitLifetime : m_limitEndedAt;
+    if (endedAt == time_point() || now - endedAt >= limitRampTime)
+        return std::nullopt;
+    const double from = std::max(hasExpired ? m_limit.perSecond : m_endedLimit, 1.0);
+    const double doublings = std::chrono::duration<double>(now - endedAt) / std::chrono::duration<double>(limitDoublingTime);
+    const std::size_t senders = std::max<std::size_t>(routers, 1);
+    return fleet_rate { from * std::exp2(doublings), senders, static_cast<double>(senders), 0 };
+}
+
+std::optional<server_rate_limit> server_condition::ownLimit(time_point now, const server_id& server) const
+{
+    if (!m_isLimitOwn || now - m_limitAt >= limitLifetime || (m_limit.notice == limit_notice::none && m_limitEndedAt == time_point()))
+        return std::nullopt;
+    return server_rate_limit { server, m_limit.notice == limit_notice::limited, m_limit.perSecond, now - m_limitAt };
+}
+
 void server_condition::setCold(time_point until)
 {
     m_coldUntil = std::max(m_coldUntil, until);
@@ -209,9 +278,16 @@
     return now < m_coldUntil;
 }
 
-bool server_condition::mayStartCold(time_point now, duration spacing) const
+time_point server_condition::nextStart(const fleet_rate& rate) const
 {
-    return !m_lastStart || now - *m_lastStart >= spacing;
+    time_point next {};
+    double spacings = 1 - rate.tolerance;
+    for (const auto& earlier : m_lastStarts) {
+        if (earlier)
+            next = std::max(next, *earlier + scaled(rate.spacing(), spacings));
+        ++spacings;
+    }
+    return next;
 }
 
 double server_condition::pendingTokens() const
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -87,18 +87,59 @@
     }
 }
 
-duration server_selector::coldSpacing(const pool_id& pool) const
+std::vector<server_rate_limit> server_selector::ownLimits(time_point now) const
+{
+    std::vector<server_rate_limit> own;
+    for (const auto& [id, condition] : m_conditions) {
+        if (const auto limit = condition.ownLimit(now, id))
+            own.push_back(*limit);
+    }
+    return own;
+}
+
+std::vector<server_rate_limit> server_selector::limitsSeenByFleet(time_point now, const std::vector<server_rate_limit>& seen)
+{
+    std::vector<server_rate_limit> changed;
+    for (const server_rate_limit& each : seen) {
+        if (m_fleet.findServer(each.server) && m_conditions[each.server].limitSeenByFleet(now, each))
+            changed.push_back(each);
+    }
+    return changed;
+}
+
+std::optional<fleet_rate> server_selector::coldRate(const pool_id& pool) const
 {
     const pool_profile* profile = m_fleet.profileOf(pool);
     if (!profile || profile->coldRequestsPerSecond <= 0)
-        return duration::zero();
-    const double seconds = static_cast<double>(m_limits.coldShares) / profile->coldRequestsPerSecond;
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+        return std::nullopt;
+    return fleet_rate { profile->coldRequestsPerSecond, m_limits.coldSenders, static_cast<double>(m_limits.coldShares), 0 };
+}
+
+/// Returns when this router may send the server a request, or nothing if other routers
+/// are its senders.
+std::optional<time_point> server_selector::nextStart(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold) const
+{
+    time_point next = now;
+    for (const std::optional<fleet_rate>& rate : { known.isCold(now) ? cold : std::nullopt, known.limitRate(now, m_routers.size()) }) {
+        if (!rate)
+            continue;
+        if (!isAmongOwners(hashName(server.value()), rate->senders))
+            return std::nullopt;
+        next = std::max(next, known.nextStart(*rate));
+    }
+    return next;
 }
 
-bool server_selector::maySendCold(const server_id& server) const
+duration server_selector::timeToNextStart(time_point now, const selection_request& wanted)
 {
-    return isAmongOwners(hashName(server.value()), m_limits.coldSenders);
+    const auto cold = coldRate(wanted.pool);
+    std::optional<time_point> first;
+    refreshKnown();
+    m_fleet.access().forEachReachableServer(wanted.workspace, wanted.pool, [&](const backend_server& server, std::size_t position) {
+        if (const auto next = nextStart(now, server.id, *m_known[position].condition, cold))
+            first = std::min(first.value_or(*next), *next);
+    });
+    return first ? *first - now : duration::zero();
 }
 
 bool server_selector::isAmongOwners(std::uint64_t key, std::size_t count) const
@@ -112,19 +153,19 @@
 
 std::vector<server_selector::candidate> server_selector::candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored)
 {
-    const duration spacing = coldSpacing(wanted.pool);
+    const auto cold = coldRate(wanted.pool);
     std::vector<candidate> found;
     refreshKnown();
     m_fleet.access().forEachReachableServer(wanted.workspace, wanted.pool, [&](const backend_server& server, std::size_t position) {
         if (!wanted.excluded.empty() && wanted.excluded.contains(server.id))
             return;
         server_condition& known = *m_known[position].condition;
-        const bool isCold = known.isCold(now);
-        if (isCold && spacing > duration::zero() && (!known.mayStartCold(now, spacing) || !maySendCold(server.id)))
+        const auto next = nextStart(now, server.id, known, cold);
+        if (!next || *next > now)
             return;
         if (known.isEjected(now) && !isEjectionIgnored)
             return;
-        found.push_back({ &server, &known, isCold, m_known[position].nameHash });
+        found.push_back({ &server, &known, known.isCold(now), m_known[position].nameHash });
     });
     return found;
 }
--- a/lib/Wire/MessageDecoder.cpp
+++ b/lib/Wire/MessageDecoder.cpp
@@ -201,6 +201,12 @@
             fields.nonNegative(source.pending_tokens(), "pending_tokens") };
     }
 
+    server_rate_limit read(const wire::ServerRateLimit& source, field_reader& fields)
+    {
+        return { fields.requiredName<server_id>(source.server(), "server"), source.is_limited(),
+            fields.nonNegative(source.per_second(), "per_second"), std::chrono::microseconds(source.age()) };
+    }
+
     crash_suspect read(const wire::Suspect& source, field_reader& fields)
     {
         crash_suspect decoded;
@@ -332,6 +338,11 @@
         return server_losses { readList(source.entries(), fields) };
     }
 
+    message read(const wire::ServerRateLimits& source, field_reader& fields)
+    {
+        return server_rate_limits { readList(source.entries(), fields) };
+    }
+
     message read(const wire::FollowRows& source, field_reader& fields)
     {
         return follow_rows { source.sequence(), readList(source.have(), fields) };
@@ -374,7 +385,7 @@
         &decodeAs<wire::Recall>, &decodeAs<wire::InFlightReport>, &decodeAs<wire::ShardRelease>,
         &decodeAs<wire::ServiceCounters>, &decodeAs<wire::CrashReport>, &decodeAs<wire::ShardOwner>,
         &decodeAs<wire::FollowRows>, &decodeAs<wire::RowsUpdate>, &decodeAs<wire::UsageReport>, &decodeAs<wire::UsageTotals>,
-        &decodeAs<wire::ServerLosses> };
+        &decodeAs<wire::ServerLosses>, &decodeAs<wire::ServerRateLimits> };
 
 }
 
--- a/lib/Wire/MessageEncoder.cpp
+++ b/lib/Wire/MessageEncoder.cpp
@@ -139,6 +139,11 @@
         return wire::CreateSuspect(builder, static_cast<std::uint8_t>(source.trait.kind), source.trait.id, source.depth, source.isCleared, reporterVector, requests);
     }
 
+    Offset<wire::ServerRateLimit> write(FlatBufferBuilder& builder, const server_rate_limit& source)
+    {
+        return wire::CreateServerRateLimit(builder, writeName(builder, source.server), source.isLimited, source.perSecond, roundedUpMicroseconds(source.age));
+    }
+
     // Defined below, because they contain a list and so need `writeList`.
     Offset<wire::TableUpdate> write(FlatBufferBuilder& builder, const table_update& source);
     Offset<wire::ServerLoss> write(FlatBufferBuilder& builder, const server_loss& source);
@@ -277,6 +282,11 @@
         return wire::CreateServerLosses(builder, writeList(builder, source.entries));
     }
 
+    Offset<wire::ServerRateLimits> write(FlatBufferBuilder& builder, const server_rate_limits& source)
+    {
+        return wire::CreateServerRateLimits(builder, writeList(builder, source.entries));
+    }
+
     Offset<wire::CrashReport> write(FlatBufferBuilder& builder, const crash_report& source)
     {
         const auto server = writeName(builder, source.server);
