Use the requests that limited servers take for large prompts

Cause: a router compares the first two servers in the rendezvous order of a prompt, and it may send to few limited servers, so that these are seldom among them. A limited server is short of requests rather than of time to read, which the selection did not know: small prompts used up its requests.

A prompt above the mean size is compared with the limited servers first, any other goes there if the servers without a limit cannot take it. How early a request may be there falls with the part of its share that the workspace has used, and the shares are computed from what the limits leave.

--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -126,7 +126,9 @@
     std::optional<refusal_kind> admit(time_point now, tracked_request& request);
     void choosePool(tracked_request& request);
     void startAttempt(time_point now, const tracked& request, dispatch_actions& out);
-    bool isAdmissible(time_point now, tracked_request& request, const selected_server& best);
+    std::optional<selected_server> choose(time_point now, tracked_request& request, selection_request& wanted, bool isFirst);
+    double shareUtilisation(time_point now, const tracked_request& request);
+    bool isAdmissible(tracked_request& request, const selected_server& best);
     void failAttempt(time_point now, const tracked& request, bool mayHaveRun, std::string_view result, int status, dispatch_actions& out);
     void retryOrFinish(time_point now, const tracked& request, bool mayHaveRun, dispatch_actions& out);
     bool canRetry(time_point now, const tracked_request& request, bool mayHaveRun) const;
@@ -156,6 +158,9 @@
     std::set<std::pair<time_point, request_number>> m_deadlines;
     std::uint64_t m_nextRequest = 0;
     std::uint64_t m_nextAttempt = 0;
+    double m_meanTokens = 0; ///< Smoothed, of a request with a prompt.
+    double m_capacity = 0; ///< Tokens per second within the servers' request limits, as of m_capacityAt.
+    time_point m_capacityAt;
     duration m_loopLag {};
     bool m_isDraining = false;
     bool m_hasListedServers = false; ///< The initial list of servers has been read.
--- a/include/pimentoladder/Dispatch/PromptAdmission.h
+++ b/include/pimentoladder/Dispatch/PromptAdmission.h
@@ -15,12 +15,13 @@
     double ownTokens = 0; ///< Prompt tokens that are not shared with other requests.
     double shareUtilisation = 0; ///< Above 1: the workspace exceeds its fair share.
     duration loopLag {}; ///< Lag of this router's event loop.
+    bool isRequestLimited = false; ///< The server is short of requests rather than of time to read prompts.
 };
 
 /// Returns whether the request is to be sent. The first event must be expected within
 /// a fraction of the objective. A workspace that exceeds its share gets a smaller
 /// fraction, and its requests go only to servers that have the shared parts of the
-/// prompt in their cache. Thread-safe.
+/// prompt in their cache, or that take few requests. Thread-safe.
 bool shouldAdmitPrompt(const prompt_estimate& estimate);
 
 }
--- a/include/pimentoladder/Dispatch/ServerCondition.h
+++ b/include/pimentoladder/Dispatch/ServerCondition.h
@@ -129,6 +129,9 @@
     /// by step. \p routers: size of the fleet.
     std::optional<fleet_rate> limitRate(time_point now, std::size_t routers) const;
 
+    /// Returns whether the server names a request limit.
+    bool isLimited(time_point now) const;
+
     /// Returns what this router's own responses say about the limit, for the other routers,
     /// or nothing if they say nothing new.
     std::optional<server_rate_limit> ownLimit(time_point now, const server_id& server) const;
@@ -160,7 +163,6 @@
     };
 
     bool applyLimit(time_point at, const named_limit& named, bool isOwn);
-    bool isLimited(time_point now) const;
     double pendingTokens() const;
     double othersPending(time_point now) const;
     bool hasRecentSample(time_point now) const;
--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -24,6 +24,12 @@
     std::size_t coldShares = 12; ///< Number of parts into which a cold server's allowed request rate is split; more than coldSenders because the routers' views of the members may differ.
 };
 
+/// Which servers are compared.
+enum class limited_servers {
+    excluded, ///< Those without a request limit.
+    only, ///< Those with a request limit.
+};
+
 /// Criteria for the selection of a server.
 struct selection_request {
     workspace_id workspace;
@@ -34,6 +40,9 @@
     /// rendezvous order. If all were compared, the routers, which share their
     /// estimates, would all pick the same idle server.
     std::size_t promptChoices = 2;
+    limited_servers limited = limited_servers::excluded;
+    /// By how much of its spacing a request may be early at a server with a request limit.
+    double limitTolerance = 0;
 };
 
 struct selected_server {
@@ -42,6 +51,7 @@
     double uncachedTokens = 0;
     std::size_t candidates = 0; ///< Servers that were compared.
     bool isCold = false;
+    bool isLimited = false; ///< Has a request limit, so that it is short of requests rather than of time.
 };
 
 /// Selects a server among those that a request may use. It keeps a
@@ -86,6 +96,10 @@
     /// have changed what was known here.
     std::vector<server_rate_limit> limitsSeenByFleet(time_point now, const std::vector<server_rate_limit>& seen);
 
+    /// Returns the tokens per second that the engines can process within their request
+    /// limits. \p nominal: without limits; \p tokensPerRequest: mean of a request.
+    double usableThroughput(time_point now, double nominal, double tokensPerRequest) const;
+
     /// Returns the time until a server that the request may use takes another request of
     /// this router, or zero if none is limited. Call it when `select` returns nothing.
     duration timeToNextStart(time_point now, const selection_request& wanted);
@@ -109,7 +123,7 @@
     std::vector<candidate> candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored);
     selected_server assess(time_point now, const candidate& assessed, const selection_request& wanted, const std::vector<std::uint64_t>& hashes) const;
     std::optional<fleet_rate> coldRate(const pool_id& pool) const;
-    std::optional<time_point> nextStart(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold) const;
+    std::optional<time_point> nextStart(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold, const selection_request& wanted) const;
 
     const fleet_view& m_fleet;
     selection_limits m_limits;
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -57,6 +57,16 @@
     // so that a rare trait is tried too.
     constexpr duration trialInterval = 10s;
 
+    // Weight of a request in the smoothed number of tokens of a request.
+    constexpr double meanTokensGain = 0.01;
+    // By how much of its spacing a request may be early at a server with a request limit:
+    // with a large prompt, with a small one, and at least, however far the workspace exceeds its share.
+    constexpr double largeLimitTolerance = 0.5;
+    constexpr double smallLimitTolerance = 0;
+    constexpr double minLimitTolerance = -0.5;
+    // Interval at which the throughput within the servers' request limits is computed again.
+    constexpr duration capacityInterval = 100ms;
+
     traits_of_request traitsOf(const inbound_request& received, const workspace_id& workspace)
     {
         traits_of_request traits;
@@ -171,29 +181,73 @@
     }
     if (received.prompt) {
         request->tokens = received.prompt->promptTokens + outputTokenWeight * received.prompt->outputTokens;
+        m_meanTokens += (request->tokens - m_meanTokens) * meanTokensGain;
         m_share.recordAsked(now, request->workspace, request->tokens);
     }
     startAttempt(now, request, out);
     return out;
 }
 
-bool dispatcher::isAdmissible(time_point now, tracked_request& request, const selected_server& best)
+double dispatcher::shareUtilisation(time_point now, const tracked_request& request)
+{
+    const double nominal = m_fleet.plan().tokensPerSecond;
+    if (nominal <= 0)
+        return 0;
+    if (now >= m_capacityAt + capacityInterval) {
+        m_capacityAt = now;
+        m_capacity = m_selector.usableThroughput(now, nominal, m_meanTokens);
+    }
+    return m_share.utilisation(now, request.workspace, request.tokens, m_capacity, m_selector.routerCount());
+}
+
+bool dispatcher::isAdmissible(tracked_request& request, const selected_server& best)
 {
     request.expectedFirstEvent = best.expectedFirstEvent;
     if (!request.received.prompt)
         return true;
-    request.shareUtilisation = m_share.utilisation(now, request.workspace, request.tokens, m_fleet.plan().tokensPerSecond, m_selector.routerCount());
     const std::vector<prompt_part>& parts = request.received.prompt->parts;
     const double ownTokens = parts.empty() ? best.uncachedTokens : parts.back().tokens;
-    return shouldAdmitPrompt({ request.target.objective, best.expectedFirstEvent, best.uncachedTokens, ownTokens, request.shareUtilisation, m_loopLag });
+    return shouldAdmitPrompt({ request.target.objective, best.expectedFirstEvent, best.uncachedTokens, ownTokens, request.shareUtilisation, m_loopLag, best.isLimited });
+}
+
+/// Returns the server for the next attempt. A server with a request limit is short of
+/// requests rather than of time, so it gets those with large prompts first, and others
+/// only if the servers without a limit cannot take them.
+std::optional<selected_server> dispatcher::choose(time_point now, tracked_request& request, selection_request& wanted, bool isFirst)
+{
+    const auto isUsable = [&](const std::optional<selected_server>& chosen) { return chosen && (!isFirst || isAdmissible(request, *chosen)); };
+    const auto selectLimited = [&](double tolerance) {
+        wanted.limited = limited_servers::only;
+        wanted.limitTolerance = std::min(tolerance, std::max(1 - request.shareUtilisation, minLimitTolerance));
+        const auto chosen = m_selector.select(now, wanted);
+        wanted.limited = limited_servers::excluded;
+        return chosen;
+    };
+    if (request.tokens > m_meanTokens) {
+        if (const auto limited = selectLimited(largeLimitTolerance); isUsable(limited))
+            return limited;
+    }
+    auto best = m_selector.select(now, wanted);
+    if (best && !isUsable(best) && request.shareUtilisation < 1) {
+        // The workspace is within its share: another server may have capacity, although it
+        // has to read the whole prompt.
+        wanted.promptChoices = fallbackPromptChoices;
+        best = m_selector.select(now, wanted);
+    }
+    if (isUsable(best))
+        return best;
+    const auto limited = selectLimited(smallLimitTolerance);
+    return isUsable(limited) || !best ? limited : best;
 }
 
 void dispatcher::startAttempt(time_point now, const tracked& request, dispatch_actions& out)
 {
     const prompt_work* prompt = request->received.prompt ? &*request->received.prompt : nullptr;
-    selection_request wanted { request->workspace, request->pool, prompt, request->triedServers };
-    auto best = m_selector.select(now, wanted);
     const bool isFirst = request->triedServers.empty();
+    if (prompt && isFirst)
+        request->shareUtilisation = shareUtilisation(now, *request);
+    selection_request wanted { request->workspace, request->pool, prompt, request->triedServers };
+    const auto best = choose(now, *request, wanted, isFirst);
     if (!best) {
         if (request->hasHead)
             abortResponse(now, request, out);
@@ -201,15 +255,7 @@
             refuse(now, request, request->runs == 0 ? refusal_kind::noEligibleServer : refusal_kind::serverFailed, m_selector.timeToNextStart(now, wanted), out);
         return;
     }
-    bool isAdmitted = !isFirst || isAdmissible(now, *request, *best);
-    if (!isAdmitted && request->shareUtilisation < 1) {
-        // The workspace is within its share: another server may have capacity, although it
-        // has to read the whole prompt.
-        wanted.promptChoices = fallbackPromptChoices;
-        best = m_selector.select(now, wanted);
-        isAdmitted = isAdmissible(now, *request, *best);
-    }
-    if (!isAdmitted) {
+    if (isFirst && !isAdmissible(*request, *best)) {
         refuse(now, request, refusal_kind::queueFull, best->expectedFirstEvent, out);
         return;
     }
--- a/lib/Dispatch/PromptAdmission.cpp
+++ b/lib/Dispatch/PromptAdmission.cpp
@@ -28,7 +28,7 @@
 bool shouldAdmitPrompt(const prompt_estimate& estimate)
 {
     const bool isBeyondShare = estimate.shareUtilisation > 1;
-    if (isBeyondShare && estimate.uncachedTokens > estimate.ownTokens)
+    if (isBeyondShare && !estimate.isRequestLimited && estimate.uncachedTokens > estimate.ownTokens)
         return false;
     const double fraction = isBeyondShare
         ? std::max(minObjectiveFraction, objectiveFraction / estimate.shareUtilisation)
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -117,10 +117,13 @@
 
 /// Returns when this router may send the server a request, or nothing if other routers
 /// are its senders.
-std::optional<time_point> server_selector::nextStart(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold) const
+std::optional<time_point> server_selector::nextStart(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold, const selection_request& wanted) const
 {
     time_point next = now;
-    for (const std::optional<fleet_rate>& rate : { known.isCold(now) ? cold : std::nullopt, known.limitRate(now, m_routers.size()) }) {
+    auto limit = known.limitRate(now, m_routers.size());
+    if (limit && wanted.limited == limited_servers::only)
+        limit->tolerance = wanted.limitTolerance;
+    for (const std::optional<fleet_rate>& rate : { known.isCold(now) ? cold : std::nullopt, limit }) {
         if (!rate)
             continue;
         if (!isAmongOwners(hashName(server.value()), rate->senders))
@@ -130,13 +133,39 @@
     return next;
 }
 
+double server_selector::usableThroughput(time_point now, double nominal, double tokensPerRequest) const
+{
+    std::size_t engines = 0;
+    std::size_t unlimited = 0;
+    std::vector<double> limits;
+    for (const auto& [id, server] : m_fleet.servers()) {
+        const pool_profile* profile = m_fleet.profileOf(server.pool);
+        if (!profile || profile->kind != pool_kind::model)
+            continue;
+        ++engines;
+        const auto known = m_conditions.find(id);
+        const auto limit = known == m_conditions.end() ? std::nullopt : known->second.limitRate(now, m_routers.size());
+        if (limit)
+            limits.push_back(limit->perSecond * tokensPerRequest);
+        else
+            ++unlimited;
+    }
+    if (limits.empty())
+        return nominal;
+    const double perEngine = nominal / static_cast<double>(engines);
+    double usable = perEngine * static_cast<double>(unlimited);
+    for (const double each : limits)
+        usable += std::min(perEngine, each);
+    return usable;
+}
+
 duration server_selector::timeToNextStart(time_point now, const selection_request& wanted)
 {
     const auto cold = coldRate(wanted.pool);
     std::optional<time_point> first;
     refreshKnown();
     m_fleet.access().forEachReachableServer(wanted.workspace, wanted.pool, [&](const backend_server& server, std::size_t position) {
-        if (const auto next = nextStart(now, server.id, *m_known[position].condition, cold))
+        if (const auto next = nextStart(now, server.id, *m_known[position].condition, cold, wanted))
             first = std::min(first.value_or(*next), *next);
     });
     return first ? *first - now : duration::zero();
@@ -160,7 +189,9 @@
         if (!wanted.excluded.empty() && wanted.excluded.contains(server.id))
             return;
         server_condition& known = *m_known[position].condition;
-        const auto next = nextStart(now, server.id, known, cold);
+        if (known.isLimited(now) != (wanted.limited == limited_servers::only))
+            return;
+        const auto next = nextStart(now, server.id, known, cold, wanted);
         if (!next || *next > now)
             return;
         if (known.isEjected(now) && !isEjectionIgnored)
@@ -172,7 +203,7 @@
 
 selected_server server_selector::assess(time_point now, const candidate& assessed, const selection_request& wanted, const std::vector<std::uint64_t>& hashes) const
 {
-    selected_server result { assessed.server->id, {}, 0, 0, assessed.isCold };
+    selected_server result { assessed.server->id, {}, 0, 0, assessed.isCold, wanted.limited == limited_servers::only };
     if (wanted.prompt) {
         result.uncachedTokens = assessed.condition->uncachedTokens(*wanted.prompt, hashes);
         result.expectedFirstEvent = assessed.condition->expectedFirstEvent(now, result.uncachedTokens);
--- a/unittests/Dispatch/RateLimitTests.cpp
+++ b/unittests/Dispatch/RateLimitTests.cpp
@@ -41,7 +41,10 @@
     // Sends one request through a router. Returns the server, or nothing if none may be used.
     std::optional<server_id> send(time_point now, std::size_t router)
     {
-        const auto chosen = routers[router]->select(now, { workspace_id("school"), pool_id("llm"), nullptr, {} });
+        selection_request wanted { workspace_id("school"), pool_id("llm"), nullptr, {} };
+        wanted.limited = routers[router]->condition(server_id("e1")).isLimited(now) ? limited_servers::only : limited_servers::excluded;
+        wanted.limitTolerance = 0.5;
+        const auto chosen = routers[router]->select(now, wanted);
         if (!chosen)
             return std::nullopt;
         server_condition& condition = routers[router]->condition(chosen->server);
@@ -200,3 +203,57 @@
     CHECK(refused->retryAfter > 1s);
     CHECK(refused->retryAfter <= duration(10s) / 3);
 }
+
+TEST_CASE("engines that take few requests stay idle while requests are refused for want of capacity")
+{
+    small_fleet fleet;
+    fleet.now += 10s;
+    fleet.core.confirm(fleet.now);
+    serving_plan plan = makePlan(2);
+    plan.tokensPerSecond = 1e6;
+    fleet.core.applyPlan(plan);
+    inbound_request request;
+    request.host = "host";
+    request.path = "/stream/1";
+    request.keyDigest = keyDigest;
+    request.timeLeft = 10s;
+    fleet.core.onServerLimits(fleet.now, { { { server_id("e1"), true, 2, 0ms } } });
+    std::size_t toLimited = 0;
+    std::size_t toOthers = 0;
+    for (int i = 0; i < 400; ++i, fleet.now += 10ms) {
+        fleet.core.confirm(fleet.now);
+        request.prompt = prompt_work { { { 42, 13'000 }, { 1000U + i, 3'700 } }, 16'700, 120 };
+        request_number number;
+        const auto actions = fleet.core.onRequest(fleet.now, request, number);
+        const auto* opened = find<open_dispatch>(actions);
+        if (!opened)
+            continue;
+        const attempt_number attempt = opened->attempt;
+        const bool isLimited = opened->server == server_id("e1");
+        ++(isLimited ? toLimited : toOthers);
+        fleet.core.mayStartSending(fleet.now, attempt);
+        // The limited engine answers; the others stay busy.
+        if (isLimited)
+            fleet.core.onCallerDisconnected(fleet.now, number);
+    }
+    CHECK(toOthers > 0);
+    CHECK(static_cast<double>(toLimited) >= 0.7 * 2 * 4);
+    CHECK(static_cast<double>(toLimited) <= 1.5 * 2 * 4 + 5);
+}
+
+TEST_CASE("a fair share is computed from capacity that request limits have taken away")
+{
+    const fleet_view fleet = [] {
+        fleet_view made { freshness_limits {} };
+        made.applyPlan(makePlan());
+        for (const char* id : { "e1", "e2", "e3", "e4" })
+            made.putServer(makeServer(id, "llm"));
+        return made;
+    }();
+    server_selector selector(fleet, {}, 1);
+    CHECK(selector.usableThroughput(start, 4e5, 1e4) == doctest::Approx(4e5));
+    for (const char* id : { "e1", "e2" })
+        selector.condition(server_id(id)).setLimit(start, { limit_notice::limited, 2 }, start);
+    // Two engines process 1e5 tokens each, the others two requests of 1e4 tokens each.
+    CHECK(selector.usableThroughput(start, 4e5, 1e4) == doctest::Approx(2e5 + 2 * 0.95 * 2e4));
+}
