Bound the bytes that a server may send without end

A server in trouble may send bytes that are no response until its caller closes. Three places had no bound: interim responses (1xx) before a head, a body that ends with its connection, and an event of a stream that never ends, which the router kept in memory until the request's deadline and searched from its start with each read.

Bounds now: 64 KiB for a response's head together with interim responses, 256 B for the line of a chunk and 8 KiB for a trailer (as before), 256 MiB for a body, 256 KiB for one event. Beyond them the connection is closed and the attempt ends as malformed: it may have run, and it counts against the server. Bytes past a declared length close the connection. In time a body is bounded by the request's deadline.

The new test runs ten servers of each kind at once; on the previous parser it is not cut off for the interim responses and the body without length. Memory in use grows by less than 1 MiB for each server beyond the delivered body.

--- a/include/pimentoladder/Net/EventStream.h
+++ b/include/pimentoladder/Net/EventStream.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,14 +22,23 @@
 /// Not thread-safe.
 class event_stream_splitter {
 public:
-    /// Appends \p bytes and returns the events that they complete.
+    static constexpr std::size_t maxEventBytes = std::size_t { 256 } * 1024;
+
+    /// Appends \p bytes and returns the events that they complete. Bytes after an
+    /// oversized event are dropped.
     event_stream_batch feed(std::string_view bytes);
 
+    /// Returns whether an event exceeds `maxEventBytes`, so that the stream is not valid.
+    bool isOversized() const { return m_isOversized; }
+
     /// Returns whether an incomplete event is buffered.
-    bool hasPartialEvent() const { return !m_partial.empty(); }
+    bool hasPartialEvent() const { return m_isOversized || !m_partial.empty(); }
 
 private:
     std::string m_partial;
+    std::size_t m_scanned = 0; ///< End of the last complete line of the partial event.
+    std::optional<std::uint64_t> m_pendingId; ///< Id of the partial event.
+    bool m_isOversized = false;
 };
 
 }
--- a/include/pimentoladder/Net/HttpClient.h
+++ b/include/pimentoladder/Net/HttpClient.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -20,7 +21,8 @@
 
 /// Limits and timeouts of a client.
 struct http_client_limits {
-    std::size_t headBytes = std::size_t { 64 } * 1024;
+    std::size_t headBytes = std::size_t { 64 } * 1024; ///< Of a response, interim responses included.
+    std::uint64_t bodyBytes = std::uint64_t { 256 } * 1024 * 1024; ///< Of a response; a longer one ends the attempt as `malformed`.
     std::size_t idleConnectionsPerEndpoint = 512; ///< A limit below a server's requests in flight would close and reopen connections under load.
     duration connectTimeout = std::chrono::seconds(1);
     duration firstByteTimeout = std::chrono::seconds(60); ///< From the last request byte written to the socket to the first byte of the response head.
--- a/include/pimentoladder/Net/HttpMessageParser.h
+++ b/include/pimentoladder/Net/HttpMessageParser.h
@@ -24,7 +24,7 @@
 
 /// Size limits of one message.
 struct http_message_limits {
-    std::size_t headBytes = 0;
+    std::size_t headBytes = 0; ///< Of the head, together with interim responses before it.
     std::uint64_t bodyBytes = 0;
 };
 
@@ -143,6 +143,7 @@
     std::uint64_t m_remaining = 0;
     std::uint64_t m_bodyBytes = 0;
     std::size_t m_trailerBytes = 0;
+    std::size_t m_interimBytes = 0; ///< Of the dropped interim responses; counts against the limit of the head.
     int m_minorVersion = 1;
     int m_status = 0;
     int m_hostCount = 0;
--- a/lib/Daemon/DispatchFront.cpp
+++ b/lib/Daemon/DispatchFront.cpp
@@ -207,12 +207,16 @@
         batch = target->events->feed(bytes);
         bytes = batch.bytes;
     }
-    if (bytes.empty())
+    if (!bytes.empty()) {
+        target->bytes = bytes;
+        m_driver.post([&](dispatcher& core, time_point now) { return core.onBytes(now, attempt, bytes, batch.lastId); });
+        target->bytes = {};
+        applyBackPressure(target);
+    }
+    if (!target->events || !target->events->isOversized() || target->attemptNumber != attempt)
         return;
-    target->bytes = bytes;
-    m_driver.post([&](dispatcher& core, time_point now) { return core.onBytes(now, attempt, bytes, batch.lastId); });
-    target->bytes = {};
-    applyBackPressure(target);
+    target->attempt->cancel();
+    m_driver.post([&](dispatcher& core, time_point now) { return core.onAttemptEnded(now, attempt, { attempt_end_kind::malformed, true }); });
 }
 
 void dispatch_front::receiveEnd(const exchange_ref& target, attempt_number attempt, attempt_end end)
--- a/lib/Net/EventStream.cpp
+++ b/lib/Net/EventStream.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace pimentoladder {
 
@@ -27,25 +28,30 @@
 event_stream_batch event_stream_splitter::feed(std::string_view bytes)
 {
     event_stream_batch batch;
+    if (m_isOversized)
+        return batch;
     m_partial.append(bytes);
     std::size_t eventEnd = 0;
-    std::size_t lineStart = 0;
-    std::optional<std::uint64_t> pendingId;
-    for (std::size_t lineEnd = m_partial.find('\n'); lineEnd != std::string::npos; lineEnd = m_partial.find('\n', lineStart)) {
+    std::size_t lineStart = m_scanned;
+    for (std::size_t lineEnd = m_partial.find('\n', lineStart); lineEnd != std::string::npos; lineEnd = m_partial.find('\n', lineStart)) {
         std::string_view line = std::string_view(m_partial).substr(lineStart, lineEnd - lineStart);
         if (line.ends_with('\r'))
             line.remove_suffix(1);
         lineStart = lineEnd + 1;
         if (const auto id = parseEventId(line))
-            pendingId = id;
+            m_pendingId = id;
         if (!line.empty())
             continue;
         eventEnd = lineStart;
-        if (pendingId)
-            batch.lastId = pendingId;
+        if (m_pendingId)
+            batch.lastId = std::exchange(m_pendingId, std::nullopt);
     }
     batch.bytes = m_partial.substr(0, eventEnd);
     m_partial.erase(0, eventEnd);
+    m_scanned = lineStart - eventEnd;
+    m_isOversized = m_partial.size() > maxEventBytes;
+    if (m_isOversized)
+        m_partial = {};
     return batch;
 }
 
--- a/lib/Net/HttpClientConnection.cpp
+++ b/lib/Net/HttpClientConnection.cpp
@@ -81,7 +81,7 @@
     , m_channel(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
     , m_evhttp(evhttp_connection_base_bufferevent_new(
           loop.base(), nullptr, m_channel, m_server.address.c_str(), m_server.port))
-    , m_parser(http_message_parser::forResponses({ pool.limits().headBytes, std::numeric_limits<std::uint64_t>::max() }))
+    , m_parser(http_message_parser::forResponses({ pool.limits().headBytes, pool.limits().bodyBytes }))
     , m_finish(loop, [this] { finish(); })
     , m_deadline(loop, [this] { deadlinePassed(); })
     , m_flush(loop, [this] { flushOutput(); })
--- a/lib/Net/HttpMessageParser.cpp
+++ b/lib/Net/HttpMessageParser.cpp
@@ -187,8 +187,12 @@
         return;
     const bool isInterim = !m_readsRequests && m_status < 200;
     if (isInterim) {
+        const std::size_t interimBytes = m_interimBytes + m_raw.size();
         reset(std::string(m_requestMethod));
         m_hasBegun = true;
+        m_interimBytes = interimBytes;
+        if (m_interimBytes > m_limits.headBytes)
+            violate(refusal_kind::headTooLarge, "the interim responses are larger than " + std::to_string(m_limits.headBytes) + " bytes");
         return;
     }
     buildNormalisedHead();
@@ -389,7 +393,7 @@
     if (m_framing == http_framing::length)
         m_remaining = *m_length;
     if (m_framing == http_framing::untilClose)
-        m_remaining = std::numeric_limits<std::uint64_t>::max();
+        m_remaining = m_limits.bodyBytes;
     const bool isEmpty = m_framing == http_framing::none || (m_framing == http_framing::length && m_remaining == 0);
     if (isEmpty)
         m_progress = http_progress::complete;
@@ -405,6 +409,11 @@
     const auto taken = static_cast<std::size_t>(std::min<std::uint64_t>(bytes.size(), m_remaining));
     body += bytes.substr(0, taken);
     m_remaining -= taken;
+    if (m_framing == http_framing::untilClose) {
+        if (taken < bytes.size())
+            violate(refusal_kind::bodyTooLarge, "the body is larger than " + std::to_string(m_limits.bodyBytes) + " bytes");
+        return bytes.size();
+    }
     if (m_remaining > 0)
         return taken;
     if (m_framing == http_framing::chunked)
--- a/unittests/Net/EventStreamTests.cpp
+++ b/unittests/Net/EventStreamTests.cpp
@@ -24,3 +24,19 @@
         CHECK(splitter.hasPartialEvent());
     }
 }
+
+// Guards against memory that grows with an event that never ends.
+TEST_CASE("an event without end is dropped at the size limit")
+{
+    event_stream_splitter splitter;
+    CHECK(splitter.feed("id: 1\ndata: a\n\n").bytes.size() == 15);
+    std::size_t fed = 0;
+    while (!splitter.isOversized() && fed < 2 * event_stream_splitter::maxEventBytes) {
+        CHECK(splitter.feed(std::string(1024, 'x') + "\n").bytes.empty());
+        fed += 1025;
+    }
+    CHECK(splitter.isOversized());
+    CHECK(fed <= event_stream_splitter::maxEventBytes + 2 * 1025);
+    CHECK(splitter.hasPartialEvent());
+    CHECK(splitter.feed("\n\nid: 2\n\n").bytes.empty());
+}
--- a/unittests/Net/HttpClientTests.cpp
+++ b/unittests/Net/HttpClientTests.cpp
@@ -2,9 +2,15 @@
 
 #include "RawSocket.h"
 
+#include <fstream>
 #include <string>
 #include <vector>
 
+#ifdef __SANITIZE_ADDRESS__
+extern "C" std::size_t __sanitizer_get_current_allocated_bytes(); // GCC installs no header for it.
+#endif
+#include <unistd.h>
+
 #include <doctest/doctest.h>
 
 using namespace pimentoladder;
@@ -21,6 +27,20 @@
     std::function<bool()> maySend;
 };
 
+// Memory in use. The address sanitizer keeps freed memory resident, so its own count is used.
+std::size_t usedBytes()
+{
+#ifdef __SANITIZE_ADDRESS__
+    return __sanitizer_get_current_allocated_bytes();
+#else
+    std::ifstream statistics("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    statistics >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+#endif
+}
+
 struct client_fixture {
     explicit client_fixture(http_client_limits limits = {})
         : server(loop)
@@ -414,3 +434,67 @@
     CHECK(third.waitFor("order"));
     CHECK(runUntil(test.loop, [&] { return test.client.idleConnectionCount() == 0; }));
 }
+
+// Guards against bytes that are no response and come without end, in a head or in a body.
+TEST_CASE("a server that sends bytes without end is cut off, and the memory stays bounded")
+{
+    struct endless {
+        std::string name;
+        std::string first;
+        std::string repeated;
+    };
+    const std::string noise(4096, 'x');
+    const std::vector<endless> cases {
+        { "a head without a line break", "", noise },
+        { "header lines", "HTTP/1.1 200 OK\r\n", "X-A: " + noise + "\r\n" },
+        { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "a chunk's size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", noise },
+        { "a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: " + noise + "\r\n" },
+        { "a body past its length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", noise },
+        { "a body without length", "HTTP/1.1 200 OK\r\n\r\n", noise },
+    };
+    constexpr std::size_t servers = 10;
+    constexpr std::size_t maxSent = std::size_t { 16 } * 1024 * 1024;
+    for (const endless& each : cases) {
+        CAPTURE(each.name);
+        http_client_limits limits;
+        limits.bodyBytes = std::uint64_t { 1024 } * 1024;
+        client_fixture test(limits);
+        std::vector<observed> seen(servers);
+        std::vector<raw_socket> connections;
+        std::vector<std::size_t> sent(servers);
+        for (observed& attempt : seen) {
+            http_client_request wanted = test.request("POST", "order");
+            wanted.mayReuseConnection = false;
+            test.send(attempt, wanted);
+            connections.push_back(test.server.accept());
+            REQUIRE(connections.back().waitFor("order"));
+            connections.back().sendSome(each.first);
+        }
+        const std::size_t before = usedBytes();
+        std::size_t most = before;
+        const auto hasEnded = [&] { return std::all_of(seen.begin(), seen.end(), [](const observed& attempt) { return !attempt.ends.empty(); }); };
+        const bool isCutOff = runUntil(test.loop, [&] {
+            for (std::size_t i = 0; i < servers; ++i) {
+                if (sent[i] < maxSent)
+                    sent[i] += static_cast<std::size_t>(std::max<ssize_t>(connections[i].sendSome(each.repeated), 0));
+            }
+            most = std::max(most, usedBytes());
+            return hasEnded();
+        });
+        REQUIRE(isCutOff);
+        std::size_t delivered = 0;
+        for (const observed& attempt : seen) {
+            delivered += attempt.body.size();
+            const bool isPastLength = each.name == "a body past its length";
+            CHECK((isPastLength || attempt.ends[0].kind == attempt_end_kind::malformed));
+            CHECK(attempt.ends[0].mayHaveBeenSent);
+        }
+        CHECK(delivered <= servers * limits.bodyBytes);
+        for (raw_socket& connection : connections)
+            CHECK(connection.waitForClose());
+        CHECK(test.client.idleConnectionCount() == 0);
+        // The delivered bodies are kept by this test, in strings that grow by doubling.
+        CHECK(most <= before + delivered * 3 + servers * 1024 * 1024);
+    }
+}
