Build the access index without undefined behaviour while no server is registered

With no server an access row has no words, and the index took the address of the first element of an empty vector. The release build computes the same address and reads nothing; the sanitizer ends the process.

--- a/lib/Config/Access.cpp
+++ b/lib/Config/Access.cpp
@@ -90,7 +90,7 @@
     for (const auto& [id, rule] : m_source->accessRules) {
         const dynamic_bitset reached = servers.matching(rule.servers);
         workspaces.matching(rule.workspaces).forEach([&](std::size_t row) {
-            std::uint64_t* words = &m_accessBits[row * m_wordsPerRow];
+            std::uint64_t* words = m_accessBits.data() + row * m_wordsPerRow;
             for (const std::uint64_t word : reached.words())
                 *words++ |= word;
         });
--- a/unittests/Dispatch/FleetViewTests.cpp
+++ b/unittests/Dispatch/FleetViewTests.cpp
@@ -75,3 +75,14 @@
     CHECK_FALSE(fleet.access().isInService(server_id("p1")));
     CHECK(fleet.access().isInService(server_id("p2")));
 }
+
+// Guards against an index that reads beyond an empty list, which the soak's seed 3 found.
+TEST_CASE("the access index is built while no server is registered")
+{
+    fleet_view fleet({});
+    fleet.applyPlan(makePlan());
+    fleet.putServer(makeServer("p1", "portal"));
+    CHECK(fleet.access().isInService(server_id("p1")));
+    fleet.removeServer(server_id("p1"), time_point(100s));
+    CHECK_FALSE(fleet.access().isInService(server_id("p1")));
+}
