Accept links from peers at the configured address, not the advertised one

A router that follows published rows listened where the other routers reach it.

The new test fails on the previous code.

--- a/include/pimentoladder/Daemon/FleetFollower.h
+++ b/include/pimentoladder/Daemon/FleetFollower.h
@@ -49,6 +49,7 @@
     logger& log;
     metrics& values;
     relay_limits limits;
+    endpoint peerListen; ///< Where this router accepts links; other routers may reach it at another address.
     std::function<void(const serving_plan&)> planApplied; ///< Called with each configuration that comes into force.
 };
 
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -288,7 +288,7 @@
         return;
     if (!m_isListening) {
         m_mesh.setFleetKey(*key);
-        const auto listening = m_mesh.listen(m_self.peerLocation, m_self.peerLocation);
+        const auto listening = m_mesh.listen(m_parts.peerListen, m_self.peerLocation);
         if (!listening) {
             m_parts.log.write(log_level::error, "peer_listen_failed", { { "reason", std::string_view(listening.error().message) } });
             return;
--- a/unittests/PlatformAdapter/RouterTests.cpp
+++ b/unittests/PlatformAdapter/RouterTests.cpp
@@ -184,3 +184,14 @@
     CHECK(fleet.logged("dependency_lost") >= 1);
     CHECK(fleet.logged("dependency_regained") >= 1);
 }
+
+// Guards against routers that never link because each listens where the others reach it, as behind an address translation.
+TEST_CASE("a router listens for its peers at its own address, not at the advertised one")
+{
+    router_fixture fleet;
+    const std::uint16_t listened = fleet.configured.listen.peers.port;
+    fleet.configured.listen.peersAdvertised = { "127.0.0.1", fleet.configured.listen.callers.port };
+    fleet.serve();
+    CHECK(fleet.logged("peer_listen_failed") == 0);
+    CHECK(fleet.call(listened, "GET", "/").end != tools::call_end::notConnected);
+}
