--- a/tools/standins/FaultPlan.cpp
+++ b/tools/standins/FaultPlan.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr std::array<std::pair<std::string_view, fault_kind>, 15> kindNames { {
+    constexpr std::array<std::pair<std::string_view, fault_kind>, 17> kindNames { {
         { "outage", fault_kind::outage },
         { "hang", fault_kind::hang },
         { "refuse", fault_kind::refuse },
@@ -24,6 +24,8 @@
         { "drop_new", fault_kind::dropNew },
         { "drop_history", fault_kind::dropHistory },
         { "reset_all", fault_kind::resetAll },
+        { "request_limit", fault_kind::requestLimit },
+        { "endless", fault_kind::endless },
     } };
 
     constexpr std::size_t probabilitySteps = 1'000'000;
--- a/tools/standins/FaultPlan.h
+++ b/tools/standins/FaultPlan.h
@@ -32,6 +32,8 @@
     dropNew, ///< The relay closes new connections.
     dropHistory, ///< The store discards its change history up to now.
     resetAll, ///< The relay resets every open connection at once.
+    requestLimit, ///< The backend server names a request limit in its responses.
+    endless, ///< A stream sends bytes without end that complete no event.
 };
 
 /// Returns the kind of the given snake-case name, or nothing. Thread-safe.
@@ -46,6 +48,7 @@
     double probability = 1; ///< That the fault applies to a matching request.
     std::uint32_t afterTokens = 0; ///< Tokens that a stream sends before the fault applies.
     bool isAnnounced = true; ///< Whether load reports show a cold engine as cold.
+    double perSecond = 0; ///< For `requestLimit`.
     duration latency {}; ///< For `latency` and `lateEffect`.
     std::optional<time_point> expiresAt;
 };
--- a/tools/standins/Service.cpp
+++ b/tools/standins/Service.cpp
@@ -18,6 +18,7 @@
     parsed.count = order.value("count", 0U);
     parsed.probability = order.value("probability", 1.0);
     parsed.afterTokens = order.value("afterTokens", 0U);
+    parsed.perSecond = order.value("perSecond", 0.0);
     parsed.isAnnounced = order.value("announced", true);
     parsed.latency = milliseconds(order.value("latencyMs", std::int64_t { 0 }));
     if (order.contains("durationMs"))
--- a/tools/standins/platform/BackendService.cpp
+++ b/tools/standins/platform/BackendService.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cstdlib>
 #include <utility>
 
 #include "pimentoladder/Codec/Base64.h"
@@ -20,6 +21,17 @@
     constexpr int statusMisdirected = 421;
     constexpr int statusFull = 503;
     constexpr int statusInvalid = 400;
+    constexpr int crashExitCode = 70;
+    // Bytes of an endless response at a time, and the time between two of them.
+    constexpr std::size_t endlessBytes = 65536;
+    constexpr duration endlessInterval = 1ms;
+
+    // Returns whether a prompt, given as a list of ID:TOKENS, has the part other than last.
+    bool hasSharedPart(const std::string& prompt, const std::string& part)
+    {
+        const std::string shared = "," + prompt.substr(0, prompt.rfind(','));
+        return !part.empty() && prompt.find(',') != std::string::npos && shared.find("," + part + ":") != std::string::npos;
+    }
 
     std::uint32_t parseAfterComma(const std::string& text, std::uint32_t defaultValue)
     {
@@ -167,6 +179,8 @@
         started.truncateAt = after + injected->afterTokens;
     if (const auto injected = m_faults.take(fault_kind::stall, exchange->path(), bootTime()))
         m_model.find(number)->stallAt = injected->afterTokens;
+    started.isCrashing = hasSharedPart(exchange->header("X-Prompt-Prefix"), m_settings.crashPart);
+    started.isEndless = m_faults.take(fault_kind::endless, exchange->path(), bootTime()).has_value();
     recordStart(exchange, executionName(number));
     exchange->setOnDisconnect([this, number] { end(number, "abandoned"); });
     scheduleStep();
@@ -192,6 +206,8 @@
 {
     run& running = m_runs.at(number);
     const exchange_ptr caller = running.caller;
+    if (running.isCrashing)
+        crash(number);
     if (running.resetAt && running.sent >= *running.resetAt) {
         end(number, "reset");
         caller->reset();
@@ -206,7 +222,11 @@
         std::vector<tools::http_header> headers = headersFor(running.attempt);
         headers.push_back({ "Content-Type", "text/event-stream" });
         caller->startStream(200, headers);
+        if (running.isEndless)
+            sendWithoutEnd(number);
     }
+    if (running.isEndless)
+        return;
     ++running.sent;
     caller->sendChunk(eventText(running.attempt, executionName(number), running.sent, running.total));
     if (running.sent < running.total)
@@ -215,6 +235,23 @@
     caller->endStream();
 }
 
+/// Ends the process while a response begins.
+void backend_service::crash(run_number number)
+{
+    m_context.history.write(bootTime(), "server_crashed",
+        { { "server", m_context.name }, { "incarnation", m_startedMs }, { "id", m_runs.at(number).attempt }, { "part", m_settings.crashPart } });
+    std::_Exit(crashExitCode);
+}
+
+void backend_service::sendWithoutEnd(run_number number)
+{
+    const auto found = m_runs.find(number);
+    if (found == m_runs.end() || !found->second.caller->isOpen())
+        return;
+    found->second.caller->sendChunk(std::string(endlessBytes, 'x'));
+    m_context.events.callAfter(endlessInterval, [this, number] { sendWithoutEnd(number); });
+}
+
 void backend_service::end(run_number number, const char* result)
 {
     const auto found = m_runs.find(number);
@@ -240,10 +277,15 @@
     m_context.history.write(bootTime(), "execution_ended", { { "server", m_context.name }, { "execution", execution }, { "result", result } });
 }
 
-std::vector<tools::http_header> backend_service::headersFor(const std::string& attempt) const
+std::vector<tools::http_header> backend_service::headersFor(const std::string& attempt)
 {
     const std::string load = std::to_string(inProgress()) + ",0," + std::to_string(m_settings.slots);
-    return { { attemptHeader, attempt }, { "X-Response-Seal", m_context.name }, { "X-Instance-Load", load } };
+    std::vector<tools::http_header> headers { { attemptHeader, attempt }, { "X-Response-Seal", m_context.name }, { "X-Instance-Load", load } };
+    if (const auto limited = m_faults.take(fault_kind::requestLimit, {}, bootTime())) {
+        m_context.history.write(bootTime(), "limit_named", { { "server", m_context.name }, { "id", attempt }, { "per_second", limited->perSecond } });
+        headers.push_back({ "Server-Limit", std::to_string(limited->perSecond) });
+    }
+    return headers;
 }
 
 std::string backend_service::executionName(run_number number) const
--- a/tools/standins/platform/BackendService.h
+++ b/tools/standins/platform/BackendService.h
@@ -24,6 +24,7 @@
     duration serviceTime = std::chrono::milliseconds(5); ///< Of a unary request.
     tools::numeric_address store; ///< Store to register in; port 0: none.
     duration heartbeat = std::chrono::seconds(1);
+    std::string crashPart; ///< Prompt part, in hexadecimal, that ends the process when a response on it begins; empty: none.
     duration coldStart {}; ///< How long after its start the server reports itself as cold.
 };
 
@@ -44,6 +45,8 @@
         std::optional<std::uint32_t> resetAt;
         std::optional<std::uint32_t> truncateAt;
         bool hasHead = false;
+        bool isCrashing = false; ///< Its prompt has the part that crashes the server.
+        bool isEndless = false; ///< Sends bytes without end instead of events.
     };
     using run_number = stream_number;
 
@@ -56,13 +59,15 @@
     void scheduleStep();
     void step();
     void advance(run_number number);
+    void crash(run_number number);
+    void sendWithoutEnd(run_number number);
     void end(run_number number, const char* result);
     void refuse(const exchange_ptr& exchange, int status, const char* reason);
     void sendHeartbeat();
     void writeRegistration();
     void recordStart(const exchange_ptr& exchange, const std::string& execution);
     void recordEnd(const std::string& execution, const char* result);
-    std::vector<tools::http_header> headersFor(const std::string& attempt) const;
+    std::vector<tools::http_header> headersFor(const std::string& attempt);
     std::string executionName(run_number number) const;
     std::size_t inProgress() const { return m_runs.size() + m_unaryRuns; }
 
--- a/unittests/PlatformAdapter/RouterTests.cpp
+++ b/unittests/PlatformAdapter/RouterTests.cpp
@@ -93,6 +93,21 @@
     }
 }
 
+// Guards against memory that grows with a response that completes no event, and against a caller who waits for it until its deadline.
+TEST_CASE("a stream of bytes that complete no event is cut off and counted against its server")
+{
+    router_fixture fleet;
+    fleet.serve();
+    fleet.injectFault(fleet.backendPorts[0], R"({"kind":"endless","count":1})");
+    const time_point begun = tools::bootTime();
+    const auto streamed = fleet.ask("/stream/a", "key", { { "X-Token-Counts", "10,8" } });
+    CHECK(tools::bootTime() - begun < 2s);
+    CHECK(streamed.body.size() < 1024);
+    const auto isMalformed = [](const nlohmann::json& line) { return line["event"] == "attempt_ended" && line["result"] == "malformed"; };
+    CHECK(std::count_if(fleet.lines.begin(), fleet.lines.end(), isMalformed) == 1);
+    CHECK(fleet.ask("/read/a").status == 200);
+}
+
 // Guards against an at-most-once request that runs twice, and against a response that
 // wrongly says that it did not run.
 TEST_CASE("an at-most-once request whose response is lost is not repeated and not reported as not run")
