Tell common traits from those that crash servers while all servers are down

No request began anywhere, so nothing cleared the parts and requests that most callers send; three losses sufficed to refuse them, and the fleet did not recover.

The popularity of a trait is now estimated from this router's requests in fixed memory. A trait of at least 2 % of them is quarantined only if it is on clearly more lost servers than chance explains (log-likelihood ratio of 6; back below 0 it is released), or if three requests with it should have begun in the fleet since. Losses that a quarantined part explains no longer count against repeated requests either. The delay of a trial grows with each series of losses rather than each loss, so that a trait that was refused wrongly in a burst is tried after 10 s.

The new unit tests cover both sides.

--- a/include/pimentoladder/Outcome/CrashAttribution.h
+++ b/include/pimentoladder/Outcome/CrashAttribution.h
@@ -4,6 +4,8 @@
 
 #pragma once
 
+#include <algorithm>
+#include <array>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -51,13 +53,37 @@
     duration lastLossAge {};
 };
 
+/// Estimates which fraction of the recent requests has a trait, in fixed memory: a
+/// count-min sketch whose counters are halved regularly.
+/// Not thread-safe; call on the loop's thread.
+class trait_popularity {
+public:
+    void record(time_point now, const traits_of_request& request);
+
+    /// Returns the fraction of the recent requests that have the trait, and a small
+    /// default value while few requests are known.
+    double fractionOf(const request_trait& trait) const;
+
+private:
+    static constexpr std::size_t rows = 2;
+    static constexpr std::size_t columns = 4096;
+
+    static std::size_t columnOf(const request_trait& trait, std::size_t row);
+
+    std::array<std::array<std::uint32_t, columns>, rows> m_counters {};
+    std::uint32_t m_requests = 0;
+    time_point m_halvedAt;
+};
+
 /// Attributes server losses to traits, from the evidence of all routers.
 ///
 /// A server that ends takes down every request on it, but a trait that makes servers
 /// crash is among those that had not begun at each loss, and no request with it begins.
 /// A trait is quarantined once `quarantineThreshold` servers have been lost under it
-/// and no request with it has begun since, unless rarer quarantined traits explain the
-/// losses.
+/// and no request with it has begun since, unless rarer quarantined parts explain the
+/// losses. A common trait is on many servers when they are lost for another reason, so it is
+/// quarantined only if it is on clearly more of them than its share of the requests
+/// explains, or if so many other requests have begun since that it should have, too.
 ///
 /// The evidence is a set of losses that only gains entries and flags, so that merging
 /// reports is idempotent and independent of their order. What one router alone reports is
@@ -72,7 +98,11 @@
     static constexpr duration settleTime = std::chrono::milliseconds(600);
     static constexpr duration lifetime = std::chrono::hours(1); ///< Of a loss as evidence.
     static constexpr duration firstTrialDelay = std::chrono::seconds(10); ///< From the last loss to the first trial of a quarantined trait.
-    static constexpr std::uint32_t trialDelayGrowth = 4; ///< Factor for each further loss.
+    static constexpr std::uint32_t trialDelayGrowth = 6; ///< Factor for each further series of losses.
+    static constexpr duration seriesGap = std::chrono::seconds(5); ///< Time between losses of different series.
+    static constexpr double commonFraction = 0.02; ///< Of the requests, from which on a trait counts as common.
+    static constexpr double minExpectedBegins = 3; ///< Begins of a common trait that must be missing.
+    static constexpr double minEvidence = 6; ///< Log-likelihood ratio from which on a common trait is held responsible.
     static constexpr std::size_t maxLosses = 64; ///< The oldest is evicted above this.
     static constexpr std::size_t maxSuspects = 256; ///< For each loss; further ones are ignored.
     static constexpr std::size_t maxTraits = 32; ///< For each request; further parts are ignored.
@@ -95,7 +125,10 @@
     void onServerAlive(time_point now, const server_id& server, time_point openedAt);
 
     /// Counts a caller's request, to tell rare traits from common ones.
-    void onRequest(const traits_of_request& request);
+    void onRequest(time_point now, const traits_of_request& request) { m_popularity.record(now, request); }
+
+    /// Sets the number of routers, which begin as many requests as this one.
+    void setRouterCount(std::size_t routers) { m_routers = std::max<std::size_t>(routers, 1); }
 
     /// Merges the evidence of another router, which may arrive late, repeatedly and in any order.
     void merge(time_point now, const server_losses& received);
@@ -145,6 +178,7 @@
         time_point at;
         bool isRefuted = false;
         std::optional<time_point> aliveAt; ///< First bytes on a connection that is older than the loss.
+        std::uint64_t begunBefore = 0; ///< Requests that had begun at this router when the loss became known.
         bool isChanged = false; ///< Since `takeChanges`.
         std::map<request_trait, suspect> suspects;
     };
@@ -156,6 +190,7 @@
         std::set<vm_id> reporters;
         std::set<fingerprint> requests;
         std::size_t ownLosses = 0;
+        std::uint64_t begunBefore = 0; ///< The lowest of the losses.
         std::uint32_t depth = 0;
     };
     using findings = std::map<request_trait, finding>;
@@ -163,7 +198,7 @@
     /// Evaluated state of a trait.
     struct verdict {
         trait_state state = trait_state::clear;
-        std::size_t losses = 0;
+        std::size_t series = 0; ///< Of losses.
         time_point lastLossAt;
     };
 
@@ -171,13 +206,18 @@
     void removeExpired(time_point now);
     findings collect() const;
     bool isSufficient(const request_trait& trait, const finding& found) const;
+    bool hasMissedBegins(const request_trait& trait, const finding& found) const;
+    bool isResponsible(const request_trait& trait, const finding& found) const;
+    double evidenceAgainst(const request_trait& trait, const finding& found) const;
     std::map<request_trait, verdict> judge(time_point now, const findings& found);
     static trait_change describe(time_point now, const request_trait& trait, trait_state state, const finding& found);
     static server_loss encode(time_point now, const loss_key& key, const loss& held);
 
     vm_id m_self;
     std::map<loss_key, loss> m_losses;
-    std::map<request_trait, std::uint64_t> m_requestCounts; ///< Of suspected traits, since their first loss.
+    trait_popularity m_popularity;
+    std::uint64_t m_begun = 0; ///< Requests that have begun at this router.
+    std::size_t m_routers = 1;
     std::map<request_trait, verdict> m_verdicts; ///< Only traits that are not clear.
     std::optional<time_point> m_nextEvaluation;
     bool m_isDirty = false;
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -166,7 +166,7 @@
     request->deadline = now + allowed;
     request->lastEvent = received.resumeAfter;
     request->traits = traitsOf(received, request->workspace);
-    m_crashes.onRequest(request->traits);
+    m_crashes.onRequest(now, request->traits);
     choosePool(*request);
     m_budget.recordRequest(now, request->pool);
     if (const auto trait = m_crashes.findTrait(request->traits, trait_state::quarantined)) {
@@ -219,12 +219,12 @@
     const auto selectLimited = [&](double tolerance) {
         wanted.limited = limited_servers::only;
         wanted.limitTolerance = std::min(tolerance, std::max(1 - request.shareUtilisation, minLimitTolerance));
-        const auto chosen = m_selector.select(now, wanted);
+        auto chosen = m_selector.select(now, wanted);
         wanted.limited = limited_servers::excluded;
         return chosen;
     };
     if (request.tokens > m_meanTokens) {
-        if (const auto limited = selectLimited(largeLimitTolerance); isUsable(limited))
+        if (auto limited = selectLimited(largeLimitTolerance); isUsable(limited))
             return limited;
     }
     auto best = m_selector.select(now, wanted);
@@ -236,7 +236,7 @@
     }
     if (isUsable(best))
         return best;
-    const auto limited = selectLimited(smallLimitTolerance);
+    auto limited = selectLimited(smallLimitTolerance);
     return isUsable(limited) || !best ? limited : best;
 }
 
@@ -667,6 +667,7 @@
 void dispatcher::setRouters(std::vector<vm_id> routers)
 {
     m_budget.setLimits(retryLimits(m_limits, routers.size()));
+    m_crashes.setRouterCount(routers.size());
     m_selector.setRouters(std::move(routers));
 }
 
--- a/lib/Outcome/CrashAttribution.cpp
+++ b/lib/Outcome/CrashAttribution.cpp
@@ -1,6 +1,7 @@
 #include "pimentoladder/Outcome/CrashAttribution.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <sstream>
 #include <tuple>
@@ -19,8 +20,26 @@
     // A router that was suspended reads all that had arrived before the server ended at
     // once, so bytes must arrive over this time to show that the server is alive.
     constexpr duration minAliveSpan = std::chrono::milliseconds(200);
-    // Above this, the trial delay exceeds the lifetime of the evidence.
-    constexpr std::size_t maxTrialDelaySteps = 5;
+    // Probability that a trait which crashes servers is among the reported suspects of a
+    // loss; other losses, and reports that are missing, make up the rest.
+    constexpr double presenceIfGuilty = 0.9;
+    constexpr double minChance = 0.01;
+    // Interval at which the begins that are missed are counted again.
+    constexpr duration recheckInterval = std::chrono::milliseconds(200);
+    // Interval at which the counters of the popularity are halved.
+    constexpr duration popularityHalfLife = std::chrono::seconds(10);
+    // With fewer requests than this, a trait counts as rare.
+    constexpr std::uint32_t minRequestsForPopularity = 50;
+    constexpr double defaultFraction = 0.01;
+
+    // Returns how many series of losses the ascending times form.
+    std::size_t seriesCount(const std::vector<time_point>& times)
+    {
+        std::size_t count = times.empty() ? 0 : 1;
+        for (std::size_t i = 1; i < times.size(); ++i)
+            count += times[i] - times[i - 1] >= crash_attribution::seriesGap ? 1 : 0;
+        return count;
+    }
 
     // Merges two sets and keeps the lowest entries, which makes the result independent
     // of the order of merges. Returns whether \p into has changed.
@@ -56,6 +75,42 @@
     return text.str();
 }
 
+std::size_t trait_popularity::columnOf(const request_trait& trait, std::size_t row)
+{
+    // Finaliser of the splitmix64 generator, with a different seed for each row.
+    std::uint64_t hash = trait.id + (static_cast<std::uint64_t>(trait.kind) + 2 * row) * 0x9e3779b97f4a7c15;
+    hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9;
+    hash = (hash ^ (hash >> 27)) * 0x94d049bb133111eb;
+    return (hash ^ (hash >> 31)) % columns;
+}
+
+void trait_popularity::record(time_point now, const traits_of_request& request)
+{
+    if (now - m_halvedAt >= popularityHalfLife) {
+        m_halvedAt = now;
+        m_requests /= 2;
+        for (auto& row : m_counters) {
+            for (std::uint32_t& counter : row)
+                counter /= 2;
+        }
+    }
+    ++m_requests;
+    for (const request_trait& trait : request.traits) {
+        for (std::size_t row = 0; row < rows; ++row)
+            ++m_counters[row][columnOf(trait, row)];
+    }
+}
+
+double trait_popularity::fractionOf(const request_trait& trait) const
+{
+    if (m_requests < minRequestsForPopularity)
+        return defaultFraction;
+    std::uint32_t least = m_requests;
+    for (std::size_t row = 0; row < rows; ++row)
+        least = std::min(least, m_counters[row][columnOf(trait, row)]);
+    return static_cast<double>(least) / m_requests;
+}
+
 crash_attribution::loss& crash_attribution::lossFor(time_point at, const loss_key& key)
 {
     const auto [entry, isNew] = m_losses.try_emplace(key);
@@ -65,6 +120,7 @@
         return held;
     }
     held.at = at;
+    held.begunBefore = m_begun;
     held.isChanged = true;
     m_isDirty = true;
     if (m_losses.size() > maxLosses) {
@@ -88,6 +144,7 @@
 
 void crash_attribution::onBegun(time_point, const traits_of_request& request)
 {
+    ++m_begun;
     for (auto& [key, held] : m_losses) {
         for (const request_trait& trait : request.traits) {
             const auto found = held.suspects.find(trait);
@@ -117,16 +174,6 @@
     }
 }
 
-void crash_attribution::onRequest(const traits_of_request& request)
-{
-    if (m_requestCounts.empty())
-        return;
-    for (const request_trait& trait : request.traits) {
-        if (const auto found = m_requestCounts.find(trait); found != m_requestCounts.end())
-            ++found->second;
-    }
-}
-
 void crash_attribution::merge(time_point now, const server_losses& received)
 {
     for (const server_loss& each : received.entries) {
@@ -197,6 +244,7 @@
             sum.times.push_back(held.at);
             sum.reporters.insert(known.reporters.begin(), known.reporters.end());
             sum.requests.insert(known.requests.begin(), known.requests.end());
+            sum.begunBefore = sum.losses.size() == 1 ? held.begunBefore : std::min(sum.begunBefore, held.begunBefore);
             sum.ownLosses += known.reporters.contains(m_self) ? 1 : 0;
             sum.depth = std::max(sum.depth, known.depth);
         }
@@ -214,6 +262,37 @@
     return found.losses.size() >= quarantineThreshold && isConfirmed && isCommon;
 }
 
+bool crash_attribution::hasMissedBegins(const request_trait& trait, const finding& found) const
+{
+    return m_popularity.fractionOf(trait) * static_cast<double>((m_begun - found.begunBefore) * m_routers) >= minExpectedBegins;
+}
+
+/// Returns the logarithm of how much likelier the losses since the first one under the
+/// trait are if it crashes servers than if it was on them by chance.
+double crash_attribution::evidenceAgainst(const request_trait& trait, const finding& found) const
+{
+    const double fraction = m_popularity.fractionOf(trait);
+    double evidence = 0;
+    for (const auto& [key, held] : m_losses) {
+        if (held.isRefuted || held.at < found.times.front())
+            continue;
+        const auto requests = std::count_if(held.suspects.begin(), held.suspects.end(), [](const auto& each) { return each.first.kind == trait_kind::request; });
+        const double byChance = std::clamp(1 - std::pow(1 - fraction, static_cast<double>(requests)), minChance, 1 - minChance);
+        const auto known = held.suspects.find(trait);
+        const bool isPresent = known != held.suspects.end() && !known->second.isCleared;
+        evidence += isPresent ? std::log(presenceIfGuilty / byChance) : std::log((1 - presenceIfGuilty) / (1 - byChance));
+    }
+    return evidence;
+}
+
+/// Returns whether chance does not explain that the trait was on the lost servers. A
+/// quarantined trait stays so until the evidence speaks for it.
+bool crash_attribution::isResponsible(const request_trait& trait, const finding& found) const
+{
+    const double needed = stateOf(trait) == trait_state::quarantined ? 0 : minEvidence;
+    return m_popularity.fractionOf(trait) < commonFraction || evidenceAgainst(trait, found) >= needed || hasMissedBegins(trait, found);
+}
+
 std::map<request_trait, crash_attribution::verdict> crash_attribution::judge(time_point now, const findings& found)
 {
     std::map<request_trait, verdict> verdicts;
@@ -221,31 +300,31 @@
     for (const auto& entry : found) {
         const auto& [trait, sum] = entry;
         if (sum.losses.size() >= suspicionThreshold)
-            verdicts[trait] = { trait_state::suspected, sum.losses.size(), sum.times.back() };
+            verdicts[trait] = { trait_state::suspected, seriesCount(sum.times), sum.times.back() };
         if (!isSufficient(trait, sum))
             continue;
         const time_point settled = sum.times[quarantineThreshold - 1] + settleTime;
-        if (now >= settled)
+        const time_point due = now < settled ? settled : now + recheckInterval;
+        if (now >= settled && isResponsible(trait, sum))
             sufficient.push_back(&entry);
         else
-            m_nextEvaluation = std::min(m_nextEvaluation.value_or(settled), settled);
+            m_nextEvaluation = std::min(m_nextEvaluation.value_or(due), due);
     }
     // A common trait is on every server, so it is among the suspects of every loss. The
-    // rarest trait that explains a loss is held responsible for it.
+    // rarest part that explains a loss is held responsible for it. One request that is
+    // sent repeatedly does not explain the losses of its parts.
     const auto rank = [this](const findings::value_type* entry) {
-        const auto count = m_requestCounts.find(entry->first);
-        return std::tuple(count == m_requestCounts.end() ? 0 : count->second, ~entry->second.depth, entry->first);
+        return std::tuple(entry->first.kind == trait_kind::request, m_popularity.fractionOf(entry->first), ~entry->second.depth, entry->first);
     };
     std::sort(sufficient.begin(), sufficient.end(), [&](const auto* left, const auto* right) { return rank(left) < rank(right); });
     std::set<const loss_key*> explained;
     for (const auto* entry : sufficient) {
         const auto& [trait, sum] = *entry;
         const auto unexplained = std::count_if(sum.losses.begin(), sum.losses.end(), [&](const loss_key* each) { return !explained.contains(each); });
-        const bool isPart = trait.kind == trait_kind::promptPart;
-        if (isPart && static_cast<std::size_t>(unexplained) < quarantineThreshold)
+        if (static_cast<std::size_t>(unexplained) < quarantineThreshold)
             continue;
         verdicts[trait].state = trait_state::quarantined;
-        if (isPart)
+        if (trait.kind == trait_kind::promptPart)
             explained.insert(sum.losses.begin(), sum.losses.end());
     }
     return verdicts;
@@ -261,12 +340,10 @@
     m_nextEvaluation.reset();
     removeExpired(now);
     const findings found = collect();
-    std::erase_if(m_requestCounts, [&](const auto& each) { return !found.contains(each.first); });
-    for (const auto& [trait, sum] : found)
-        m_requestCounts.try_emplace(trait, 0);
     for (const auto& [key, held] : m_losses)
         m_nextEvaluation = std::min(m_nextEvaluation.value_or(held.at + lifetime), held.at + lifetime);
-    const std::map<request_trait, verdict> before = std::exchange(m_verdicts, judge(now, found));
+    std::map<request_trait, verdict> judged = judge(now, found);
+    const std::map<request_trait, verdict> before = std::exchange(m_verdicts, std::move(judged));
     static const finding none;
     for (const auto& [trait, was] : before) {
         if (!m_verdicts.contains(trait))
@@ -315,8 +392,7 @@
     if (found == m_verdicts.end() || found->second.state != trait_state::quarantined)
         return std::nullopt;
     duration delay = firstTrialDelay;
-    const std::size_t steps = std::min(found->second.losses - quarantineThreshold, maxTrialDelaySteps);
-    for (std::size_t i = 0; i < steps; ++i)
+    for (std::size_t i = 1; i < found->second.series && delay < lifetime; ++i)
         delay *= trialDelayGrowth;
     return found->second.lastLossAt + delay;
 }
--- a/unittests/Outcome/CrashAttributionTests.cpp
+++ b/unittests/Outcome/CrashAttributionTests.cpp
@@ -80,8 +80,8 @@
     two_routers routers;
     for (std::uint64_t i = 0; i < 5; ++i) {
         for (crash_attribution* each : { &routers.first, &routers.second }) {
-            each->onRequest(promptOf(10 + i, { common, deadly }));
-            each->onRequest(promptOf(20 + i, { common, request_trait { trait_kind::promptPart, 100 + i } }));
+            each->onRequest(start, promptOf(10 + i, { common, deadly }));
+            each->onRequest(start, promptOf(20 + i, { common, request_trait { trait_kind::promptPart, 100 + i } }));
         }
         routers.first.onLost(start + i * 100ms, server(i), serverStart, promptOf(10 + i, { common, deadly }));
         routers.second.onLost(start + i * 100ms, server(i), serverStart, promptOf(20 + i, { common, request_trait { trait_kind::promptPart, 100 + i } }));
@@ -237,3 +237,70 @@
         CHECK(each.suspects.size() <= crash_attribution::maxSuspects);
     CHECK(router.list(start + 1s).size() <= crash_attribution::maxLosses * crash_attribution::maxSuspects);
 }
+
+// Guards against refusing what most requests have in common when all servers are lost at once, as the soak's seed 3 did.
+TEST_CASE("a common part is not quarantined while no request begins at all")
+{
+    two_routers routers;
+    for (crash_attribution* each : { &routers.first, &routers.second }) {
+        each->setRouterCount(2);
+        for (std::uint64_t i = 0; i < 100; ++i)
+            each->onRequest(start, promptOf(100 + i, { i % 8 == 0 ? sound : request_trait { trait_kind::promptPart, 1000 + i % 8 } }));
+    }
+    for (std::uint64_t i = 0; i < 4; ++i) {
+        (i % 2 == 0 ? routers.first : routers.second).onLost(start, server(i), serverStart, promptOf(10 + i, { sound }));
+        for (std::uint64_t other = 0; other < 6; ++other)
+            routers.first.onLost(start, server(i), serverStart, promptOf(20 + i * 6 + other, { { trait_kind::promptPart, 2000 + i * 6 + other } }));
+    }
+    routers.settle(start + 1s);
+    CHECK(routers.first.stateOf(sound) == trait_state::suspected);
+
+    SUBCASE("a request with the part begins")
+    {
+        routers.second.onBegun(start + 2s, promptOf(50, { sound }));
+        routers.settle(start + 2s);
+        CHECK(routers.first.stateOf(sound) == trait_state::clear);
+    }
+    SUBCASE("many others begin and none with the part")
+    {
+        for (std::uint64_t i = 0; i < 15; ++i)
+            routers.first.onBegun(start + 2s, promptOf(60 + i, { { trait_kind::promptPart, 1001 } }));
+        routers.settle(start + 2s);
+        CHECK(routers.first.stateOf(sound) == trait_state::quarantined);
+    }
+}
+
+// Guards against refusing a request that many callers send because a part of other requests took its servers down.
+TEST_CASE("a common request is not quarantined for losses that a part explains")
+{
+    two_routers routers;
+    const traits_of_request usual = promptOf(7, {});
+    for (std::uint64_t i = 0; i < 4; ++i) {
+        routers.first.onLost(start + i * 100ms, server(i), serverStart, promptOf(10 + i, { deadly }));
+        routers.second.onLost(start + i * 100ms, server(i), serverStart, promptOf(20 + i, { deadly }));
+        routers.first.onLost(start + i * 100ms, server(i), serverStart, usual);
+        routers.second.onLost(start + i * 100ms, server(i), serverStart, usual);
+    }
+    routers.settle(start + 1s);
+    CHECK(routers.first.stateOf(deadly) == trait_state::quarantined);
+    CHECK(routers.first.stateOf(usual.traits.front()) != trait_state::quarantined);
+}
+
+// Guards against a part of many requests that takes down all servers at once, so that no request begins.
+TEST_CASE("a part that is on far more lost servers than its share of the requests explains is quarantined")
+{
+    two_routers routers;
+    for (crash_attribution* each : { &routers.first, &routers.second }) {
+        for (std::uint64_t i = 0; i < 100; ++i)
+            each->onRequest(start, promptOf(100 + i, { i % 12 == 0 ? deadly : request_trait { trait_kind::promptPart, 1000 + i % 8 } }));
+    }
+    for (std::uint64_t i = 0; i < 6; ++i) {
+        routers.first.onLost(start + i * 50ms, server(i), serverStart, promptOf(10 + i, { deadly }));
+        routers.second.onLost(start + i * 50ms, server(i), serverStart, promptOf(20 + i, { { trait_kind::promptPart, 1000 + i % 3 } }));
+        if (i % 2 == 0)
+            routers.second.onLost(start + i * 50ms, server(i), serverStart, promptOf(30 + i, { deadly }));
+    }
+    routers.settle(start + 1s);
+    CHECK(routers.second.stateOf(deadly) == trait_state::quarantined);
+    CHECK(routers.second.stateOf({ trait_kind::promptPart, 1000 }) != trait_state::quarantined);
+}
