Send the evidence on lost servers once to each router, and evaluate it less often

Cause: 91 routers sent each change, with the whole entry of its server, to all linked peers, which sent it on; and each message led to an evaluation of all evidence.

A router now sends what it has observed itself to the readers, and a reader sends what has changed, without the rest of the entry, to the routers that follow it; a new follower gets everything once. The evidence is evaluated at most every 100 ms and bounded to 48 losses of 96 traits; whether a request may be sent again is decided on the evidence itself.

--- a/include/pimentoladder/Daemon/FleetFollower.h
+++ b/include/pimentoladder/Daemon/FleetFollower.h
@@ -99,6 +99,7 @@
     member_registration m_registration;
     usage_aggregator m_usage;
     fleet_limits m_limits;
+    std::set<vm_id> m_informedFollowers; ///< Followers that have been sent all evidence.
     peer_mesh m_mesh;
     loop_timer m_registrationTimer;
     loop_timer m_usageTimer;
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -98,8 +98,8 @@
     /// requests are quarantined by it.
     dispatch_actions onServerLosses(time_point now, const server_losses& received);
 
-    /// Returns the evidence on lost servers that is new since the last call, for the other routers.
-    server_losses takeServerLosses(time_point now) { return m_crashes.takeChanges(now); }
+    /// Returns the evidence on lost servers that has changed since the last call, for the other routers.
+    evidence_changes takeServerLosses(time_point now) { return m_crashes.takeChanges(now); }
 
     /// Evidence on lost servers and the traits of requests that it speaks against.
     const crash_attribution& crashes() const { return m_crashes; }
--- a/include/pimentoladder/Outcome/CrashAttribution.h
+++ b/include/pimentoladder/Outcome/CrashAttribution.h
@@ -53,6 +53,12 @@
     duration lastLossAge {};
 };
 
+/// Changes of the evidence, for other routers.
+struct evidence_changes {
+    server_losses own; ///< Observed by this router.
+    server_losses all; ///< Also what other routers have reported.
+};
+
 /// Estimates which fraction of the recent requests has a trait, in fixed memory: a
 /// count-min sketch whose counters are halved regularly.
 /// Not thread-safe; call on the loop's thread.
@@ -100,11 +106,12 @@
     static constexpr duration firstTrialDelay = std::chrono::seconds(10); ///< From the last loss to the first trial of a quarantined trait.
     static constexpr std::uint32_t trialDelayGrowth = 6; ///< Factor for each further series of losses.
     static constexpr duration seriesGap = std::chrono::seconds(5); ///< Time between losses of different series.
+    static constexpr duration evaluationInterval = std::chrono::milliseconds(100); ///< Between two evaluations.
     static constexpr double commonFraction = 0.02; ///< Of the requests, from which on a trait counts as common.
     static constexpr double minExpectedBegins = 3; ///< Begins of a common trait that must be missing.
     static constexpr double minEvidence = 6; ///< Log-likelihood ratio from which on a common trait is held responsible.
-    static constexpr std::size_t maxLosses = 64; ///< The oldest is evicted above this.
-    static constexpr std::size_t maxSuspects = 256; ///< For each loss; further ones are ignored.
+    static constexpr std::size_t maxLosses = 48; ///< The oldest is evicted above this.
+    static constexpr std::size_t maxSuspects = 96; ///< For each loss; further ones are ignored.
     static constexpr std::size_t maxTraits = 32; ///< For each request; further parts are ignored.
 
     /// \p self: this router, as it appears among the reporters.
@@ -133,18 +140,22 @@
     /// Merges the evidence of another router, which may arrive late, repeatedly and in any order.
     void merge(time_point now, const server_losses& received);
 
-    /// Returns the evidence that is new or has changed since the last call, for the other routers.
-    server_losses takeChanges(time_point now);
+    /// Returns the evidence that has changed since the last call.
+    evidence_changes takeChanges(time_point now);
 
     /// Returns all evidence, for a router that may have none.
     server_losses evidence(time_point now) const;
 
-    /// Evaluates the evidence if it has changed or a trait is due, and returns the traits
-    /// whose state has changed.
+    /// Evaluates the evidence if it has changed or a trait is due, at most once in
+    /// `evaluationInterval`, and returns the traits whose state has changed.
     std::vector<trait_change> evaluate(time_point now);
 
     /// Returns when `evaluate` is due, or nothing if only new evidence makes it due.
-    std::optional<time_point> nextEvaluation() const { return m_isDirty ? std::optional(time_point()) : m_nextEvaluation; }
+    std::optional<time_point> nextEvaluation() const { return m_isDirty ? std::optional(m_evaluatedAt + evaluationInterval) : m_nextEvaluation; }
+
+    /// Returns whether `suspicionThreshold` servers have been lost under a trait of the
+    /// request, as of now rather than of the last evaluation.
+    bool isSuspected(const traits_of_request& request) const;
 
     trait_state stateOf(const request_trait& trait) const;
 
@@ -172,6 +183,8 @@
         bool isCleared = false;
         std::set<vm_id> reporters; ///< The lowest `maxReporters`.
         std::set<fingerprint> requests; ///< The lowest `maxRequests`.
+        bool isOwnChange = false; ///< Changed here since `takeChanges`.
+        bool isMergedChange = false; ///< Changed by another router's report since `takeChanges`.
     };
 
     struct loss {
@@ -179,7 +192,8 @@
         bool isRefuted = false;
         std::optional<time_point> aliveAt; ///< First bytes on a connection that is older than the loss.
         std::uint64_t begunBefore = 0; ///< Requests that had begun at this router when the loss became known.
-        bool isChanged = false; ///< Since `takeChanges`.
+        bool isOwnChange = false; ///< Refuted here since `takeChanges`.
+        bool isMergedChange = false; ///< Refuted by another router's report since `takeChanges`.
         std::map<request_trait, suspect> suspects;
     };
 
@@ -211,7 +225,15 @@
     double evidenceAgainst(const request_trait& trait, const finding& found) const;
     std::map<request_trait, verdict> judge(time_point now, const findings& found);
     static trait_change describe(time_point now, const request_trait& trait, trait_state state, const finding& found);
-    static server_loss encode(time_point now, const loss_key& key, const loss& held);
+    /// Which part of the evidence is encoded.
+    enum class scope {
+        everything,
+        ownChanges,
+        allChanges,
+    };
+
+    void addSuspects(time_point now, const server_loss& reported, bool isOwn);
+    server_losses encode(time_point now, scope wanted) const;
 
     vm_id m_self;
     std::map<loss_key, loss> m_losses;
@@ -220,6 +242,7 @@
     std::size_t m_routers = 1;
     std::map<request_trait, verdict> m_verdicts; ///< Only traits that are not clear.
     std::optional<time_point> m_nextEvaluation;
+    time_point m_evaluatedAt;
     bool m_isDirty = false;
 };
 
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -14,7 +14,7 @@
     constexpr duration usageInterval = 300ms;
     // Interval at which changed evidence on lost servers is sent. A server takes down the
     // requests of many routers at once, so that their reports arrive together.
-    constexpr duration evidenceInterval = 100ms;
+    constexpr duration evidenceInterval = 150ms;
     // Losses in one message, which keeps it below the maximum size of a frame.
     constexpr std::size_t maxLossesPerMessage = 8;
 
@@ -85,7 +85,11 @@
     owner.locate = [](const vm_id&) { return std::nullopt; };
     owner.opened = [this](const member_ref& peer, const endpoint&) {
         m_relay.onLinkOpened(peer.vm);
-        sendLosses({ peer.vm }, m_parts.dispatch.core().crashes().evidence(m_driver.loop().now()));
+        // A router that has restarted knows nothing, and if it is a reader, its followers ask it.
+        const auto& readers = m_relay.readers();
+        const bool isReader = std::any_of(readers.begin(), readers.end(), [&](const fleet_router& each) { return each.vm == peer.vm; });
+        if (isReader)
+            sendLosses({ peer.vm }, m_parts.dispatch.core().crashes().evidence(m_driver.loop().now()));
         m_driver.post([](row_relay& relay, time_point now) { return relay.onTick(now); });
     };
     owner.closed = [this](const vm_id& peer) {
@@ -149,12 +153,26 @@
     }
 }
 
+/// Sends this router's own evidence to the readers, and as a reader all evidence to the
+/// routers that follow this one, so that each router receives a change once.
 void fleet_follower::sendEvidence()
 {
     m_evidenceTimer.arm(evidenceInterval);
-    server_losses changed = m_parts.dispatch.core().takeServerLosses(m_driver.loop().now());
-    if (!changed.entries.empty())
-        sendLosses(m_mesh.openPeers(), changed);
+    const time_point now = m_driver.loop().now();
+    const evidence_changes changed = m_parts.dispatch.core().takeServerLosses(now);
+    std::set<vm_id> readers;
+    for (const fleet_router& each : m_relay.readers())
+        readers.insert(each.vm);
+    std::set<vm_id> informed;
+    for (const vm_id& peer : m_mesh.openPeers()) {
+        const bool isFollower = m_relay.isFollowedBy(peer);
+        if (readers.contains(peer) || !isFollower)
+            continue;
+        informed.insert(peer);
+        sendLosses({ peer }, m_informedFollowers.contains(peer) ? changed.all : m_parts.dispatch.core().crashes().evidence(now));
+    }
+    m_informedFollowers = std::move(informed);
+    sendLosses(readers, changed.own);
 }
 
 void fleet_follower::sendLosses(const std::set<vm_id>& peers, const server_losses& losses)
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -508,9 +508,8 @@
     const bool isAllowed = request->hasHead ? request->isResumable() : hasNotRun || request->isRepeatable();
     const bool isCurrent = !request->hasKey || m_fleet.mayUseKeys(now);
     // Sending a suspected request again is likely to cost another server.
-    const auto suspected = m_crashes.findTrait(request->traits, mayHaveRun ? trait_state::suspected : trait_state::quarantined);
-    const bool isDangerous = suspected && (mayHaveRun || !request->isTrial);
     const auto quarantined = m_crashes.findTrait(request->traits, trait_state::quarantined);
+    const bool isDangerous = mayHaveRun ? m_crashes.isSuspected(request->traits) : quarantined && !request->isTrial;
     if (quarantined)
         request->quarantinedBy = quarantined;
     // An attempt whose first byte this router withheld does not use the retry budget.
--- a/lib/Outcome/CrashAttribution.cpp
+++ b/lib/Outcome/CrashAttribution.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <sstream>
 #include <tuple>
+#include <unordered_map>
 
 namespace pimentoladder {
 
@@ -121,7 +122,6 @@
     }
     held.at = at;
     held.begunBefore = m_begun;
-    held.isChanged = true;
     m_isDirty = true;
     if (m_losses.size() > maxLosses) {
         auto oldest = m_losses.end();
@@ -139,7 +139,7 @@
     server_loss own { server, start, {}, false, {} };
     for (std::size_t i = 0; i < std::min(request.traits.size(), maxTraits); ++i)
         own.suspects.push_back({ request.traits[i], static_cast<std::uint32_t>(i), false, { m_self }, { request.request } });
-    merge(now, { { std::move(own) } });
+    addSuspects(now, own, true);
 }
 
 void crash_attribution::onBegun(time_point, const traits_of_request& request)
@@ -150,7 +150,7 @@
             const auto found = held.suspects.find(trait);
             if (found == held.suspects.end() || std::exchange(found->second.isCleared, true))
                 continue;
-            held.isChanged = true;
+            found->second.isOwnChange = true;
             m_isDirty = true;
         }
     }
@@ -169,7 +169,7 @@
         if (now - *held.aliveAt < minAliveSpan)
             continue;
         held.isRefuted = true;
-        held.isChanged = true;
+        held.isOwnChange = true;
         m_isDirty = true;
     }
 }
@@ -177,52 +177,70 @@
 void crash_attribution::merge(time_point now, const server_losses& received)
 {
     for (const server_loss& each : received.entries) {
-        if (each.age >= lifetime)
+        if (each.age < lifetime)
+            addSuspects(now, each, false);
+    }
+}
+
+void crash_attribution::addSuspects(time_point now, const server_loss& reported, bool isOwn)
+{
+    loss& held = lossFor(now - reported.age, { reported.server, reported.serverStart });
+    if (reported.isRefuted && !std::exchange(held.isRefuted, true)) {
+        held.isMergedChange = true;
+        m_isDirty = true;
+    }
+    for (const crash_suspect& entry : reported.suspects) {
+        const bool isKnown = held.suspects.contains(entry.trait);
+        if (!isKnown && held.suspects.size() >= maxSuspects)
             continue;
-        loss& held = lossFor(now - each.age, { each.server, each.serverStart });
-        bool isChanged = each.isRefuted && !std::exchange(held.isRefuted, true);
-        for (const crash_suspect& entry : each.suspects) {
-            const bool isKnown = held.suspects.contains(entry.trait);
-            if (!isKnown && held.suspects.size() >= maxSuspects)
-                continue;
-            suspect& known = held.suspects[entry.trait];
-            isChanged = isChanged || !isKnown;
-            known.depth = std::max(known.depth, entry.depth);
-            isChanged = (entry.isCleared && !std::exchange(known.isCleared, true)) || isChanged;
-            isChanged = mergeLowest(known.reporters, entry.reporters, maxReporters) || isChanged;
-            isChanged = mergeLowest(known.requests, entry.requests, maxRequests) || isChanged;
-        }
-        held.isChanged = held.isChanged || isChanged;
+        suspect& known = held.suspects[entry.trait];
+        bool isChanged = !isKnown;
+        known.depth = std::max(known.depth, entry.depth);
+        isChanged = (entry.isCleared && !std::exchange(known.isCleared, true)) || isChanged;
+        isChanged = mergeLowest(known.reporters, entry.reporters, maxReporters) || isChanged;
+        isChanged = mergeLowest(known.requests, entry.requests, maxRequests) || isChanged;
+        (isOwn ? known.isOwnChange : known.isMergedChange) |= isChanged;
         m_isDirty = m_isDirty || isChanged;
     }
 }
 
-server_loss crash_attribution::encode(time_point now, const loss_key& key, const loss& held)
+server_losses crash_attribution::encode(time_point now, scope wanted) const
 {
-    server_loss made { key.server, key.start, std::max(now - held.at, duration::zero()), held.isRefuted, {} };
-    for (const auto& [trait, known] : held.suspects) {
-        made.suspects.push_back({ trait, known.depth, known.isCleared, { known.reporters.begin(), known.reporters.end() },
-            { known.requests.begin(), known.requests.end() } });
+    const auto isWanted = [wanted](const auto& held) {
+        return wanted == scope::everything || held.isOwnChange || (wanted == scope::allChanges && held.isMergedChange);
+    };
+    server_losses encoded;
+    for (const auto& [key, held] : m_losses) {
+        server_loss made { key.server, key.start, std::max(now - held.at, duration::zero()), held.isRefuted, {} };
+        for (const auto& [trait, known] : held.suspects) {
+            if (!isWanted(known))
+                continue;
+            made.suspects.push_back({ trait, known.depth, known.isCleared, { known.reporters.begin(), known.reporters.end() },
+                { known.requests.begin(), known.requests.end() } });
+        }
+        if (!made.suspects.empty() || isWanted(held))
+            encoded.entries.push_back(std::move(made));
     }
-    return made;
+    return encoded;
 }
 
-server_losses crash_attribution::takeChanges(time_point now)
+evidence_changes crash_attribution::takeChanges(time_point now)
 {
-    server_losses taken;
+    evidence_changes taken { encode(now, scope::ownChanges), encode(now, scope::allChanges) };
     for (auto& [key, held] : m_losses) {
-        if (std::exchange(held.isChanged, false))
-            taken.entries.push_back(encode(now, key, held));
+        held.isOwnChange = false;
+        held.isMergedChange = false;
+        for (auto& [trait, known] : held.suspects) {
+            known.isOwnChange = false;
+            known.isMergedChange = false;
+        }
     }
     return taken;
 }
 
 server_losses crash_attribution::evidence(time_point now) const
 {
-    server_losses all;
-    for (const auto& [key, held] : m_losses)
-        all.entries.push_back(encode(now, key, held));
-    return all;
+    return encode(now, scope::everything);
 }
 
 void crash_attribution::removeExpired(time_point now)
@@ -232,23 +250,30 @@
 
 crash_attribution::findings crash_attribution::collect() const
 {
-    findings found;
-    for (const auto& [key, held] : m_losses) {
-        if (held.isRefuted)
-            continue;
-        for (const auto& [trait, known] : held.suspects) {
-            if (known.isCleared)
-                continue;
-            finding& sum = found[trait];
-            sum.losses.push_back(&key);
-            sum.times.push_back(held.at);
-            sum.reporters.insert(known.reporters.begin(), known.reporters.end());
-            sum.requests.insert(known.requests.begin(), known.requests.end());
-            sum.begunBefore = sum.losses.size() == 1 ? held.begunBefore : std::min(sum.begunBefore, held.begunBefore);
-            sum.ownLosses += known.reporters.contains(m_self) ? 1 : 0;
-            sum.depth = std::max(sum.depth, known.depth);
+    // Most traits are on one loss only, so that they are left out first.
+    std::unordered_map<std::uint64_t, std::size_t> counts;
+    const auto forEachUncleared = [this](auto use) {
+        for (const auto& [key, held] : m_losses) {
+            for (const auto& [trait, known] : held.suspects) {
+                if (!held.isRefuted && !known.isCleared)
+                    use(key, held, trait, known);
+            }
         }
-    }
+    };
+    forEachUncleared([&](const loss_key&, const loss&, const request_trait& trait, const suspect&) { ++counts[trait.id]; });
+    findings found;
+    forEachUncleared([&](const loss_key& key, const loss& held, const request_trait& trait, const suspect& known) {
+        if (counts[trait.id] < suspicionThreshold)
+            return;
+        finding& sum = found[trait];
+        sum.losses.push_back(&key);
+        sum.times.push_back(held.at);
+        sum.reporters.insert(known.reporters.begin(), known.reporters.end());
+        sum.requests.insert(known.requests.begin(), known.requests.end());
+        sum.begunBefore = sum.losses.size() == 1 ? held.begunBefore : std::min(sum.begunBefore, held.begunBefore);
+        sum.ownLosses += known.reporters.contains(m_self) ? 1 : 0;
+        sum.depth = std::max(sum.depth, known.depth);
+    });
     for (auto& [trait, sum] : found)
         std::sort(sum.times.begin(), sum.times.end());
     return found;
@@ -334,8 +359,10 @@
 {
     std::vector<trait_change> changes;
     const bool isDue = m_nextEvaluation && now >= *m_nextEvaluation;
-    if (!m_isDirty && !isDue)
+    const bool isDirtyDue = m_isDirty && now - m_evaluatedAt >= evaluationInterval;
+    if (!isDirtyDue && !isDue)
         return changes;
+    m_evaluatedAt = now;
     m_isDirty = false;
     m_nextEvaluation.reset();
     removeExpired(now);
@@ -369,6 +396,18 @@
     return made;
 }
 
+bool crash_attribution::isSuspected(const traits_of_request& request) const
+{
+    const auto lossesUnder = [this](const request_trait& trait) {
+        return std::count_if(m_losses.begin(), m_losses.end(), [&](const auto& each) {
+            const auto known = each.second.suspects.find(trait);
+            return !each.second.isRefuted && known != each.second.suspects.end() && !known->second.isCleared;
+        });
+    };
+    return std::any_of(request.traits.begin(), request.traits.end(),
+        [&](const request_trait& trait) { return static_cast<std::size_t>(lossesUnder(trait)) >= suspicionThreshold; });
+}
+
 trait_state crash_attribution::stateOf(const request_trait& trait) const
 {
     const auto found = m_verdicts.find(trait);
--- a/unittests/Outcome/CrashAttributionTests.cpp
+++ b/unittests/Outcome/CrashAttributionTests.cpp
@@ -198,7 +198,7 @@
                 at.onBegun(now, request);
             else
                 at.onLost(now, server(random() % 6), serverStart, request);
-            sent.push_back(at.takeChanges(now));
+            sent.push_back(at.takeChanges(now).all);
             if (random() % 2 == 0)
                 routers[random() % routers.size()].merge(now, sent[random() % sent.size()]);
         }
