Keep a quarantined part refused while another part explains its losses

A sound part that had been on five of eight lost servers by chance was refused first, since it was slightly rarer, and explained the losses of the crashing one, which was sent again until it had more evidence; the two took turns.

Parts are now judged by their evidence rather than their rarity, and a part that is quarantined stays so until a request with it begins or the evidence falls below zero.

--- a/include/pimentoladder/Outcome/CrashAttribution.h
+++ b/include/pimentoladder/Outcome/CrashAttribution.h
@@ -53,8 +53,8 @@
 /// A server that ends takes down every request on it, but a trait that makes servers
 /// crash is among those that had not begun at each loss, and no request with it begins.
 /// A trait is quarantined once `quarantineThreshold` servers have been lost under it
-/// and no request with it has begun since, unless rarer quarantined parts explain the
-/// losses. A common trait is on many servers when they are lost for another reason, so it is
+/// and no request with it has begun since, unless quarantined parts with more evidence
+/// against them explain the losses. A common trait is on many servers when they are lost for another reason, so it is
 /// quarantined only if it is on clearly more of them than its share of the requests
 /// explains, or if so many other requests have begun since that it should have, too.
 ///
--- a/lib/Outcome/CrashAttribution.cpp
+++ b/lib/Outcome/CrashAttribution.cpp
@@ -286,17 +286,23 @@
             m_nextEvaluation = std::min(m_nextEvaluation.value_or(due), due);
     }
     // A common trait is on every server, so it is among the suspects of every loss. The
-    // rarest part that explains a loss is held responsible for it. One request that is
-    // sent repeatedly does not explain the losses of its parts.
-    const auto rank = [this](const findings::value_type* entry) {
-        return std::tuple(entry->first.kind == trait_kind::request, m_popularity.fractionOf(entry->first), ~entry->second.depth, entry->first);
+    // part with most evidence is held responsible for the losses under it, of two that
+    // always come together the more specific one. One request that is sent repeatedly
+    // does not explain the losses of its parts. Traits that are quarantined already come
+    // first: if two took turns, each would be sent half of the time.
+    std::map<request_trait, double> evidence;
+    for (const auto* entry : sufficient)
+        evidence[entry->first] = evidenceAgainst(entry->first, entry->second);
+    const auto rank = [&](const findings::value_type* entry) {
+        return std::tuple(stateOf(entry->first) != trait_state::quarantined, entry->first.kind == trait_kind::request, -evidence.at(entry->first), ~entry->second.depth, entry->first);
     };
     std::sort(sufficient.begin(), sufficient.end(), [&](const auto* left, const auto* right) { return rank(left) < rank(right); });
     std::set<const loss_key*> explained;
     for (const auto* entry : sufficient) {
         const auto& [trait, sum] = *entry;
         const auto unexplained = std::count_if(sum.losses.begin(), sum.losses.end(), [&](const loss_key* each) { return !explained.contains(each); });
-        if (static_cast<std::size_t>(unexplained) < quarantineThreshold)
+        const bool isQuarantined = stateOf(trait) == trait_state::quarantined;
+        if (!isQuarantined && static_cast<std::size_t>(unexplained) < quarantineThreshold)
             continue;
         verdicts[trait].state = trait_state::quarantined;
         if (trait.kind == trait_kind::promptPart)
--- a/unittests/Outcome/CrashAttributionTests.cpp
+++ b/unittests/Outcome/CrashAttributionTests.cpp
@@ -304,3 +304,27 @@
     CHECK(routers.second.stateOf(deadly) == trait_state::quarantined);
     CHECK(routers.second.stateOf({ trait_kind::promptPart, 1000 }) != trait_state::quarantined);
 }
+
+// Guards against a sound part that hides the crashing one, so that the two take turns, as in the soak's seed 1 of three servers.
+TEST_CASE("a quarantined part is not released because another one explains its losses")
+{
+    two_routers routers;
+    const request_trait other { trait_kind::promptPart, 9 };
+    const auto lose = [&](std::uint64_t number, time_point at, const std::vector<request_trait>& parts) {
+        for (const request_trait& part : parts) {
+            routers.first.onLost(at, server(number), serverStart, promptOf(100 + number * 10 + part.id, { part }));
+            routers.second.onLost(at, server(number), serverStart, promptOf(500 + number * 10 + part.id, { part }));
+        }
+    };
+    for (std::uint64_t i = 0; i < 3; ++i)
+        lose(i, start + i * 50ms, { other });
+    routers.settle(start + 1s);
+    REQUIRE(routers.first.stateOf(other) == trait_state::quarantined);
+    for (std::uint64_t i = 0; i < 6; ++i)
+        lose(10 + i, start + 2s + i * 50ms, { deadly });
+    for (std::uint64_t i = 0; i < 3; ++i)
+        lose(i, start + i * 50ms, { deadly });
+    routers.settle(start + 4s);
+    CHECK(routers.first.stateOf(deadly) == trait_state::quarantined);
+    CHECK(routers.first.stateOf(other) == trait_state::quarantined);
+}
