Send requests with a common part again after two servers were lost

Cause: a request was not sent again once two servers had been lost under one of its traits. Of 64 servers that fail now and then, two are always lost under what most requests share, which says nothing.

Only a rare trait counts now, or a quarantined one. The new test fails on the previous code.

--- a/include/pimentoladder/Outcome/CrashAttribution.h
+++ b/include/pimentoladder/Outcome/CrashAttribution.h
@@ -120,8 +120,9 @@
     /// Returns when `evaluate` is due, or nothing if only new evidence makes it due.
     std::optional<time_point> nextEvaluation() const { return m_isDirty ? std::optional(m_evaluatedAt + evaluationInterval) : m_nextEvaluation; }
 
-    /// Returns whether `suspicionThreshold` servers have been lost under a trait of the
-    /// request, as of now rather than of the last evaluation.
+    /// Returns whether sending the request again is likely to cost another server: a trait
+    /// of it is quarantined, or it is rare and `suspicionThreshold` servers have been lost
+    /// under it, as of now rather than of the last evaluation.
     bool isSuspected(const traits_of_request& request) const;
 
     trait_state stateOf(const request_trait& trait) const;
--- a/lib/Outcome/CrashAttribution.cpp
+++ b/lib/Outcome/CrashAttribution.cpp
@@ -360,8 +360,10 @@
             return !each.second.isRefuted && known != each.second.suspects.end() && !known->second.isCleared;
         });
     };
-    return std::any_of(request.traits.begin(), request.traits.end(),
-        [&](const request_trait& trait) { return static_cast<std::size_t>(lossesUnder(trait)) >= suspicionThreshold; });
+    return std::any_of(request.traits.begin(), request.traits.end(), [&](const request_trait& trait) {
+        const bool isRare = m_popularity.fractionOf(trait) < commonFraction;
+        return stateOf(trait) == trait_state::quarantined || (isRare && static_cast<std::size_t>(lossesUnder(trait)) >= suspicionThreshold);
+    });
 }
 
 trait_state crash_attribution::stateOf(const request_trait& trait) const
--- a/unittests/Outcome/CrashAttributionTests.cpp
+++ b/unittests/Outcome/CrashAttributionTests.cpp
@@ -328,3 +328,17 @@
     CHECK(routers.first.stateOf(deadly) == trait_state::quarantined);
     CHECK(routers.first.stateOf(other) == trait_state::quarantined);
 }
+
+// Guards against giving up requests that could be sent again because two servers were lost under what most requests share.
+TEST_CASE("requests with a common part are sent again after two servers were lost")
+{
+    crash_attribution router { vm_id("a") };
+    for (std::uint64_t i = 0; i < 100; ++i)
+        router.onRequest(start, promptOf(100 + i, { common, request_trait { trait_kind::promptPart, 1000 + i } }));
+    for (std::uint64_t i = 0; i < 2; ++i)
+        router.onLost(start, server(i), serverStart, promptOf(10 + i, { common }));
+    CHECK_FALSE(router.isSuspected(promptOf(20, { common })));
+    for (std::uint64_t i = 0; i < 2; ++i)
+        router.onLost(start, server(i), serverStart, promptOf(30 + i, { deadly }));
+    CHECK(router.isSuspected(promptOf(21, { deadly })));
+}
