Log closed callers' connections, stalls of the loop and requests cut by a shutdown

A user reported requests that ended without an answer (LOST). The logs could not tell the hypotheses apart: an idle or drained connection that is closed under a request, a request that the end of a shutdown cuts, and a loop that is late because of its own work or because the VM has no processor. A connection that the server closed before the request had reached the dispatcher left no line at all, and the end of a shutdown logged only a number.

The HTTP server now reports each connection that it closes, with the reason and whether input had arrived (metric caller_connections_closed_total; a line if the caller loses something). The dispatcher ends the requests that a shutdown cuts itself, so that each has its attempt_ended and request_ended lines. loop_stalled gives the lag and the processor time that the process used in it.

Tests: "a connection that the server closes is reported with its reason", "requests that are in progress at the end of a shutdown are reported as broken by it".

--- a/include/pimentoladder/Daemon/DispatchFront.h
+++ b/include/pimentoladder/Daemon/DispatchFront.h
@@ -40,9 +40,6 @@
     void perform(const abort_response& broken);
     void perform(const refuse_inbound& refused);
 
-    /// Aborts every request in progress and returns how many there were.
-    std::size_t abortAll();
-
     std::size_t inProgress() const { return m_exchanges.size(); }
 
 private:
--- a/include/pimentoladder/Daemon/DispatchReport.h
+++ b/include/pimentoladder/Daemon/DispatchReport.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "pimentoladder/Daemon/CoreDriver.h"
+#include "pimentoladder/Net/HttpServer.h"
 #include "pimentoladder/Telemetry/LineAllowance.h"
 #include "pimentoladder/Telemetry/Log.h"
 #include "pimentoladder/Telemetry/Metrics.h"
@@ -14,6 +15,10 @@
 /// metrics count every request. Not thread-safe; call on the loop's thread.
 class dispatch_report {
 public:
+    /// Lag from which on the loop counts as stalled. Callers may be held this long after a
+    /// request before it counts as lost.
+    static constexpr duration stallThreshold = std::chrono::milliseconds(200);
+
     /// The references outlive the report.
     dispatch_report(dispatch_driver& driver, logger& log, metrics& values);
 
@@ -24,6 +29,14 @@
     void perform(const quarantine_trial& tried);
     void perform(const limit_change& changed);
 
+    /// Counts a caller's connection that the server closes. Writes a line if the caller loses
+    /// a request or part of a response by it.
+    void recordClose(const server_close& closing);
+
+    /// Writes a line if the loop handled an event \p lag late by `stallThreshold` or more.
+    /// \p processorTime: used by this process in the time up to that event.
+    void recordLag(duration lag, duration processorTime);
+
     /// Returns the suspected and quarantined traits with their evidence, as JSON.
     std::string quarantineText() const;
 
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -112,6 +112,10 @@
     /// Starts to drain: refuses new requests from now on.
     void drain() { m_isDraining = true; }
 
+    /// Ends all requests in progress at the end of a shutdown. Their callers see that the
+    /// response is incomplete.
+    dispatch_actions abortAll(time_point now);
+
     dispatch_actions onTick(time_point now);
     /// Returns when `onTick` is due, at the latest one interval from \p now.
     time_point nextDeadline(time_point now) const;
--- a/include/pimentoladder/Net/EventLoop.h
+++ b/include/pimentoladder/Net/EventLoop.h
@@ -27,6 +27,9 @@
     /// Returns the current time. The clock also advances while the VM is suspended.
     time_point now() const;
 
+    /// Returns the processor time that this process has used.
+    duration processorTime() const;
+
     /// Dispatches events until `stop` is called.
     void run();
 
--- a/include/pimentoladder/Net/HttpServer.h
+++ b/include/pimentoladder/Net/HttpServer.h
@@ -30,6 +30,26 @@
     duration lingerTimeout = std::chrono::seconds(1); ///< How long to keep reading after a refusal, so that a reset does not destroy it.
 };
 
+/// Why the server closed a caller's connection.
+enum class server_close_reason {
+    idleTimeout,
+    writeTimeout,
+    lingerTimeout,
+    drain,
+    connectionLimit,
+    abortedResponse,
+};
+
+/// Returns the name of \p reason. Thread-safe.
+std::string_view serverCloseReasonName(server_close_reason reason);
+
+/// A caller's connection that the server is about to close.
+struct server_close {
+    server_close_reason reason {};
+    bool hasUnreadInput = false; ///< Input has arrived that has not been handled.
+    std::size_t unsentBytes = 0; ///< Output that has not been written to the socket.
+};
+
 /// The response to one request. Releasing the last reference to a response that
 /// has not ended aborts it. After the caller has disconnected, no call has any effect.
 /// Not thread-safe; call on the loop's thread.
@@ -101,6 +121,10 @@
     /// Sets whether connections stay open after a response.
     void setKeepAlive(bool isKept);
 
+    /// Sets a function that is called before the server closes a connection. Connections
+    /// that callers close, and those that close after their response, are not reported.
+    void setCloseObserver(std::function<void(const server_close&)> observer);
+
     /// Stops accepting connections and closes idle ones. The others are closed
     /// after their request in progress, which runs to completion.
     void drain();
--- a/lib/Daemon/DispatchFront.cpp
+++ b/lib/Daemon/DispatchFront.cpp
@@ -248,15 +248,4 @@
     m_exchanges.erase(number);
 }
 
-std::size_t dispatch_front::abortAll()
-{
-    const std::unordered_map<request_number, exchange_ref> aborted = std::exchange(m_exchanges, {});
-    for (const auto& [number, target] : aborted) {
-        target->answer->abort();
-        if (target->attempt)
-            target->attempt->cancel();
-    }
-    return aborted.size();
-}
-
 }
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -124,6 +124,7 @@
     overload_guard guard;
     loop_timer lagTimer;
     time_point lagDue; ///< When the lag timer should fire.
+    duration processorTimeBefore {}; ///< Processor time used when the lag timer last fired.
     loop_timer graceTimer;
     loop_timer deadlineTimer;
     loop_timer checkTimer;
@@ -148,6 +149,7 @@
     , checkTimer(loop, [this] { endIfIdle(); })
 {
     driver.setHandler(*this);
+    callerServer.setCloseObserver([this](const server_close& closing) { report.recordClose(closing); });
 }
 
 void dispatch_process::parts::handle(const dispatch_action& action)
@@ -205,8 +207,12 @@
 {
     const time_point now = loop.now();
     const bool wasOverloaded = guard.isOverloaded();
-    if (lagDue != time_point())
+    const duration processorTime = loop.processorTime();
+    if (lagDue != time_point()) {
         guard.onLag(now, now - lagDue);
+        report.recordLag(now - lagDue, processorTime - processorTimeBefore);
+    }
+    processorTimeBefore = processorTime;
     if (guard.isOverloaded() != wasOverloaded) {
         values.count("pimentoladder_overload_changes_total", { { "state", wasOverloaded ? "left" : "entered" } });
         log.write(log_level::warning, wasOverloaded ? "overload_left" : "overload_entered", { { "requests", std::uint64_t { front.inProgress() } } });
@@ -236,7 +242,8 @@
 
 void dispatch_process::parts::end(std::string_view reason)
 {
-    const std::uint64_t cut = front.abortAll();
+    const std::uint64_t cut = front.inProgress();
+    driver.post([](dispatcher& each, time_point now) { return each.abortAll(now); });
     log.write(cut == 0 ? log_level::info : log_level::warning, "shutdown_ended", { { "reason", reason }, { "requests_cut", cut } });
     loop.stop();
 }
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -144,6 +144,26 @@
             { "text", std::string_view(changed.text) }, { "source", changed.isOwn ? "response" : "router" }, { "age_ms", milliseconds(changed.age) } });
 }
 
+void dispatch_report::recordClose(const server_close& closing)
+{
+    const std::string_view reason = serverCloseReasonName(closing.reason);
+    m_metrics.count("pimentoladder_caller_connections_closed_total", { { "reason", std::string(reason) } });
+    const bool isLossless = !closing.hasUnreadInput && closing.unsentBytes == 0 && closing.reason != server_close_reason::abortedResponse;
+    if (isLossless || !mayWrite())
+        return;
+    m_log.write(log_level::warning, "caller_connection_closed",
+        { { "reason", reason }, { "has_unread_input", closing.hasUnreadInput }, { "unsent_bytes", std::uint64_t { closing.unsentBytes } },
+            { "loop_lag_ms", milliseconds(m_driver.loopLag()) } });
+}
+
+void dispatch_report::recordLag(duration lag, duration processorTime)
+{
+    if (lag < stallThreshold)
+        return;
+    m_metrics.count("pimentoladder_loop_stalls_total", {});
+    m_log.write(log_level::warning, "loop_stalled", { { "lag_ms", milliseconds(lag) }, { "processor_ms", milliseconds(processorTime) }, { "requests", std::uint64_t { m_driver.core().figures().inProgress } } });
+}
+
 std::string dispatch_report::quarantineText() const
 {
     nlohmann::json rows = nlohmann::json::array();
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -579,6 +579,20 @@
     return out;
 }
 
+dispatch_actions dispatcher::abortAll(time_point now)
+{
+    dispatch_actions out;
+    for (const auto& [number, request] : std::exchange(m_requests, {})) {
+        if (request->attempt != attempt_number()) {
+            out.push_back(cancel_dispatch { number, request->attempt });
+            closeAttempt(now, *request, "shutdown", request->status, out);
+        }
+        out.push_back(abort_response { number });
+        finish(now, request, "broken", "shutdown", out);
+    }
+    return out;
+}
+
 void dispatcher::schedule(const tracked& request, time_point at)
 {
     if (request->wakeAt)
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -67,6 +67,13 @@
     return time_point(std::chrono::seconds(read.tv_sec) + std::chrono::nanoseconds(read.tv_nsec));
 }
 
+duration event_loop::processorTime() const
+{
+    timespec read {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &read);
+    return std::chrono::seconds(read.tv_sec) + std::chrono::nanoseconds(read.tv_nsec);
+}
+
 void event_loop::run()
 {
     event_base_loop(m_base, EVLOOP_NO_EXIT_ON_EMPTY);
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -24,6 +24,25 @@
 
 }
 
+std::string_view serverCloseReasonName(server_close_reason reason)
+{
+    switch (reason) {
+    case server_close_reason::idleTimeout:
+        return "idle_timeout";
+    case server_close_reason::writeTimeout:
+        return "write_timeout";
+    case server_close_reason::lingerTimeout:
+        return "linger_timeout";
+    case server_close_reason::drain:
+        return "drain";
+    case server_close_reason::connectionLimit:
+        return "connection_limit";
+    case server_close_reason::abortedResponse:
+        return "aborted_response";
+    }
+    return "unknown";
+}
+
 class http_server::implementation final : public http_server_connection_owner {
 public:
     implementation(event_loop& loop, http_server_limits limits, http_request_handler handler)
@@ -57,6 +76,12 @@
     const http_server_limits& limits() const override { return m_limits; }
     bool isDraining() const override { return m_isDraining || !m_isKeepAlive; }
     void setKeepAlive(bool isKept) { m_isKeepAlive = isKept; }
+    void setCloseObserver(std::function<void(const server_close&)> observer) { m_closeObserver = std::move(observer); }
+    void connectionClosing(const server_close& closing) override
+    {
+        if (m_closeObserver)
+            m_closeObserver(closing);
+    }
     void requestArrived(http_request request, std::shared_ptr<http_response_writer> answer) override
     {
         m_handler(std::move(request), std::move(answer));
@@ -76,6 +101,7 @@
     event_loop& m_loop;
     http_server_limits m_limits;
     http_request_handler m_handler;
+    std::function<void(const server_close&)> m_closeObserver;
     evhttp* m_http;
     std::vector<evhttp_bound_socket*> m_sockets;
     std::map<bufferevent*, std::unique_ptr<http_server_connection>> m_connections;
@@ -126,7 +152,7 @@
             idle.push_back(each.get());
     }
     for (http_server_connection* each : idle)
-        each->close();
+        each->close(server_close_reason::drain);
 }
 
 void http_server::implementation::connectionClosed(bufferevent* channel)
@@ -199,6 +225,11 @@
     m_implementation->setKeepAlive(isKept);
 }
 
+void http_server::setCloseObserver(std::function<void(const server_close&)> observer)
+{
+    m_implementation->setCloseObserver(std::move(observer));
+}
+
 void http_server::drain()
 {
     m_implementation->drain();
--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -211,7 +211,7 @@
     else if (m_phase == phase::reading)
         read();
     else if (m_phase == phase::aborting && pendingBytes() == 0)
-        close();
+        close(server_close_reason::abortedResponse);
 }
 
 void http_server_connection::adopt()
@@ -236,7 +236,7 @@
     m_deadline.arm(m_owner.limits().idleTimeout);
     const std::size_t limit = m_owner.limits().connections;
     if (m_owner.connectionCount() > limit + maxRefusedConnections)
-        close();
+        close(server_close_reason::connectionLimit);
     else if (m_owner.connectionCount() > limit)
         refuse(refusal_kind::tooManyConnections, {});
 }
@@ -405,8 +405,9 @@
     m_proceed.schedule();
 }
 
-void http_server_connection::close()
+void http_server_connection::close(server_close_reason reason)
 {
+    m_owner.connectionClosing({ reason, evbuffer_get_length(m_raw) > 0 || hasUnreadInput(socket()), pendingBytes() });
     // Without a length or chunks, only a reset shows the caller that the response is truncated.
     if (m_phase == phase::aborting && m_isCloseDelimited)
         resetConnection(bufferevent_getfd(m_channel));
@@ -447,7 +448,10 @@
         refuse(refusal_kind::requestTimeout, {});
         return;
     }
-    close();
+    if (m_phase == phase::reading)
+        close(server_close_reason::idleTimeout);
+    else
+        close(m_phase == phase::refusing ? server_close_reason::lingerTimeout : server_close_reason::writeTimeout);
 }
 
 }
--- a/lib/Net/HttpServerConnection.h
+++ b/lib/Net/HttpServerConnection.h
@@ -81,6 +81,7 @@
     virtual bool isDraining() const = 0; ///< Whether connections close after their response.
     virtual std::size_t connectionCount() const = 0;
     virtual void requestArrived(http_request request, std::shared_ptr<http_response_writer> answer) = 0;
+    virtual void connectionClosing(const server_close& closing) = 0;
     /// Takes over a closed connection, to destroy it later.
     virtual void connectionClosed(bufferevent* channel) = 0;
 };
@@ -100,7 +101,7 @@
     /// Refuses the connection before any request.
     void refuse(refusal_kind kind, std::string message);
     /// Closes at once. Must not be called from within an evhttp callback.
-    void close();
+    void close(server_close_reason reason);
     bool isIdle() const { return m_phase == phase::reading && !m_parser.hasBegun(); }
 
     void sendHead(const http_response_head& head, bool isLengthKnown);
--- a/lib/Net/HttpSockets.cpp
+++ b/lib/Net/HttpSockets.cpp
@@ -73,6 +73,11 @@
     return peekSocket(socket) == 0;
 }
 
+bool hasUnreadInput(int socket)
+{
+    return peekSocket(socket) == 1;
+}
+
 bool isUnusable(int socket)
 {
     return peekSocket(socket) >= 0;
--- a/lib/Net/HttpSockets.h
+++ b/lib/Net/HttpSockets.h
@@ -28,6 +28,10 @@
 /// sent before has been read. Does not block and consumes no bytes.
 bool isClosedByPeer(int socket);
 
+/// Returns whether bytes have arrived at the socket that have not been read. Does not
+/// block and consumes no bytes.
+bool hasUnreadInput(int socket);
+
 /// Returns whether the peer has closed the idle connection or has sent bytes on it
 /// without a request. Does not block and consumes no bytes.
 bool isUnusable(int socket);
--- a/unittests/Dispatch/DispatcherTests.cpp
+++ b/unittests/Dispatch/DispatcherTests.cpp
@@ -33,6 +33,23 @@
     CHECK_FALSE(fleet.core.fleet().findServer(server_id("p1")));
 }
 
+// Guards against requests that a shutdown cuts without a line about them.
+TEST_CASE("requests that are in progress at the end of a shutdown are reported as broken by it")
+{
+    small_fleet fleet;
+    const attempt_number attempt = fleet.open("/order/");
+    const dispatch_actions ended = fleet.core.abortAll(fleet.now);
+    REQUIRE(find<attempt_outcome>(ended));
+    CHECK(find<attempt_outcome>(ended)->attempt == attempt);
+    CHECK(find<cancel_dispatch>(ended));
+    CHECK(find<abort_response>(ended));
+    REQUIRE(find<request_outcome>(ended));
+    CHECK(find<request_outcome>(ended)->result == "broken");
+    CHECK(find<request_outcome>(ended)->reason == "shutdown");
+    CHECK(fleet.core.figures().inProgress == 0);
+    CHECK(fleet.core.onAttemptEnded(fleet.now, attempt, { attempt_end_kind::truncated, true }).empty());
+}
+
 // Guards against a second run of a request that must run at most once.
 TEST_CASE("an at-most-once request is not sent again after a reset")
 {
--- a/unittests/Net/HttpServerTests.cpp
+++ b/unittests/Net/HttpServerTests.cpp
@@ -255,6 +255,28 @@
     CHECK(test.requests.empty());
 }
 
+// Guards against connections that the server closes without a trace in logs and metrics.
+TEST_CASE("a connection that the server closes is reported with its reason")
+{
+    http_server_limits limits;
+    limits.idleTimeout = 50ms;
+    server_fixture test(limits);
+    std::vector<server_close> closes;
+    test.server.setCloseObserver([&](const server_close& closing) { closes.push_back(closing); });
+    raw_socket busy = test.connect();
+    busy.send(get);
+    REQUIRE(test.waitForRequests(1));
+    test.answers[0]->abort();
+    REQUIRE(busy.waitForClose());
+    raw_socket idle = test.connect();
+    REQUIRE(idle.waitForClose());
+    REQUIRE(closes.size() == 2);
+    CHECK(closes[0].reason == server_close_reason::abortedResponse);
+    CHECK(closes[1].reason == server_close_reason::idleTimeout);
+    CHECK_FALSE(closes[1].hasUnreadInput);
+    CHECK(closes[1].unsentBytes == 0);
+}
+
 // Guards against an unbounded number of connections, and against closing a
 // connection over the limit without an error response.
 TEST_CASE("connections over the limit are refused")
