Answer requests that arrived before the time limit of their connection

Cause: libevent runs the callbacks of ready sockets before those of expired timers, but the connection parses its input in a deferred call after both. If an iteration of the loop takes longer than the margin between the caller's use of the connection (up to four fifths of the limit) and the limit, the request and the timer are handled in one iteration: the bytes were in the connection's buffer, the parser had not begun, and the timer closed the connection as idle. The limits of heads and bodies had the same fault and answered 408.

A time limit is now judged after all that has arrived at the socket has been parsed. A sender that trickles gains nothing: what is incomplete then is refused as before.

The test fails on the code before in all six cases (nothing, part of the head or part of the body in time; the rest read by the same iteration or still in the socket): no request arrives at the handler.

--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -263,6 +263,13 @@
     }
 }
 
+void http_server_connection::readArrived()
+{
+    read();
+    while (m_phase == phase::reading && evbuffer_read(m_raw, socket(), readAheadBytes) > 0)
+        read();
+}
+
 void http_server_connection::progressed(bool wasHead)
 {
     switch (m_parser.progress()) {
@@ -444,14 +451,23 @@
 
 void http_server_connection::deadlinePassed()
 {
-    if (m_phase == phase::reading && m_parser.hasBegun()) {
-        refuse(refusal_kind::requestTimeout, {});
-        return;
-    }
     if (m_phase == phase::reading)
-        close(server_close_reason::idleTimeout);
+        readingTimedOut();
     else
         close(m_phase == phase::refusing ? server_close_reason::lingerTimeout : server_close_reason::writeTimeout);
 }
 
+void http_server_connection::readingTimedOut()
+{
+    // If the loop is late, the rest of the request may have arrived within the time limit.
+    readArrived();
+    const bool hasProgressed = m_phase != phase::reading || m_deadline.isArmed();
+    if (hasProgressed)
+        return;
+    if (m_parser.hasBegun())
+        refuse(refusal_kind::requestTimeout, {});
+    else
+        close(server_close_reason::idleTimeout);
+}
+
 }
--- a/lib/Net/HttpServerConnection.h
+++ b/lib/Net/HttpServerConnection.h
@@ -131,6 +131,8 @@
     void adopt();
     void detachChannel();
     void read();
+    /// Reads what has arrived at the socket, without waiting for the loop to report it.
+    void readArrived();
     void takeRawInput();
     void progressed(bool wasHead);
     void sendContinue();
@@ -140,6 +142,7 @@
     void closed();
     void answerSent();
     void deadlinePassed();
+    void readingTimedOut();
 
     event_loop& m_loop;
     http_server_connection_owner& m_owner;
--- a/unittests/Net/HttpServerTests.cpp
+++ b/unittests/Net/HttpServerTests.cpp
@@ -4,6 +4,7 @@
 
 #include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <fcntl.h>
@@ -277,6 +278,43 @@
     CHECK(closes[1].unsentBytes == 0);
 }
 
+// Guards against requests that are lost without an answer because the loop handles them and
+// an expired time limit in the same iteration.
+TEST_CASE("a request that arrived before its connection's time limit is answered by a late loop")
+{
+    http_server_limits limits;
+    limits.headTimeout = 100ms;
+    limits.bodyTimeout = 100ms;
+    limits.idleTimeout = 100ms;
+    const std::string post = "POST /index HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nabcde";
+    // The first bytes arrive in time: none, a part of the head, or a part of the body.
+    for (const std::size_t early : { std::size_t { 0 }, post.find("Host"), post.size() - 3 }) {
+        for (const bool isRead : { true, false }) {
+            CAPTURE(early);
+            CAPTURE(isRead);
+            server_fixture test(limits);
+            raw_socket caller = test.connect();
+            REQUIRE(runUntil(test.loop, [&] { return test.server.connectionCount() == 1; }));
+            caller.send(post.substr(0, early));
+            test.loop.runFor(20ms);
+            // The rest is read by the iteration in which the limit expires, or arrives after it has read.
+            loop_timer rest(test.loop, [&] { caller.send(post.substr(early)); });
+            if (isRead)
+                caller.send(post.substr(early));
+            else
+                rest.arm(10ms);
+            std::this_thread::sleep_for(200ms);
+            const bool hasArrived = test.waitForRequests(1);
+            CHECK(hasArrived);
+            if (!hasArrived)
+                continue;
+            CHECK(test.requests[0].body == "abcde");
+            test.answers[0]->reply({}, "answer");
+            CHECK(caller.waitFor("answer"));
+        }
+    }
+}
+
 // Guards against an unbounded number of connections, and against closing a
 // connection over the limit without an error response.
 TEST_CASE("connections over the limit are refused")
