--- a/lib/Daemon/ConnectionLimits.cpp
+++ b/lib/Daemon/ConnectionLimits.cpp
@@ -19,6 +19,7 @@
     limits.connections = configured.limits.connections;
     limits.headTimeout = configured.timeouts.head;
     limits.bodyTimeout = configured.timeouts.body;
+    limits.requestPriority = event_priority::newWork;
     return limits;
 }
 
--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -133,7 +133,8 @@
     , m_raw(evbuffer_new())
     , m_chunkBuffer(evbuffer_new())
     , m_parser(http_message_parser::forRequests({ owner.limits().headBytes, owner.limits().bodyBytes }))
-    , m_proceed(loop, [this] { proceed(); })
+    , m_proceed(
+          loop, [this] { proceed(); }, owner.limits().requestPriority)
     , m_deadline(loop, [this] { deadlinePassed(); })
 {
     // evhttp must not read raw input: with this low watermark its read callback
@@ -155,6 +156,11 @@
     evbuffer_free(m_chunkBuffer);
 }
 
+void http_server_connection::setPriority(event_priority priority)
+{
+    bufferevent_priority_set(m_channel, event_loop::priorityNumber(priority));
+}
+
 void http_server_connection::detachChannel()
 {
     evbuffer_remove_cb(bufferevent_get_input(m_channel), onInput, this);
@@ -208,7 +214,7 @@
 {
     if (m_phase == phase::adopting)
         adopt();
-    else if (m_phase == phase::reading)
+    if (m_phase == phase::reading)
         read();
     else if (m_phase == phase::aborting && pendingBytes() == 0)
         close(server_close_reason::abortedResponse);
@@ -233,6 +239,7 @@
     evhttp_connection_set_closecb(m_evhttp, onClosed, this);
     bufferevent_set_timeouts(m_channel, nullptr, nullptr);
     setNoDelay(bufferevent_getfd(m_channel));
+    setPriority(m_owner.limits().requestPriority);
     m_deadline.arm(m_owner.limits().idleTimeout);
     const std::size_t limit = m_owner.limits().connections;
     if (m_owner.connectionCount() > limit + maxRefusedConnections)
@@ -315,6 +322,7 @@
 void http_server_connection::dispatch()
 {
     m_phase = phase::answering;
+    setPriority(event_priority::standard);
     m_deadline.cancel();
     inject(m_parser.head());
 }
@@ -322,6 +330,7 @@
 void http_server_connection::refuse(refusal_kind kind, std::string message)
 {
     m_phase = phase::refusing;
+    setPriority(event_priority::standard);
     m_refusal = { kind, std::move(message) };
     inject(placeholderRequest);
 }
@@ -443,6 +452,7 @@
     m_answer.reset();
     m_request = nullptr;
     m_phase = phase::reading;
+    setPriority(m_owner.limits().requestPriority);
     m_parser.reset();
     takeRawInput();
     m_deadline.arm(m_owner.limits().idleTimeout);
