Close a refused connection only after the refusal has been written

Callers saw a connection closed with neither an answer nor a refusal (LOST).

Cause: the linger time of a refusal counted from the moment at which it was put into the output. libevent reports at most 32 ready sockets at first, so on a late loop the timer came before the write of the others, and the connection was closed.

The linger time now counts from the write of the last byte; until then the time limit of writing holds.

--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -192,12 +192,23 @@
         if (isEmpty && self->m_phase == phase::aborting)
             self->m_proceed.schedule();
     }
-    if (self->m_phase != phase::answering && self->m_phase != phase::aborting)
+    if (self->m_phase == phase::answering || self->m_phase == phase::aborting || self->m_phase == phase::refusing)
+        self->limitWriting(isEmpty, info->n_deleted > 0);
+}
+
+void http_server_connection::limitWriting(bool isEmpty, bool hasWritten)
+{
+    if (!isEmpty && (hasWritten || !m_deadline.isArmed()))
+        m_deadline.arm(m_owner.limits().writeTimeout);
+    if (!isEmpty)
         return;
-    if (isEmpty)
-        self->m_deadline.cancel();
-    else if (info->n_deleted > 0 || !self->m_deadline.isArmed())
-        self->m_deadline.arm(self->m_owner.limits().writeTimeout);
+    // The connection is closed when the caller closes it or `lingerTimeout` has
+    // passed: closing it with unread input would reset it, which could destroy the
+    // refusal before the caller has read it.
+    if (m_phase == phase::refusing)
+        m_deadline.arm(m_owner.limits().lingerTimeout);
+    else
+        m_deadline.cancel();
 }
 
 void http_server_connection::onClosed(evhttp_connection*, void* context)
@@ -369,13 +380,10 @@
     http_response_head head = refusalHead(m_refusal.kind);
     head.headers.push_back({ "Content-Length", std::to_string(body.size()) });
     evhttp_add_header(evhttp_request_get_output_headers(m_request), "Connection", "close");
+    m_deadline.cancel();
     sendHead(head, true);
     sendBody(body);
-    // The connection is closed when the caller closes it or `lingerTimeout` has
-    // passed: closing it with unread input would reset it, which could destroy the
-    // refusal before the caller has read it.
     evbuffer_drain(m_raw, evbuffer_get_length(m_raw));
-    m_deadline.arm(m_owner.limits().lingerTimeout);
 }
 
 bool http_server_connection::hasAnswerBody(int status) const
@@ -464,7 +472,7 @@
     if (m_phase == phase::reading)
         readingTimedOut();
     else
-        close(m_phase == phase::refusing ? server_close_reason::lingerTimeout : server_close_reason::writeTimeout);
+        close(m_phase == phase::refusing && pendingBytes() == 0 ? server_close_reason::lingerTimeout : server_close_reason::writeTimeout);
 }
 
 void http_server_connection::readingTimedOut()
--- a/lib/Net/HttpServerConnection.h
+++ b/lib/Net/HttpServerConnection.h
@@ -127,6 +127,8 @@
     static void onClosed(evhttp_connection*, void* context);
     static void onAnswerSent(evhttp_request*, void* context);
 
+    /// Sets the time limit of the output after it has grown, or \p hasWritten to the socket.
+    void limitWriting(bool isEmpty, bool hasWritten);
     void proceed();
     void adopt();
     void detachChannel();
--- a/unittests/Net/HttpServerTests.cpp
+++ b/unittests/Net/HttpServerTests.cpp
@@ -378,6 +378,31 @@
     CHECK(test.waitForRequests(1));
 }
 
+// Guards against refusals that are discarded unsent on a late loop, so that callers see only
+// the end of the connection.
+TEST_CASE("a refusal is sent even if its linger time passes before the socket is written")
+{
+    constexpr std::size_t callers = 300;
+    http_server_limits limits;
+    limits.lingerTimeout = 20ms;
+    server_fixture test(limits);
+    std::vector<raw_socket> refused;
+    for (std::size_t i = 0; i < callers; ++i)
+        refused.push_back(test.connect());
+    REQUIRE(runUntil(test.loop, [&] { return test.server.connectionCount() == callers; }));
+    for (raw_socket& each : refused)
+        each.send("no request\r\n\r\n");
+    loop_timer slowIteration(test.loop, [&] {
+        std::this_thread::sleep_for(40ms);
+        slowIteration.arm(0ms);
+    });
+    slowIteration.arm(0ms);
+    REQUIRE(runUntil(test.loop, [&] { return test.server.connectionCount() == 0; }));
+    slowIteration.cancel();
+    const auto answered = std::count_if(refused.begin(), refused.end(), [](raw_socket& each) { return each.waitFor("malformed"); });
+    CHECK(answered == callers);
+}
+
 // Guards against a caller that waits forever for `100 Continue` before its body.
 TEST_CASE("100 Continue is sent to a caller that expects it")
 {
