Adopt connections before their input is read

A connection above the limit is closed before anything is read from it, so that its caller knows that the request has not run. With the lower priority of new requests the adoption, which closes it, could come after the input had been read. It now has the standard priority; the connection gets the lower one when it is adopted.

--- a/include/pimentoladder/Net/EventLoop.h
+++ b/include/pimentoladder/Net/EventLoop.h
@@ -81,7 +81,7 @@
 /// Not thread-safe; call on the loop's thread.
 class deferred_call {
 public:
-    deferred_call(event_loop& loop, std::function<void()> callback, event_priority priority = event_priority::standard);
+    deferred_call(event_loop& loop, std::function<void()> callback);
     ~deferred_call();
     deferred_call(const deferred_call&) = delete;
     deferred_call& operator=(const deferred_call&) = delete;
@@ -89,6 +89,9 @@
     void schedule();
     void cancel();
 
+    /// Precondition: the call is not scheduled.
+    void setPriority(event_priority priority);
+
 private:
     std::shared_ptr<std::function<void()>> m_callback;
     event* m_event;
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -134,9 +134,9 @@
     return event_pending(m_event, EV_TIMEOUT, nullptr) != 0;
 }
 
-deferred_call::deferred_call(event_loop& loop, std::function<void()> callback, event_priority priority)
+deferred_call::deferred_call(event_loop& loop, std::function<void()> callback)
     : m_callback(std::make_shared<std::function<void()>>(std::move(callback)))
-    , m_event(makeEvent(loop, -1, 0, m_callback, priority))
+    , m_event(makeEvent(loop, -1, 0, m_callback))
 {
 }
 
@@ -155,6 +155,11 @@
     event_del(m_event);
 }
 
+void deferred_call::setPriority(event_priority priority)
+{
+    event_priority_set(m_event, event_loop::priorityNumber(priority));
+}
+
 signal_listener::signal_listener(event_loop& loop, int signalNumber, std::function<void()> callback)
     : m_callback(std::make_shared<std::function<void()>>(std::move(callback)))
     , m_event(makeEvent(loop, signalNumber, EV_SIGNAL | EV_PERSIST, m_callback))
--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -133,8 +133,7 @@
     , m_raw(evbuffer_new())
     , m_chunkBuffer(evbuffer_new())
     , m_parser(http_message_parser::forRequests({ owner.limits().headBytes, owner.limits().bodyBytes }))
-    , m_proceed(
-          loop, [this] { proceed(); }, owner.limits().requestPriority)
+    , m_proceed(loop, [this] { proceed(); })
     , m_deadline(loop, [this] { deadlinePassed(); })
 {
     // evhttp must not read raw input: with this low watermark its read callback
@@ -225,7 +224,7 @@
 {
     if (m_phase == phase::adopting)
         adopt();
-    if (m_phase == phase::reading)
+    else if (m_phase == phase::reading)
         read();
     else if (m_phase == phase::aborting && pendingBytes() == 0)
         close(server_close_reason::abortedResponse);
@@ -250,6 +249,7 @@
     evhttp_connection_set_closecb(m_evhttp, onClosed, this);
     bufferevent_set_timeouts(m_channel, nullptr, nullptr);
     setNoDelay(bufferevent_getfd(m_channel));
+    m_proceed.setPriority(m_owner.limits().requestPriority);
     setPriority(m_owner.limits().requestPriority);
     m_deadline.arm(m_owner.limits().idleTimeout);
     const std::size_t limit = m_owner.limits().connections;
