Answer requests that arrived before the server drains

Callers on kept connections saw a connection closed without an answer when a router ended its grace after SIGTERM.

The request could already be in the connection's buffer, where a deferred call parses it, or in the socket, which the iteration had not read.

drain() now parses what has arrived at each connection and closes it only if that is nothing.

The new test fails on the code before in both cases (read by the same iteration, still in the socket): no request arrives at the handler.

--- a/include/pimentoladder/Net/HttpServer.h
+++ b/include/pimentoladder/Net/HttpServer.h
@@ -125,8 +125,8 @@
     /// that callers close, and those that close after their response, are not reported.
     void setCloseObserver(std::function<void(const server_close&)> observer);
 
-    /// Stops accepting connections and closes idle ones. The others are closed
-    /// after their request in progress, which runs to completion.
+    /// Stops accepting connections and closes those without a request. The others are closed
+    /// after their requests that have arrived, which run to completion.
     void drain();
 
     /// Returns the number of open connections.
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -146,13 +146,12 @@
         listenerOwners().erase(evhttp_bound_socket_get_listener(each));
         evhttp_del_accept_socket(m_http, each);
     }
-    std::vector<http_server_connection*> idle;
-    for (const auto& [channel, each] : m_connections) {
-        if (each->isIdle())
-            idle.push_back(each.get());
-    }
-    for (http_server_connection* each : idle)
-        each->close(server_close_reason::drain);
+    // Closed connections leave the map while it is walked.
+    std::vector<http_server_connection*> open;
+    for (const auto& [channel, each] : m_connections)
+        open.push_back(each.get());
+    for (http_server_connection* each : open)
+        each->closeIfIdle();
 }
 
 void http_server::implementation::connectionClosed(bufferevent* channel)
--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -421,6 +421,16 @@
     evhttp_connection_free(m_evhttp);
 }
 
+void http_server_connection::closeIfIdle()
+{
+    if (m_phase != phase::reading)
+        return;
+    readArrived();
+    const bool isIdle = m_phase == phase::reading && !m_parser.hasBegun();
+    if (isIdle)
+        close(server_close_reason::drain);
+}
+
 void http_server_connection::closed()
 {
     detachChannel();
--- a/lib/Net/HttpServerConnection.h
+++ b/lib/Net/HttpServerConnection.h
@@ -102,7 +102,9 @@
     void refuse(refusal_kind kind, std::string message);
     /// Closes at once. Must not be called from within an evhttp callback.
     void close(server_close_reason reason);
-    bool isIdle() const { return m_phase == phase::reading && !m_parser.hasBegun(); }
+    /// Closes the connection for a drain, unless a request has arrived or is in
+    /// progress. Must not be called from within an evhttp callback.
+    void closeIfIdle();
 
     void sendHead(const http_response_head& head, bool isLengthKnown);
     void sendBody(std::string_view bytes);
--- a/unittests/Net/HttpServerTests.cpp
+++ b/unittests/Net/HttpServerTests.cpp
@@ -364,6 +364,34 @@
     CHECK(late.waitForClose());
 }
 
+// Guards against requests that a drain loses because they wait in the socket, or in the
+// connection's buffer for a later callback of the same iteration.
+TEST_CASE("a request that arrived before the server drains is answered")
+{
+    for (const bool isRead : { true, false }) {
+        CAPTURE(isRead);
+        server_fixture test;
+        raw_socket caller = test.connect();
+        REQUIRE(runUntil(test.loop, [&] { return test.server.connectionCount() == 1; }));
+        test.loop.runFor(5ms);
+        caller.send(get);
+        loop_timer drain(test.loop, [&] { test.server.drain(); });
+        if (isRead)
+            drain.arm(0ms);
+        else
+            test.server.drain();
+        const bool hasArrived = test.waitForRequests(1);
+        CHECK(hasArrived);
+        if (!hasArrived)
+            continue;
+        test.answers[0]->reply({}, "answer");
+        REQUIRE(caller.waitForClose());
+        CHECK_FALSE(caller.isReset);
+        CHECK(caller.received.ends_with("answer"));
+        CHECK(caller.received.find("Connection: close") != std::string::npos);
+    }
+}
+
 // Guards against use after free when responses outlive the server or a connection
 // is destroyed in any state.
 TEST_CASE("answers may outlive the server")
