Close connections whose response began before the drain

A router that shuts down kept such connections open until its deadline: the head of their response had no "Connection: close", so evhttp kept them, and drain() looked only at the connections that were idle at that moment. Callers that used one in the last moment found it cut by the end of the process, and the shutdown never ended as idle. A connection that was accepted in the iteration of the drain had the same fate.

While the server drains, each connection is closed as soon as no request is left on it, by the same check as in drain(). The owner's isDraining() also covered the shedding of connections under load; that is keepsConnections() now, since a new connection must not be closed before its first request in that state.

The new test fails on the code before: the connection is still open 5 s after its response.

--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -74,7 +74,8 @@
     void acceptAgain();
     std::size_t connectionCount() const override { return m_connections.size(); }
     const http_server_limits& limits() const override { return m_limits; }
-    bool isDraining() const override { return m_isDraining || !m_isKeepAlive; }
+    bool isDraining() const override { return m_isDraining; }
+    bool keepsConnections() const override { return m_isKeepAlive && !m_isDraining; }
     void setKeepAlive(bool isKept) { m_isKeepAlive = isKept; }
     void setCloseObserver(std::function<void(const server_close&)> observer) { m_closeObserver = std::move(observer); }
     void connectionClosing(const server_close& closing) override
--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -212,6 +212,8 @@
         read();
     else if (m_phase == phase::aborting && pendingBytes() == 0)
         close(server_close_reason::abortedResponse);
+    if (m_owner.isDraining())
+        closeIfIdle();
 }
 
 void http_server_connection::adopt()
@@ -384,7 +386,7 @@
         if (!isLength || hasAnswerBody(head.status) || m_isHeadRequest)
             evhttp_add_header(output, each.name.c_str(), each.value.c_str());
     }
-    if (m_owner.isDraining() && !evhttp_find_header(output, "Connection"))
+    if (!m_owner.keepsConnections() && !evhttp_find_header(output, "Connection"))
         evhttp_add_header(output, "Connection", "close");
     const bool isHttp10 = m_parser.head().find(" HTTP/1.0\r\n") != std::string::npos;
     m_isCloseDelimited = isHttp10 && !isLengthKnown && hasAnswerBody(head.status);
--- a/lib/Net/HttpServerConnection.h
+++ b/lib/Net/HttpServerConnection.h
@@ -78,7 +78,8 @@
 public:
     virtual ~http_server_connection_owner() = default;
     virtual const http_server_limits& limits() const = 0;
-    virtual bool isDraining() const = 0; ///< Whether connections close after their response.
+    virtual bool isDraining() const = 0; ///< Whether connections close once no request is left on them.
+    virtual bool keepsConnections() const = 0; ///< Whether responses keep their connection open.
     virtual std::size_t connectionCount() const = 0;
     virtual void requestArrived(http_request request, std::shared_ptr<http_response_writer> answer) = 0;
     virtual void connectionClosing(const server_close& closing) = 0;
--- a/unittests/Net/HttpServerTests.cpp
+++ b/unittests/Net/HttpServerTests.cpp
@@ -392,6 +392,32 @@
     }
 }
 
+// Guards against connections that outlive the drain because their response began before it.
+TEST_CASE("a connection whose response began before the drain is closed after its last request")
+{
+    for (const bool hasFurtherRequest : { false, true }) {
+        CAPTURE(hasFurtherRequest);
+        server_fixture test;
+        raw_socket caller = test.connect();
+        caller.send(get);
+        REQUIRE(test.waitForRequests(1));
+        test.answers[0]->start({});
+        REQUIRE(caller.waitFor("\r\n\r\n"));
+        test.server.drain();
+        if (hasFurtherRequest)
+            caller.send(get);
+        test.answers[0]->end();
+        if (hasFurtherRequest) {
+            REQUIRE(test.waitForRequests(2));
+            test.answers[1]->reply({}, "further");
+        }
+        REQUIRE(caller.waitForClose());
+        CHECK_FALSE(caller.isReset);
+        CHECK(caller.received.ends_with(hasFurtherRequest ? "further" : "0\r\n\r\n"));
+        CHECK(runUntil(test.loop, [&] { return test.server.connectionCount() == 0; }));
+    }
+}
+
 // Guards against use after free when responses outlive the server or a connection
 // is destroyed in any state.
 TEST_CASE("answers may outlive the server")
