Accept the waiting connections before a drain closes the listener

Callers whose connection waited in the listener's queue when a router began to drain got a reset instead of an answer; their request could have been sent already. A loop that is late by some hundred milliseconds has such a queue.

drain() now leaves the listener open until its queue is empty. A connection accepted then is answered if its request has arrived and closed otherwise, as any other connection. If no descriptor is left to accept with, the listener is closed at once, so nothing spins.

--- a/include/pimentoladder/Net/HttpServer.h
+++ b/include/pimentoladder/Net/HttpServer.h
@@ -125,8 +125,9 @@
     /// that callers close, and those that close after their response, are not reported.
     void setCloseObserver(std::function<void(const server_close&)> observer);
 
-    /// Stops accepting connections and closes those without a request. The others are closed
-    /// after their requests that have arrived, which run to completion.
+    /// Closes the connections without a request, and the others after their requests that
+    /// have arrived, which run to completion. Stops listening once the connections that
+    /// wait for it are accepted.
     void drain();
 
     /// Returns the number of open connections.
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "pimentoladder/Net/HttpServer.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
@@ -21,6 +22,8 @@
 
     constexpr int listenBacklog = 1024;
     constexpr duration acceptRetryDelay = std::chrono::milliseconds(100);
+    // Interval at which a drain checks whether all waiting connections have been accepted.
+    constexpr duration stopListeningInterval = std::chrono::milliseconds(1);
 
 }
 
@@ -52,6 +55,7 @@
         , m_http(evhttp_new(loop.base()))
         , m_destroyClosed(loop, [this] { m_closed.clear(); })
         , m_acceptAgain(loop, [this] { acceptAgain(); })
+        , m_stopListening(loop, [this] { stopListening(); })
     {
         evhttp_set_bevcb(m_http, onConnection, this);
         evhttp_set_gencb(m_http, onRequest, this);
@@ -72,6 +76,7 @@
     void setLimits(const http_server_limits& limits) { m_limits = limits; }
     void drain();
     void acceptAgain();
+    void stopListening();
     std::size_t connectionCount() const override { return m_connections.size(); }
     const http_server_limits& limits() const override { return m_limits; }
     bool isDraining() const override { return m_isDraining; }
@@ -109,6 +114,7 @@
     std::vector<std::unique_ptr<http_server_connection>> m_closed; ///< Destroyed once none of their callbacks can be on the stack.
     deferred_call m_destroyClosed;
     loop_timer m_acceptAgain;
+    loop_timer m_stopListening;
     bool m_isDraining = false;
     bool m_isKeepAlive = true;
 };
@@ -142,11 +148,7 @@
 void http_server::implementation::drain()
 {
     m_isDraining = true;
-    m_acceptAgain.cancel();
-    for (evhttp_bound_socket* each : std::exchange(m_sockets, {})) {
-        listenerOwners().erase(evhttp_bound_socket_get_listener(each));
-        evhttp_del_accept_socket(m_http, each);
-    }
+    m_stopListening.arm(duration::zero());
     // Closed connections leave the map while it is walked.
     std::vector<http_server_connection*> open;
     for (const auto& [channel, each] : m_connections)
@@ -155,6 +157,22 @@
         each->closeIfIdle();
 }
 
+void http_server::implementation::stopListening()
+{
+    // Closing a listener resets the connections that wait in its queue.
+    const bool isWaiting = std::any_of(m_sockets.begin(), m_sockets.end(), [](evhttp_bound_socket* each) { return hasWaitingConnection(evhttp_bound_socket_get_fd(each)); });
+    const bool canAccept = !m_acceptAgain.isArmed();
+    if (isWaiting && canAccept) {
+        m_stopListening.arm(stopListeningInterval);
+        return;
+    }
+    m_acceptAgain.cancel();
+    for (evhttp_bound_socket* each : std::exchange(m_sockets, {})) {
+        listenerOwners().erase(evhttp_bound_socket_get_listener(each));
+        evhttp_del_accept_socket(m_http, each);
+    }
+}
+
 void http_server::implementation::connectionClosed(bufferevent* channel)
 {
     const auto found = m_connections.find(channel);
--- a/lib/Net/HttpSockets.cpp
+++ b/lib/Net/HttpSockets.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace pimentoladder {
@@ -78,6 +79,12 @@
     return peekSocket(socket) == 1;
 }
 
+bool hasWaitingConnection(int listeningSocket)
+{
+    pollfd queried { listeningSocket, POLLIN, 0 };
+    return poll(&queried, 1, 0) == 1;
+}
+
 bool isUnusable(int socket)
 {
     return peekSocket(socket) >= 0;
--- a/lib/Net/HttpSockets.h
+++ b/lib/Net/HttpSockets.h
@@ -32,6 +32,9 @@
 /// block and consumes no bytes.
 bool hasUnreadInput(int socket);
 
+/// Returns whether a connection waits to be accepted. Does not block.
+bool hasWaitingConnection(int listeningSocket);
+
 /// Returns whether the peer has closed the idle connection or has sent bytes on it
 /// without a request. Does not block and consumes no bytes.
 bool isUnusable(int socket);
--- a/unittests/Net/HttpServerTests.cpp
+++ b/unittests/Net/HttpServerTests.cpp
@@ -392,6 +392,26 @@
     }
 }
 
+// Guards against a drain that resets connections which the server has not accepted yet.
+TEST_CASE("a request on a connection that waits for acceptance when the server drains is answered")
+{
+    server_fixture test;
+    constexpr std::size_t callerCount = 80;
+    std::vector<raw_socket> callers;
+    for (std::size_t index = 0; index < callerCount; ++index) {
+        callers.push_back(test.connect());
+        callers.back().send(get);
+    }
+    test.onRequest = [&] { test.answers.back()->reply({}, "answer"); };
+    test.server.drain();
+    std::size_t answered = 0;
+    for (raw_socket& each : callers)
+        answered += each.waitForClose() && each.received.ends_with("answer") ? 1 : 0;
+    CHECK(answered == callerCount);
+    raw_socket late = test.connect();
+    CHECK(late.waitForClose());
+}
+
 // Guards against connections that outlive the drain because their response began before it.
 TEST_CASE("a connection whose response began before the drain is closed after its last request")
 {
