Close callers' connections after their responses from the start of a shutdown

A router that got SIGTERM kept its callers' connections until the drain closed them all in one moment. Callers used them up to that moment, so some of their requests were taken just before the drain (and could be cut at the deadline), and others crossed the close.

From the signal on, each response carries "Connection: close": callers open their next connection elsewhere, and few connections are left when the drain begins.

Both new tests fail on the code before: the response has no "Connection" header, and the connection stays open.

--- a/include/pimentoladder/Daemon/DispatchProcess.h
+++ b/include/pimentoladder/Daemon/DispatchProcess.h
@@ -38,7 +38,7 @@
     /// address cannot be bound.
     result<void> start();
 
-    /// Reports unready, then drains, and stops the loop once no request is in
+    /// Reports unready and closes connections after their responses, then drains, and stops the loop once no request is in
     /// progress or the deadline of the settings has passed.
     void shutDown();
 
--- a/include/pimentoladder/Daemon/ShutdownSequence.h
+++ b/include/pimentoladder/Daemon/ShutdownSequence.h
@@ -14,8 +14,8 @@
 
 namespace pimentoladder {
 
-/// Shuts a router down in steps: it reports unready, waits a grace period for the
-/// load balancer, then drains: refuses new requests while those in progress end.
+/// Shuts a router down in steps: it reports unready and closes connections after their
+/// responses, waits a grace period for the load balancer, then drains: refuses new requests while those in progress end.
 /// A second call of `begin`, or the deadline, aborts the remaining requests.
 /// Not thread-safe; call on the loop's thread.
 class shutdown_sequence {
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -218,7 +218,7 @@
         log.write(log_level::warning, wasOverloaded ? "overload_left" : "overload_entered", { { "requests", std::uint64_t { front.inProgress() } } });
     }
     core.setLoopLag(guard.lag());
-    callerServer.setKeepAlive(!guard.shouldShedConnections(now));
+    callerServer.setKeepAlive(!isLeaving && !guard.shouldShedConnections(now));
     lagDue = now + lagInterval;
     lagTimer.arm(lagInterval);
 }
@@ -277,6 +277,7 @@
         return;
     }
     m_parts->log.write(log_level::info, "shutdown_begun", { { "requests", std::uint64_t { m_parts->front.inProgress() } } });
+    m_parts->callerServer.setKeepAlive(false);
     m_parts->graceTimer.arm(m_parts->configured.shutdown.grace);
     m_parts->deadlineTimer.arm(m_parts->configured.shutdown.deadline);
 }
--- a/lib/Daemon/ShutdownSequence.cpp
+++ b/lib/Daemon/ShutdownSequence.cpp
@@ -30,6 +30,7 @@
     }
     m_hasBegun = true;
     m_targets.admin.setUnready();
+    m_targets.callerServer.setKeepAlive(false);
     m_targets.log.write(log_level::info, "shutdown_begun", { { "requests", static_cast<std::uint64_t>(m_targets.callers.inProgress()) } });
     m_graceTimer.arm(m_limits.grace);
     m_deadlineTimer.arm(m_limits.deadline);
--- a/unittests/Daemon/ShutdownSequenceTests.cpp
+++ b/unittests/Daemon/ShutdownSequenceTests.cpp
@@ -22,7 +22,7 @@
         : administration(
             {}, *operator_directory::create({}), changes, [](revision) {}, 1)
         , admin(router.driver, administration, [] { return std::string(); })
-        , callerServer(router.loop, {}, [](const http_request&, const std::shared_ptr<http_response_writer>&) {})
+        , callerServer(router.loop, {}, [this](const http_request&, std::shared_ptr<http_response_writer> answer) { answers.push_back(std::move(answer)); })
         , shutdown({ router.driver, admin, router.front, callerServer, router.log }, limits)
     {
     }
@@ -41,6 +41,7 @@
     unused_change_store changes;
     admin_service administration;
     admin_front admin;
+    std::vector<std::shared_ptr<http_response_writer>> answers;
     http_server callerServer;
     shutdown_sequence shutdown;
 };
@@ -81,6 +82,20 @@
     CHECK(requestsCut(test) == 0);
 }
 
+// Guards against callers that stay on the connections of a router until its drain closes them.
+TEST_CASE("connections close after their responses from the start of a shutdown")
+{
+    fixture test({ 10s, 20s });
+    const std::uint16_t port = test.callerServer.listen({ "127.0.0.1", 0 }).value().port;
+    test.shutdown.begin();
+    raw_socket caller = raw_socket::connectTo(test.router.loop, port);
+    caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(runUntil(test.router.loop, [&] { return !test.answers.empty(); }));
+    test.answers.front()->reply({}, "answer");
+    CHECK(caller.waitForClose());
+    CHECK(caller.received.find("Connection: close") != std::string::npos);
+}
+
 // Guards against a graceful shutdown that interrupts a request in progress.
 TEST_CASE("a request in progress ends before the router does")
 {
--- a/unittests/PlatformAdapter/RouterTests.cpp
+++ b/unittests/PlatformAdapter/RouterTests.cpp
@@ -136,6 +136,24 @@
     CHECK(fleet.lines.back()["requests_cut"] == 0);
 }
 
+// Guards against callers that stay on the connections of a router until its drain closes them.
+TEST_CASE("a router closes connections after their responses from the start of its shutdown")
+{
+    router_fixture fleet;
+    fleet.configured.shutdown.grace = 2s;
+    fleet.serve();
+    CHECK(fleet.ask("/read/a").header("Connection").empty());
+    fleet.router->process.shutDown();
+    for (int request = 0; request < 2; ++request) {
+        const auto answer = fleet.ask("/read/a");
+        CHECK(answer.status == 200);
+        CHECK(answer.header("Connection") == "close");
+        // The lag of the loop is measured in the meantime, which sets the mode again.
+        fleet.runFor(120ms);
+    }
+    CHECK(fleet.logged("shutdown_draining") == 0);
+}
+
 // Guards against a start that continues without one of the router's addresses.
 TEST_CASE("a router whose address is in use does not start")
 {
