--- a/include/pimentoladder/Daemon/DispatchProcess.h
+++ b/include/pimentoladder/Daemon/DispatchProcess.h
@@ -38,9 +38,10 @@
     /// address cannot be bound.
     result<void> start();
 
-    /// Reports unready and closes connections after their responses, then drains, and stops the loop once no request is in
-    /// progress or the deadline of the settings has passed.
-    void shutDown();
+    /// Reports unready and closes connections after their responses, then drains, and stops
+    /// the loop once no request is in progress or the deadline of the settings has passed.
+    /// The times of the settings count from \p receivedAt, when the signal came.
+    void shutDown(time_point receivedAt);
 
     /// Applies the settings that may change at run time: the log level.
     void reload(const settings& changed);
--- a/include/pimentoladder/Daemon/RouterProcess.h
+++ b/include/pimentoladder/Daemon/RouterProcess.h
@@ -28,8 +28,9 @@
     result<void> start();
 
     /// Begins a graceful shutdown; a second call ends it at once. The loop is
-    /// stopped when it has ended.
-    void shutDown();
+    /// stopped when it has ended. The times of the settings count from \p receivedAt,
+    /// when the signal came.
+    void shutDown(time_point receivedAt);
 
 private:
     struct parts;
--- a/include/pimentoladder/Daemon/ShutdownSequence.h
+++ b/include/pimentoladder/Daemon/ShutdownSequence.h
@@ -15,7 +15,8 @@
 namespace pimentoladder {
 
 /// Shuts a router down in steps: it reports unready and closes connections after their
-/// responses, waits a grace period for the load balancer, then drains: refuses new requests while those in progress end.
+/// responses, waits a grace period for the load balancer, then drains: refuses new requests
+/// while those in progress end.
 /// A second call of `begin`, or the deadline, aborts the remaining requests.
 /// Not thread-safe; call on the loop's thread.
 class shutdown_sequence {
@@ -31,7 +32,8 @@
 
     shutdown_sequence(targets components, shutdown_settings limits);
 
-    void begin();
+    /// The times of the settings count from \p receivedAt, when the signal came.
+    void begin(time_point receivedAt);
 
 private:
     void drain();
--- a/include/pimentoladder/Net/EventLoop.h
+++ b/include/pimentoladder/Net/EventLoop.h
@@ -86,17 +86,25 @@
 };
 
 /// Calls a function on the loop each time the process receives a signal.
-/// Not thread-safe; call on the loop's thread.
+/// Not thread-safe; call on the loop's thread. At most one listener for each signal.
 class signal_listener {
 public:
-    signal_listener(event_loop& loop, int signalNumber, std::function<void()> callback);
+    /// \p callback gets the time at which the process received the signal, which may be
+    /// well before a busy loop handles it. Throws `std::runtime_error` if no pipe can be
+    /// created.
+    signal_listener(event_loop& loop, int signalNumber, std::function<void(time_point receivedAt)> callback);
     ~signal_listener();
     signal_listener(const signal_listener&) = delete;
     signal_listener& operator=(const signal_listener&) = delete;
 
 private:
+    void readSignals();
+
+    int m_signalNumber;
+    int m_pipe[2] = { -1, -1 };
+    std::function<void(time_point)> m_whenReceived;
     std::shared_ptr<std::function<void()>> m_callback;
-    event* m_event;
+    event* m_event = nullptr;
 };
 
 }
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -270,16 +270,18 @@
     return {};
 }
 
-void dispatch_process::shutDown()
+void dispatch_process::shutDown(time_point receivedAt)
 {
     if (std::exchange(m_parts->isLeaving, true)) {
         m_parts->end("second signal");
         return;
     }
-    m_parts->log.write(log_level::info, "shutdown_begun", { { "requests", std::uint64_t { m_parts->front.inProgress() } } });
+    const time_point now = m_parts->loop.now();
+    m_parts->log.write(log_level::info, "shutdown_begun", { { "requests", std::uint64_t { m_parts->front.inProgress() } }, { "signal_ms_ago", std::chrono::duration_cast<std::chrono::milliseconds>(now - receivedAt).count() } });
     m_parts->callerServer.setKeepAlive(false);
-    m_parts->graceTimer.arm(m_parts->configured.shutdown.grace);
-    m_parts->deadlineTimer.arm(m_parts->configured.shutdown.deadline);
+    const shutdown_settings& limits = m_parts->configured.shutdown;
+    m_parts->graceTimer.arm(receivedAt + limits.grace - now);
+    m_parts->deadlineTimer.arm(receivedAt + limits.deadline - now);
 }
 
 void dispatch_process::reload(const settings& changed)
--- a/lib/Daemon/RouterProcess.cpp
+++ b/lib/Daemon/RouterProcess.cpp
@@ -239,9 +239,9 @@
     return {};
 }
 
-void router_process::shutDown()
+void router_process::shutDown(time_point receivedAt)
 {
-    m_parts->shutdown.begin();
+    m_parts->shutdown.begin(receivedAt);
 }
 
 }
--- a/lib/Daemon/ShutdownSequence.cpp
+++ b/lib/Daemon/ShutdownSequence.cpp
@@ -22,7 +22,7 @@
 {
 }
 
-void shutdown_sequence::begin()
+void shutdown_sequence::begin(time_point receivedAt)
 {
     if (m_hasBegun) {
         end("second signal");
@@ -32,8 +32,9 @@
     m_targets.admin.setUnready();
     m_targets.callerServer.setKeepAlive(false);
     m_targets.log.write(log_level::info, "shutdown_begun", { { "requests", static_cast<std::uint64_t>(m_targets.callers.inProgress()) } });
-    m_graceTimer.arm(m_limits.grace);
-    m_deadlineTimer.arm(m_limits.deadline);
+    const time_point now = m_targets.driver.loop().now();
+    m_graceTimer.arm(receivedAt + m_limits.grace - now);
+    m_deadlineTimer.arm(receivedAt + m_limits.deadline - now);
 }
 
 void shutdown_sequence::drain()
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -1,10 +1,16 @@
 #include "pimentoladder/Net/EventLoop.h"
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
+#include <csignal>
 #include <ctime>
 #include <stdexcept>
 #include <utility>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <event2/event.h>
 
 namespace pimentoladder {
@@ -19,6 +25,24 @@
         return { static_cast<time_t>(whole.count()), static_cast<suseconds_t>(rest.count()) };
     }
 
+    time_point toTimePoint(const timespec& read)
+    {
+        return time_point(std::chrono::seconds(read.tv_sec) + std::chrono::nanoseconds(read.tv_nsec));
+    }
+
+    // Write ends of the listeners' pipes, by signal number.
+    std::array<volatile std::sig_atomic_t, NSIG> signalPipes {};
+
+    /// Writes the time of a signal to its listener's pipe. Runs in the context of the signal.
+    void recordSignal(int signalNumber)
+    {
+        const int savedError = errno;
+        timespec received {};
+        clock_gettime(CLOCK_BOOTTIME, &received);
+        static_cast<void>(!write(signalPipes[static_cast<std::size_t>(signalNumber)], &received, sizeof received));
+        errno = savedError;
+    }
+
     /// Calls the function that \p context points to. The copied pointer keeps the
     /// function alive if it destroys its owner.
     void runCallback(evutil_socket_t, short, void* context)
@@ -64,7 +88,7 @@
 {
     timespec read {};
     clock_gettime(CLOCK_BOOTTIME, &read);
-    return time_point(std::chrono::seconds(read.tv_sec) + std::chrono::nanoseconds(read.tv_nsec));
+    return toTimePoint(read);
 }
 
 duration event_loop::processorTime() const
@@ -139,16 +163,35 @@
     event_del(m_event);
 }
 
-signal_listener::signal_listener(event_loop& loop, int signalNumber, std::function<void()> callback)
-    : m_callback(std::make_shared<std::function<void()>>(std::move(callback)))
-    , m_event(makeEvent(loop, signalNumber, EV_SIGNAL | EV_PERSIST, m_callback))
+signal_listener::signal_listener(event_loop& loop, int signalNumber, std::function<void(time_point receivedAt)> callback)
+    : m_signalNumber(signalNumber)
+    , m_whenReceived(std::move(callback))
+    , m_callback(std::make_shared<std::function<void()>>([this] { readSignals(); }))
 {
+    if (pipe2(m_pipe, O_NONBLOCK | O_CLOEXEC) != 0)
+        throw std::runtime_error("cannot create a pipe for signals; check the limit of open files");
+    m_event = makeEvent(loop, m_pipe[0], EV_READ | EV_PERSIST, m_callback);
     event_add(m_event, nullptr);
+    signalPipes.at(static_cast<std::size_t>(signalNumber)) = m_pipe[1];
+    struct sigaction action { };
+    action.sa_handler = recordSignal;
+    action.sa_flags = SA_RESTART;
+    sigaction(signalNumber, &action, nullptr);
 }
 
 signal_listener::~signal_listener()
 {
+    std::signal(m_signalNumber, SIG_DFL);
     event_free(m_event);
+    close(m_pipe[0]);
+    close(m_pipe[1]);
+}
+
+void signal_listener::readSignals()
+{
+    timespec received {};
+    while (read(m_pipe[0], &received, sizeof received) == sizeof received)
+        m_whenReceived(toTimePoint(received));
 }
 
 }
--- a/unittests/Daemon/ShutdownSequenceTests.cpp
+++ b/unittests/Daemon/ShutdownSequenceTests.cpp
@@ -27,6 +27,8 @@
     {
     }
 
+    void beginShutdown() { shutdown.begin(router.loop.now()); }
+
     /// Runs until the sequence stops the loop, and returns the logged reason.
     std::string runToEnd()
     {
@@ -72,7 +74,7 @@
 {
     fixture test({ 200ms, 10s });
     REQUIRE(test.router.serve(1));
-    test.shutdown.begin();
+    test.beginShutdown();
     const auto ready = std::make_shared<received_answer>();
     test.admin.onRequest({ "GET", "/readyz", {}, {} }, std::make_shared<recording_answer>(ready));
     CHECK(ready->head.value().status == 503);
@@ -87,7 +89,7 @@
 {
     fixture test({ 10s, 20s });
     const std::uint16_t port = test.callerServer.listen({ "127.0.0.1", 0 }).value().port;
-    test.shutdown.begin();
+    test.beginShutdown();
     raw_socket caller = raw_socket::connectTo(test.router.loop, port);
     caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
     REQUIRE(runUntil(test.router.loop, [&] { return !test.answers.empty(); }));
@@ -104,7 +106,7 @@
     REQUIRE(test.router.serve(engine.port));
     const auto seen = test.router.request("POST", "/v1/generate", "{}");
     REQUIRE(runUntil(test.router.loop, [&] { return !engine.answers.empty(); }));
-    test.shutdown.begin();
+    test.beginShutdown();
     test.router.loop.runFor(300ms);
     CHECK(test.router.logged("shutdown_ended").empty());
     CHECK(test.router.request("GET", "/x")->refused == refusal_kind::draining);
@@ -126,8 +128,8 @@
         REQUIRE(test.router.serve(engine.port));
         const auto seen = test.router.request("POST", "/v1/generate", "{}");
         REQUIRE(runUntil(test.router.loop, [&] { return !engine.answers.empty(); }));
-        test.shutdown.begin();
-        loop_timer second(test.router.loop, [&] { test.shutdown.begin(); });
+        test.beginShutdown();
+        loop_timer second(test.router.loop, [&] { test.beginShutdown(); });
         if (isSecondSignal)
             second.arm(50ms);
         CHECK(test.runToEnd() == (isSecondSignal ? "second signal" : "deadline"));
--- a/unittests/Net/EventLoopTests.cpp
+++ b/unittests/Net/EventLoopTests.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -60,8 +61,27 @@
 {
     event_loop loop;
     int signals = 0;
-    const signal_listener watch(loop, SIGUSR1, [&] { ++signals; });
+    const signal_listener watch(loop, SIGUSR1, [&](time_point) { ++signals; });
     std::raise(SIGUSR1);
     loop.runFor(10ms);
     CHECK(signals == 1);
 }
+
+// Guards against a shutdown that is timed from the moment at which a late loop handles the signal.
+TEST_CASE("a signal is reported with the time at which the process received it")
+{
+    event_loop loop;
+    std::vector<time_point> received;
+    const signal_listener watch(loop, SIGUSR1, [&](time_point receivedAt) { received.push_back(receivedAt); });
+    const time_point before = loop.now();
+    std::raise(SIGUSR1);
+    const time_point after = loop.now();
+    std::raise(SIGUSR1);
+    std::this_thread::sleep_for(100ms);
+    loop.runFor(10ms);
+    REQUIRE(received.size() == 2);
+    CHECK(received[0] >= before);
+    CHECK(received[0] <= after);
+    CHECK(received[1] >= after);
+    CHECK(received[1] < after + 50ms);
+}
--- a/unittests/PlatformAdapter/RouterTests.cpp
+++ b/unittests/PlatformAdapter/RouterTests.cpp
@@ -127,7 +127,7 @@
     const auto answer = fleet.begin("/stream/a", "key", { { "X-Token-Counts", "10,200" } });
     fleet.runFor(100ms);
     REQUIRE_FALSE(answer->has_value());
-    fleet.router->process.shutDown();
+    fleet.router->process.shutDown(fleet.router->loop.now());
     CHECK(fleet.runUntil([&] { return answer->has_value(); }));
     CHECK((*answer)->end == tools::call_end::answered);
     CHECK((*answer)->body.find("id: 200\n") != std::string::npos);
@@ -136,6 +136,17 @@
     CHECK(fleet.lines.back()["requests_cut"] == 0);
 }
 
+// Guards against a shutdown that is timed from the moment at which a late loop handles the signal.
+TEST_CASE("the times of a shutdown count from the signal")
+{
+    router_fixture fleet;
+    fleet.configured.shutdown.grace = 1s;
+    fleet.serve();
+    fleet.router->process.shutDown(fleet.router->loop.now() - 900ms);
+    CHECK(fleet.ask("/read/a").status == 200);
+    CHECK(fleet.runUntil([&] { return fleet.logged("shutdown_draining") == 1; }, 500ms));
+}
+
 // Guards against callers that stay on the connections of a router until its drain closes them.
 TEST_CASE("a router closes connections after their responses from the start of its shutdown")
 {
@@ -143,7 +154,7 @@
     fleet.configured.shutdown.grace = 2s;
     fleet.serve();
     CHECK(fleet.ask("/read/a").header("Connection").empty());
-    fleet.router->process.shutDown();
+    fleet.router->process.shutDown(fleet.router->loop.now());
     for (int request = 0; request < 2; ++request) {
         const auto answer = fleet.ask("/read/a");
         CHECK(answer.status == 200);
