--- a/lib/Net/HttpServerConnection.h
+++ b/lib/Net/HttpServerConnection.h
@@ -78,7 +78,8 @@
 public:
     virtual ~http_server_connection_owner() = default;
     virtual const http_server_limits& limits() const = 0;
-    virtual bool isDraining() const = 0; ///< Whether connections close after their response.
+    virtual bool isDraining() const = 0; ///< Whether connections close once no request is left on them.
+    virtual bool keepsConnections() const = 0; ///< Whether responses keep their connection open.
     virtual std::size_t connectionCount() const = 0;
     virtual void requestArrived(http_request request, std::shared_ptr<http_response_writer> answer) = 0;
     virtual void connectionClosing(const server_close& closing) = 0;
@@ -102,7 +103,9 @@
     void refuse(refusal_kind kind, std::string message);
     /// Closes at once. Must not be called from within an evhttp callback.
     void close(server_close_reason reason);
-    bool isIdle() const { return m_phase == phase::reading && !m_parser.hasBegun(); }
+    /// Closes the connection for a drain, unless a request has arrived or is in
+    /// progress. Must not be called from within an evhttp callback.
+    void closeIfIdle();
 
     void sendHead(const http_response_head& head, bool isLengthKnown);
     void sendBody(std::string_view bytes);
--- a/unittests/Daemon/ShutdownSequenceTests.cpp
+++ b/unittests/Daemon/ShutdownSequenceTests.cpp
@@ -22,11 +22,13 @@
         : administration(
             {}, *operator_directory::create({}), changes, [](revision) {}, 1)
         , admin(router.driver, administration, [] { return std::string(); })
-        , callerServer(router.loop, {}, [](const http_request&, const std::shared_ptr<http_response_writer>&) {})
+        , callerServer(router.loop, {}, [this](const http_request&, std::shared_ptr<http_response_writer> answer) { answers.push_back(std::move(answer)); })
         , shutdown({ router.driver, admin, router.front, callerServer, router.log }, limits)
     {
     }
 
+    void beginShutdown() { shutdown.begin(router.loop.now()); }
+
     /// Runs until the sequence stops the loop, and returns the logged reason.
     std::string runToEnd()
     {
@@ -41,6 +43,7 @@
     unused_change_store changes;
     admin_service administration;
     admin_front admin;
+    std::vector<std::shared_ptr<http_response_writer>> answers;
     http_server callerServer;
     shutdown_sequence shutdown;
 };
@@ -71,7 +74,7 @@
 {
     fixture test({ 200ms, 10s });
     REQUIRE(test.router.serve(1));
-    test.shutdown.begin();
+    test.beginShutdown();
     const auto ready = std::make_shared<received_answer>();
     test.admin.onRequest({ "GET", "/readyz", {}, {} }, std::make_shared<recording_answer>(ready));
     CHECK(ready->head.value().status == 503);
@@ -81,6 +84,20 @@
     CHECK(requestsCut(test) == 0);
 }
 
+// Guards against callers that stay on the connections of a router until its drain closes them.
+TEST_CASE("connections close after their responses from the start of a shutdown")
+{
+    fixture test({ 10s, 20s });
+    const std::uint16_t port = test.callerServer.listen({ "127.0.0.1", 0 }).value().port;
+    test.beginShutdown();
+    raw_socket caller = raw_socket::connectTo(test.router.loop, port);
+    caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(runUntil(test.router.loop, [&] { return !test.answers.empty(); }));
+    test.answers.front()->reply({}, "answer");
+    CHECK(caller.waitForClose());
+    CHECK(caller.received.find("Connection: close") != std::string::npos);
+}
+
 // Guards against a graceful shutdown that interrupts a request in progress.
 TEST_CASE("a request in progress ends before the router does")
 {
@@ -89,7 +106,7 @@
     REQUIRE(test.router.serve(engine.port));
     const auto seen = test.router.request("POST", "/v1/generate", "{}");
     REQUIRE(runUntil(test.router.loop, [&] { return !engine.answers.empty(); }));
-    test.shutdown.begin();
+    test.beginShutdown();
     test.router.loop.runFor(300ms);
     CHECK(test.router.logged("shutdown_ended").empty());
     CHECK(test.router.request("GET", "/x")->refused == refusal_kind::draining);
@@ -111,8 +128,8 @@
         REQUIRE(test.router.serve(engine.port));
         const auto seen = test.router.request("POST", "/v1/generate", "{}");
         REQUIRE(runUntil(test.router.loop, [&] { return !engine.answers.empty(); }));
-        test.shutdown.begin();
-        loop_timer second(test.router.loop, [&] { test.shutdown.begin(); });
+        test.beginShutdown();
+        loop_timer second(test.router.loop, [&] { test.beginShutdown(); });
         if (isSecondSignal)
             second.arm(50ms);
         CHECK(test.runToEnd() == (isSecondSignal ? "second signal" : "deadline"));
--- a/unittests/Net/HttpServerTests.cpp
+++ b/unittests/Net/HttpServerTests.cpp
@@ -436,6 +436,80 @@
     CHECK(late.waitForClose());
 }
 
+// Guards against requests that a drain loses because they wait in the socket, or in the
+// connection's buffer for a later callback of the same iteration.
+TEST_CASE("a request that arrived before the server drains is answered")
+{
+    for (const bool isRead : { true, false }) {
+        CAPTURE(isRead);
+        server_fixture test;
+        raw_socket caller = test.connect();
+        REQUIRE(runUntil(test.loop, [&] { return test.server.connectionCount() == 1; }));
+        test.loop.runFor(5ms);
+        caller.send(get);
+        loop_timer drain(test.loop, [&] { test.server.drain(); });
+        if (isRead)
+            drain.arm(0ms);
+        else
+            test.server.drain();
+        const bool hasArrived = test.waitForRequests(1);
+        CHECK(hasArrived);
+        if (!hasArrived)
+            continue;
+        test.answers[0]->reply({}, "answer");
+        REQUIRE(caller.waitForClose());
+        CHECK_FALSE(caller.isReset);
+        CHECK(caller.received.ends_with("answer"));
+        CHECK(caller.received.find("Connection: close") != std::string::npos);
+    }
+}
+
+// Guards against a drain that resets connections which the server has not accepted yet.
+TEST_CASE("a request on a connection that waits for acceptance when the server drains is answered")
+{
+    server_fixture test;
+    constexpr std::size_t callerCount = 80;
+    std::vector<raw_socket> callers;
+    for (std::size_t index = 0; index < callerCount; ++index) {
+        callers.push_back(test.connect());
+        callers.back().send(get);
+    }
+    test.onRequest = [&] { test.answers.back()->reply({}, "answer"); };
+    test.server.drain();
+    std::size_t answered = 0;
+    for (raw_socket& each : callers)
+        answered += each.waitForClose() && each.received.ends_with("answer") ? 1 : 0;
+    CHECK(answered == callerCount);
+    raw_socket late = test.connect();
+    CHECK(late.waitForClose());
+}
+
+// Guards against connections that outlive the drain because their response began before it.
+TEST_CASE("a connection whose response began before the drain is closed after its last request")
+{
+    for (const bool hasFurtherRequest : { false, true }) {
+        CAPTURE(hasFurtherRequest);
+        server_fixture test;
+        raw_socket caller = test.connect();
+        caller.send(get);
+        REQUIRE(test.waitForRequests(1));
+        test.answers[0]->start({});
+        REQUIRE(caller.waitFor("\r\n\r\n"));
+        test.server.drain();
+        if (hasFurtherRequest)
+            caller.send(get);
+        test.answers[0]->end();
+        if (hasFurtherRequest) {
+            REQUIRE(test.waitForRequests(2));
+            test.answers[1]->reply({}, "further");
+        }
+        REQUIRE(caller.waitForClose());
+        CHECK_FALSE(caller.isReset);
+        CHECK(caller.received.ends_with(hasFurtherRequest ? "further" : "0\r\n\r\n"));
+        CHECK(runUntil(test.loop, [&] { return test.server.connectionCount() == 0; }));
+    }
+}
+
 // Guards against use after free when responses outlive the server or a connection
 // is destroyed in any state.
 TEST_CASE("answers may outlive the server")
