--- a/include/pimentoladder/Net/EventLoop.h
+++ b/include/pimentoladder/Net/EventLoop.h
@@ -13,12 +13,6 @@
 
 namespace pimentoladder {
 
-/// Order in which the loop handles events that are ready at the same time.
-enum class event_priority {
-    standard, ///< Work in progress, peers, the store, timers, signals.
-    newWork, ///< Handled a few at a time, after all `standard` events that are ready by then.
-};
-
 /// Owns the libevent base and is the only place that reads the clock.
 /// Not thread-safe; every object that takes the loop lives on its thread and
 /// must be destroyed before it.
@@ -45,9 +39,6 @@
     /// Makes `run` return after the current event callback.
     void stop();
 
-    /// Returns libevent's number of \p priority.
-    static int priorityNumber(event_priority priority);
-
     /// Returns the libevent base, which the loop owns.
     event_base* base() const { return m_base; }
 
@@ -60,7 +51,7 @@
 /// Not thread-safe; call on the loop's thread.
 class loop_timer {
 public:
-    loop_timer(event_loop& loop, std::function<void()> callback, event_priority priority = event_priority::standard);
+    loop_timer(event_loop& loop, std::function<void()> callback);
     ~loop_timer();
     loop_timer(const loop_timer&) = delete;
     loop_timer& operator=(const loop_timer&) = delete;
@@ -89,9 +80,6 @@
     void schedule();
     void cancel();
 
-    /// Precondition: the call is not scheduled.
-    void setPriority(event_priority priority);
-
 private:
     std::shared_ptr<std::function<void()>> m_callback;
     event* m_event;
--- a/include/pimentoladder/Net/HttpServer.h
+++ b/include/pimentoladder/Net/HttpServer.h
@@ -11,13 +11,14 @@
 #include "pimentoladder/Base/Error.h"
 #include "pimentoladder/Base/Time.h"
 #include "pimentoladder/Config/Document.h"
-#include "pimentoladder/Net/EventLoop.h"
 #include "pimentoladder/Net/HttpMessage.h"
 #include "pimentoladder/Outcome/Refusal.h"
 
 namespace pimentoladder {
 
-/// Limits of one server. All except `connections` and `requestPriority` apply to each connection.
+class event_loop;
+
+/// Limits of one server. All except `connections` apply to each connection.
 struct http_server_limits {
     std::size_t headBytes = std::size_t { 32 } * 1024;
     std::size_t bodyBytes = std::size_t { 8 } * 1024 * 1024;
@@ -26,7 +27,6 @@
     duration bodyTimeout = std::chrono::seconds(60); ///< From the end of the head to the end of the body.
     duration idleTimeout = std::chrono::seconds(75); ///< Without a request in progress.
     duration writeTimeout = std::chrono::seconds(60); ///< While the caller reads no byte of a pending response.
-    event_priority requestPriority = event_priority::standard; ///< Of reading requests. Responses in progress are always `standard`.
     duration lingerTimeout = std::chrono::seconds(1); ///< How long to keep reading after a refusal, so that a reset does not destroy it.
 };
 
--- a/lib/Daemon/ConnectionLimits.cpp
+++ b/lib/Daemon/ConnectionLimits.cpp
@@ -19,7 +19,6 @@
     limits.connections = configured.limits.connections;
     limits.headTimeout = configured.timeouts.head;
     limits.bodyTimeout = configured.timeouts.body;
-    limits.requestPriority = event_priority::newWork;
     return limits;
 }
 
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -143,8 +143,7 @@
     , follower({ driver, ports.rows, ports.fleet, log, values, relayLimits(configured), configured.listen.peers, [this](const serving_plan& plan) { applyCallerLimits(plan); } }, selfOf(configured, start), generateFleetKey(), seed + 1)
     , callerServer(loop, callerLimits(configured), [this](http_request request, std::shared_ptr<http_response_writer> answer) { front.onRequest(std::move(request), std::move(answer)); })
     , adminServer(loop, {}, [this](const http_request& request, const std::shared_ptr<http_response_writer>& answer) { answerAdmin(request, *answer); })
-    , lagTimer(
-          loop, [this] { measureLag(); }, event_priority::newWork)
+    , lagTimer(loop, [this] { measureLag(); })
     , graceTimer(loop, [this] { refuseNewWork(); })
     , deadlineTimer(loop, [this] { end("deadline"); })
     , checkTimer(loop, [this] { endIfIdle(); })
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -52,21 +52,11 @@
         (*callback)();
     }
 
-    // With three priorities libevent gives new events the middle one, so that only those of
-    // new work need a priority of their own.
-    constexpr int priorityCount = 3;
-    constexpr int standardPriority = 1;
-    constexpr int newWorkPriority = 2;
-    // Events of new work that are handled before the loop looks for work in progress again.
-    // A small VM needs some milliseconds for as many requests.
-    constexpr int newWorkBatch = 8;
-
-    event* makeEvent(event_loop& loop, evutil_socket_t source, short what, std::shared_ptr<std::function<void()>>& callback, event_priority priority = event_priority::standard)
+    event* makeEvent(event_loop& loop, evutil_socket_t source, short what, std::shared_ptr<std::function<void()>>& callback)
     {
         event* made = event_new(loop.base(), source, what, runCallback, &callback);
         if (!made)
             throw std::runtime_error("cannot create a libevent event; free some memory");
-        event_priority_set(made, event_loop::priorityNumber(priority));
         return made;
     }
 
@@ -83,10 +73,9 @@
     // the change list drops pairs of changes that cancel out within one loop
     // iteration. The list does not support duplicated descriptors, and there are none.
     event_config_set_flag(config, EVENT_BASE_FLAG_NOLOCK | EVENT_BASE_FLAG_PRECISE_TIMER | EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
-    event_config_set_max_dispatch_interval(config, nullptr, newWorkBatch, newWorkPriority);
     m_base = event_base_new_with_config(config);
     event_config_free(config);
-    if (!m_base || event_base_priority_init(m_base, priorityCount) != 0)
+    if (!m_base)
         throw std::runtime_error("cannot create a libevent event base; check the limit of open files");
 }
 
@@ -95,11 +84,6 @@
     event_base_free(m_base);
 }
 
-int event_loop::priorityNumber(event_priority priority)
-{
-    return priority == event_priority::newWork ? newWorkPriority : standardPriority;
-}
-
 time_point event_loop::now() const
 {
     timespec read {};
@@ -131,9 +115,9 @@
     event_base_loopbreak(m_base);
 }
 
-loop_timer::loop_timer(event_loop& loop, std::function<void()> callback, event_priority priority)
+loop_timer::loop_timer(event_loop& loop, std::function<void()> callback)
     : m_callback(std::make_shared<std::function<void()>>(std::move(callback)))
-    , m_event(makeEvent(loop, -1, 0, m_callback, priority))
+    , m_event(makeEvent(loop, -1, 0, m_callback))
 {
 }
 
@@ -179,11 +163,6 @@
     event_del(m_event);
 }
 
-void deferred_call::setPriority(event_priority priority)
-{
-    event_priority_set(m_event, event_loop::priorityNumber(priority));
-}
-
 signal_listener::signal_listener(event_loop& loop, int signalNumber, std::function<void(time_point receivedAt)> callback)
     : m_signalNumber(signalNumber)
     , m_whenReceived(std::move(callback))
--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -155,11 +155,6 @@
     evbuffer_free(m_chunkBuffer);
 }
 
-void http_server_connection::setPriority(event_priority priority)
-{
-    bufferevent_priority_set(m_channel, event_loop::priorityNumber(priority));
-}
-
 void http_server_connection::detachChannel()
 {
     evbuffer_remove_cb(bufferevent_get_input(m_channel), onInput, this);
@@ -251,8 +246,6 @@
     evhttp_connection_set_closecb(m_evhttp, onClosed, this);
     bufferevent_set_timeouts(m_channel, nullptr, nullptr);
     setNoDelay(bufferevent_getfd(m_channel));
-    m_proceed.setPriority(m_owner.limits().requestPriority);
-    setPriority(m_owner.limits().requestPriority);
     m_deadline.arm(m_owner.limits().idleTimeout);
     const std::size_t limit = m_owner.limits().connections;
     if (m_owner.connectionCount() > limit + maxRefusedConnections)
@@ -335,7 +328,6 @@
 void http_server_connection::dispatch()
 {
     m_phase = phase::answering;
-    setPriority(event_priority::standard);
     m_deadline.cancel();
     inject(m_parser.head());
 }
@@ -343,7 +335,6 @@
 void http_server_connection::refuse(refusal_kind kind, std::string message)
 {
     m_phase = phase::refusing;
-    setPriority(event_priority::standard);
     m_refusal = { kind, std::move(message) };
     inject(placeholderRequest);
 }
@@ -472,7 +463,6 @@
     m_answer.reset();
     m_request = nullptr;
     m_phase = phase::reading;
-    setPriority(m_owner.limits().requestPriority);
     m_parser.reset();
     takeRawInput();
     m_deadline.arm(m_owner.limits().idleTimeout);
--- a/lib/Net/HttpServerConnection.h
+++ b/lib/Net/HttpServerConnection.h
@@ -135,7 +135,6 @@
     void proceed();
     void adopt();
     void detachChannel();
-    void setPriority(event_priority priority);
     void read();
     /// Reads what has arrived at the socket, without waiting for the loop to report it.
     void readArrived();
