Trust no response without the id of its request

Callers were told that a request had not run, or it was sent to a second server, while the first one ran it: a server that writes an earlier refusal once more, and without an id, passed for the server's refusal of the request in progress, since a response without X-Attempt-Id counted as expected. Servers echo the id in every response, so one without it answers nothing that carries an id. The response now counts as foreign, as one with another id: the request may have run.

Two ids in one response, and an id where none was sent, count as foreign too.

--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -34,7 +34,7 @@
 /// Head of a backend server's response.
 struct served_head {
     int status = 0;
-    bool isFromExpectedAttempt = true; ///< False if the response carries the id of another attempt.
+    bool isFromExpectedAttempt = true; ///< False if the response carries the id of another attempt, or none although the request has one.
     bool isNotExecuted = false; ///< The server reports that it did not run the request.
     bool isMisdirected = false; ///< The address now belongs to another server, which did not run the request.
     bool isAuthentic = false; ///< Carries the server's signature.
--- a/unittests/PlatformAdapter/RequestHeadersTests.cpp
+++ b/unittests/PlatformAdapter/RequestHeadersTests.cpp
@@ -71,6 +71,14 @@
     const auto describe = [&](int status, http_headers headers) { return codec.describeHead({ status, std::move(headers) }, makeRequest()); };
     CHECK(describe(200, { { "X-Attempt-Id", "9c41" }, { "X-Response-Seal", "s" } }).isAuthentic);
     CHECK_FALSE(describe(200, { { "X-Attempt-Id", "other" } }).isFromExpectedAttempt);
+    CHECK(describe(200, { { "x-attempt-id", "9c41" } }).isFromExpectedAttempt);
+    CHECK_FALSE(describe(503, { { "X-Not-Executed", "1" } }).isFromExpectedAttempt);
+    CHECK_FALSE(describe(200, { { "X-Attempt-Id", "" } }).isFromExpectedAttempt);
+    CHECK_FALSE(describe(200, { { "X-Attempt-Id", "9c41" }, { "X-Attempt-Id", "other" } }).isFromExpectedAttempt);
+    http_request withoutId = makeRequest();
+    std::erase_if(withoutId.headers, [](const http_header& each) { return each.name == "X-Attempt-Id"; });
+    CHECK(codec.describeHead({ 400, { { "X-Not-Executed", "1" } } }, withoutId).isFromExpectedAttempt);
+    CHECK_FALSE(codec.describeHead({ 400, { { "X-Attempt-Id", "9c41" } } }, withoutId).isFromExpectedAttempt);
     CHECK(describe(503, { { "X-Not-Executed", "1" } }).isNotExecuted);
     CHECK(describe(421, {}).isMisdirected);
     const auto load = describe(200, { { "X-Instance-Load", "3,1,8" } }).load;
