Act on a refusal only when its response is complete and nothing follows it

Callers were told that a request had not run, or it was sent to a second server, although the first one ran it. A server that writes an earlier refusal once more can write it in front of the true response; if the id fits, the head alone was taken for the refusal of the request in progress, and the response behind it was dropped. The same held for a refusal that broke off in its body.

The dispatcher now notes the refusal at its head and decides at the end of the response. If it is complete and no further input followed, the request has not run. Otherwise it may have run, as after any broken response; such an attempt is not evidence of a crashed server. A refusal that does not end is given up after the time-out that idempotent requests have for a head. The connection was closed after a refusal, because the attempt was cancelled; now that it completes, the attempt says so itself, and the number of connections is as before.

The test "a request that a server refused without running it is sent to another server" expected the retry at the head. It now expects none at the head and the same retry at the end of the response, which is stricter by one check.

--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -40,6 +40,9 @@
     bool isAuthentic = false; ///< Carries the server's signature.
     std::optional<reported_load> load;
     named_limit limit;
+
+    /// Returns whether the server refused the request without running it.
+    bool isRefusal() const { return isNotExecuted || isMisdirected; }
 };
 
 /// Open an attempt at a backend server.
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -27,7 +27,7 @@
     freshness_limits freshness;
     double retryShare = 0.1; ///< Retries that this router may send per request.
     std::uint64_t fleetRetries = 36; ///< Retries that all routers together may send in 10 s, whatever the request rate.
-    duration idempotentTimeout = std::chrono::milliseconds(300); ///< Wait for the response head before an idempotent request is sent to another server.
+    duration idempotentTimeout = std::chrono::milliseconds(300); ///< Wait for the response head before an idempotent request is sent to another server, and for the end of a refusal.
     duration streamStallTimeout = std::chrono::milliseconds(1500); ///< Wait for an event beyond the route's objective or pause limit before a stream is resumed on another server.
 };
 
--- a/include/pimentoladder/Net/HttpClient.h
+++ b/include/pimentoladder/Net/HttpClient.h
@@ -65,6 +65,9 @@
     virtual void pause() = 0;
     virtual void resume() = 0;
 
+    /// Makes the response the last one on its connection.
+    virtual void closeAfterResponse() = 0;
+
     /// Closes the connection. No further callback is called.
     virtual void cancel() = 0;
 
--- a/include/pimentoladder/Outcome/AttemptEnd.h
+++ b/include/pimentoladder/Outcome/AttemptEnd.h
@@ -21,6 +21,7 @@
 struct attempt_end {
     attempt_end_kind kind = attempt_end_kind::notSent;
     bool mayHaveBeenSent = false; ///< Whether a byte of the request may have reached a connected socket.
+    bool hasExtraInput = false; ///< Whether bytes followed the complete answer, so that it may answer another request.
 
     bool operator==(const attempt_end&) const = default;
 };
--- a/lib/Daemon/DispatchFront.cpp
+++ b/lib/Daemon/DispatchFront.cpp
@@ -195,6 +195,9 @@
     if (isEventStream(head))
         target->events.emplace();
     const served_head described = m_codec.describeHead(head, target->request);
+    // The server may write the refusal again, which must not meet another request.
+    if (described.isRefusal() && target->attemptNumber == attempt)
+        target->attempt->closeAfterResponse();
     target->head = &head;
     m_driver.post([&](dispatcher& core, time_point now) { return core.onHead(now, attempt, described); });
     target->head = nullptr;
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -47,6 +47,10 @@
         return "unknown";
     }
 
+    // Results of attempts whose request was not run.
+    constexpr std::string_view otherServer = "other_server";
+    constexpr std::string_view refusedUnrun = "refused_unrun";
+
     bool isSuccess(int status)
     {
         return status >= 200 && status < 300;
@@ -271,6 +275,7 @@
     request->hasBegun = false;
     request->isWaitingForDeadline = false;
     request->status = 0;
+    request->refusal = {};
     request->uncachedTokens = best->uncachedTokens;
     m_byAttempt[request->attempt] = request->number;
     m_selector.condition(best->server).started(now, request->attempt, best->uncachedTokens);
@@ -321,10 +326,12 @@
         drop(true, "foreign_answer");
         return out;
     }
-    if (head.isMisdirected || head.isNotExecuted) {
-        if (head.isMisdirected)
-            condition.unreachable(now);
-        drop(false, head.isMisdirected ? "other_server" : "refused_unrun");
+    if (head.isRefusal()) {
+        // Decided at the end of the response: if another one follows, this one may be a
+        // repeated refusal of an earlier request.
+        request->refusal = head.isMisdirected ? otherServer : refusedUnrun;
+        request->progressAt = now;
+        schedule(request, nextCheck(*request));
         return out;
     }
     if (isSuccess(head.status) && !head.isAuthentic) {
@@ -404,14 +411,21 @@
         failAttempt(now, request, false, request->isDenied ? "withheld" : "not_sent", 0, out);
         return out;
     }
+    const bool isRefused = !request->refusal.empty();
+    if (isRefused && end.kind == attempt_end_kind::complete && !end.hasExtraInput) {
+        if (request->refusal == otherServer)
+            condition.unreachable(now);
+        failAttempt(now, request, false, request->refusal, request->status, out);
+        return out;
+    }
     condition.failed(now);
     const bool isServerLost = end.kind == attempt_end_kind::resetAfterSent || end.kind == attempt_end_kind::truncated;
-    if (isServerLost && !request->hasBegun)
+    if (isServerLost && !request->hasBegun && !isRefused)
         recordLoss(now, *request);
     evaluateCrashes(now, out);
     // The evaluation may have ended the request.
     if (findByAttempt(attempt))
-        failAttempt(now, request, true, endName(end.kind), request->status, out);
+        failAttempt(now, request, true, isRefused ? "doubtful_refusal" : endName(end.kind), request->status, out);
     return out;
 }
 
@@ -589,6 +603,8 @@
 
 time_point dispatcher::nextCheck(const tracked_request& request) const
 {
+    if (!request.refusal.empty())
+        return std::min(request.deadline, request.progressAt + m_limits.idempotentTimeout);
     const bool canFailOver = request.isRepeatable() && !request.isWaitingForDeadline;
     if (!canFailOver)
         return request.deadline;
@@ -619,7 +635,7 @@
     std::set<server_id> tried = request->triedServers;
     tried.insert(request->server);
     const bool hasAlternative = canRetry(now, *request, true) && m_selector.select(now, { request->workspace, request->pool, prompt, tried });
-    if (!hasAlternative) {
+    if (!hasAlternative && request->refusal.empty()) {
         request->isWaitingForDeadline = true;
         schedule(request, nextCheck(*request));
         return;
--- a/lib/Dispatch/TrackedRequest.h
+++ b/lib/Dispatch/TrackedRequest.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <string_view>
 
 #include "pimentoladder/Dispatch/Dispatcher.h"
 
@@ -37,6 +38,7 @@
     bool hasBegun = false; ///< The open attempt has sent a response head or, for a stream, an event.
     bool isWaitingForDeadline = false; ///< A timeout passed and no other server was available; the attempt may run until the deadline.
     int status = 0;
+    std::string_view refusal; ///< Result of the open attempt if its response says that the request was not run; otherwise empty.
 
     std::uint32_t runs = 0; ///< Attempts that may have run.
     bool hasReservedRetry = false; ///< A retry for the next attempt has been taken from the budget.
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -31,6 +31,11 @@
             if (m_state->connection)
                 m_state->connection->resume();
         }
+        void closeAfterResponse() override
+        {
+            if (m_state->connection)
+                m_state->connection->closeAfterResponse();
+        }
         void cancel() override { endNow(); }
         bool mayHaveBeenSent() const override { return m_state->mayHaveBeenSent; }
 
--- a/lib/Net/HttpClientConnection.cpp
+++ b/lib/Net/HttpClientConnection.cpp
@@ -341,8 +341,8 @@
 {
     const std::shared_ptr<http_attempt_state> attempt = std::exchange(m_attempt, nullptr);
     const bool isComplete = m_endKind == attempt_end_kind::complete;
-    const bool isReusable = attempt && isComplete && !m_isClosed && !m_hasUnexpectedInput && m_parser.isPersistent();
-    attempt_end ended { m_endKind, attempt && attempt->mayHaveBeenSent };
+    const bool isReusable = attempt && isComplete && !m_isClosed && !m_hasUnexpectedInput && !m_isLastResponse && m_parser.isPersistent();
+    attempt_end ended { m_endKind, attempt && attempt->mayHaveBeenSent, m_hasUnexpectedInput };
     if (attempt) {
         attempt->connection = nullptr;
         if (!ended.mayHaveBeenSent)
--- a/lib/Net/HttpClientConnection.h
+++ b/lib/Net/HttpClientConnection.h
@@ -61,6 +61,7 @@
     void begin(std::shared_ptr<http_attempt_state> attempt);
     void pause();
     void resume();
+    void closeAfterResponse() { m_isLastResponse = true; }
     void cancel();
     /// Starts the timer that closes the idle connection.
     void becomeIdle();
@@ -108,6 +109,7 @@
     bool m_isPaused = false;
     bool m_isClosed = false;
     bool m_hasUnexpectedInput = false; ///< Whether bytes arrived that belong to no response.
+    bool m_isLastResponse = false; ///< Whether the connection closes after the response.
     bool m_isRewriting = false;
 };
 
--- a/unittests/Dispatch/DispatcherTests.cpp
+++ b/unittests/Dispatch/DispatcherTests.cpp
@@ -60,12 +60,45 @@
     REQUIRE(fleet.core.mayStartSending(fleet.now, opened->attempt));
     served_head head = makeHead(503);
     head.isNotExecuted = true;
-    const auto after = fleet.core.onHead(fleet.now, opened->attempt, head);
+    CHECK_FALSE(find<open_dispatch>(fleet.core.onHead(fleet.now, opened->attempt, head)));
+    const auto after = fleet.core.onAttemptEnded(fleet.now, opened->attempt, { attempt_end_kind::complete, true });
     const auto* again = find<open_dispatch>(after);
     REQUIRE(again);
     CHECK(again->server != opened->server);
 }
 
+// Guards against a second run of a request, or a false report that it did not run, after a
+// refusal that may belong to an earlier request or that never ends.
+TEST_CASE("a refusal that is followed by more input, breaks off or does not end may have run")
+{
+    for (const bool isMisdirected : { false, true }) {
+        for (const attempt_end end : { attempt_end { attempt_end_kind::complete, true, true }, attempt_end { attempt_end_kind::truncated, true }, attempt_end { attempt_end_kind::malformed, true } }) {
+            small_fleet fleet;
+            const attempt_number attempt = fleet.open("/order/1");
+            REQUIRE(fleet.core.mayStartSending(fleet.now, attempt));
+            served_head head = makeHead(isMisdirected ? 421 : 503);
+            head.isMisdirected = isMisdirected;
+            head.isNotExecuted = true;
+            CHECK_FALSE(find<refuse_inbound>(fleet.core.onHead(fleet.now, attempt, head)));
+            const auto after = fleet.core.onAttemptEnded(fleet.now, attempt, end);
+            CHECK_FALSE(find<open_dispatch>(after));
+            REQUIRE(find<refuse_inbound>(after));
+            CHECK(find<refuse_inbound>(after)->kind == refusal_kind::outcomeUnknown);
+        }
+    }
+    small_fleet fleet;
+    const attempt_number attempt = fleet.open("/order/1");
+    REQUIRE(fleet.core.mayStartSending(fleet.now, attempt));
+    served_head head = makeHead(503);
+    head.isNotExecuted = true;
+    fleet.core.onHead(fleet.now, attempt, head);
+    fleet.now += 300ms;
+    const auto after = fleet.core.onTick(fleet.now);
+    CHECK(find<cancel_dispatch>(after));
+    REQUIRE(find<refuse_inbound>(after));
+    CHECK(find<refuse_inbound>(after)->kind == refusal_kind::outcomeUnknown);
+}
+
 // Guards against responses that do not belong to the request: unsigned ones, and those
 // of another attempt.
 TEST_CASE("a success without signature, or of another attempt, is not forwarded")
--- a/unittests/PlatformAdapter/RepeatedRefusalTests.cpp
+++ b/unittests/PlatformAdapter/RepeatedRefusalTests.cpp
@@ -33,8 +33,11 @@
 TEST_CASE("a refusal that a server writes once more is not taken for the refusal of a later request")
 {
     for (const char* path : { "/order/", "/read/", "/stream/" }) {
-        for (const char* id : { "other", "" }) {
+        for (const char* id : { "{id}", "other", "" }) {
             for (const repeat_point point : { repeat_point::idle, repeat_point::first, repeat_point::sameSegment }) {
+                // A server gets a request only once, so that a refusal with its id that ends there is true.
+                if (std::string_view(id) == "{id}" && point == repeat_point::first)
+                    continue;
                 CAPTURE(std::string(path));
                 CAPTURE(std::string(id));
                 CAPTURE(static_cast<int>(point));
@@ -64,6 +67,22 @@
     }
 }
 
+// Guards against an at-most-once request that is reported as not run, or sent again, on a
+// refusal that is not whole.
+TEST_CASE("a refusal that breaks off is not trusted")
+{
+    const std::string refusal = refusalWithId("{id}");
+    for (const ending how : { ending::keep, ending::close, ending::halfClose, ending::reset }) {
+        for (const std::size_t missing : { 4, 1, 0 }) {
+            CAPTURE(static_cast<int>(how));
+            CAPTURE(missing);
+            raw_fleet fleet([&](const std::string&) -> raw_reply { return { { refusal.substr(0, refusal.size() - missing) }, how }; }, 1);
+            CHECK(fleet.askRaw("/order/a").status == (missing > 0 ? 502 : 503));
+            CHECK(fleet.requestCount() == 1);
+        }
+    }
+}
+
 // Guards against a connection on which a second copy of a refusal can meet the next request.
 TEST_CASE("a connection is closed after a refusal")
 {
