Write no request on a kept connection that has unread input

Requests failed with 502, or were sent to a second server, because an unsolicited response had arrived on their kept connection before their first byte was written. A kept connection is checked when it is taken, but the request is written later in the same iteration of the loop, after the callbacks that are due before it; on a VM whose loop lags this takes tens of milliseconds. Input that arrived meanwhile was read as the response, and a connection that had closed meanwhile left the outcome unknown.

The connection is now checked again immediately before the bytes are written. If it has input or has closed, the attempt goes on on a new connection; nothing was written and maySend has not been asked. This costs one recv on a reused connection, and a new connection only where the old one is unusable.

The new test, against the code before: "REQUIRE( fresh.waitFor("order") )" was false, the request had been written behind the unread response.

--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -68,6 +68,7 @@
 
     const http_client_limits& limits() const override { return m_limits; }
     void keep(http_client_connection& unused) override;
+    void startOnNewConnection(std::shared_ptr<http_attempt_state> attempt) override;
     void discard(http_client_connection& dead) override;
 
 private:
@@ -107,12 +108,18 @@
     }
     const endpoint& server = attempt->request.server;
     http_client_connection* connection = attempt->request.mayReuseConnection ? takeIdle(server) : nullptr;
-    if (!connection) {
-        auto opened = std::make_unique<http_client_connection>(m_loop, *this, server);
-        connection = opened.get();
-        m_connections.emplace(connection, std::move(opened));
-    }
-    connection->begin(attempt);
+    if (connection)
+        connection->begin(attempt);
+    else
+        startOnNewConnection(attempt);
+}
+
+void http_client::implementation::startOnNewConnection(std::shared_ptr<http_attempt_state> attempt)
+{
+    auto opened = std::make_unique<http_client_connection>(m_loop, *this, attempt->request.server);
+    http_client_connection* connection = opened.get();
+    m_connections.emplace(connection, std::move(opened));
+    connection->begin(std::move(attempt));
 }
 
 http_client_connection* http_client::implementation::takeIdle(const endpoint& server)
--- a/lib/Net/HttpClientConnection.cpp
+++ b/lib/Net/HttpClientConnection.cpp
@@ -240,6 +240,15 @@
 {
     if (!m_attempt || m_hasAskedMaySend || m_isEnding)
         return;
+    // Input that arrived since the connection was taken would be read as the response.
+    if (isUnusable(bufferevent_getfd(m_channel))) {
+        discardOutput();
+        const std::shared_ptr<http_attempt_state> attempt = std::exchange(m_attempt, nullptr);
+        attempt->connection = nullptr;
+        end(attempt_end_kind::notSent);
+        m_pool.startOnNewConnection(attempt);
+        return;
+    }
     if (!askMaySend()) {
         m_isSendDenied = true;
         discardOutput();
--- a/lib/Net/HttpClientConnection.h
+++ b/lib/Net/HttpClientConnection.h
@@ -42,6 +42,8 @@
     virtual const http_client_limits& limits() const = 0;
     /// Adds the connection to the idle pool, or destroys it if the pool is full.
     virtual void keep(http_client_connection& unused) = 0;
+    /// Starts an attempt of which no byte was written on a new connection.
+    virtual void startOnNewConnection(std::shared_ptr<http_attempt_state> attempt) = 0;
     /// Destroys the connection. Must not be called from within an evhttp callback.
     virtual void discard(http_client_connection& dead) = 0;
 };
--- a/unittests/Net/HttpClientTests.cpp
+++ b/unittests/Net/HttpClientTests.cpp
@@ -3,6 +3,7 @@
 #include "RawSocket.h"
 
 #include <fstream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -275,6 +276,45 @@
     CHECK_FALSE(test.server.hasConnection());
 }
 
+// Guards against a request that is written behind a response that nobody asked for, which
+// would be read as the response to it.
+TEST_CASE("a request is not written on a connection that has unread input or has closed")
+{
+    for (const bool hasClosed : { false, true }) {
+        CAPTURE(hasClosed);
+        client_fixture test;
+        observed both[2];
+        for (observed& each : both)
+            test.send(each, test.request());
+        raw_socket kept = test.server.accept();
+        raw_socket other = test.server.accept();
+        for (raw_socket* each : { &kept, &other }) {
+            REQUIRE(each->waitFor("\r\n\r\n"));
+            each->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+        REQUIRE(runUntil(test.loop, [&] { return test.client.idleConnectionCount() == 2; }));
+        const auto spoil = [&](raw_socket& each) { hasClosed ? each.close() : each.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil"); };
+        observed before;
+        before.maySend = [&] {
+            spoil(kept);
+            spoil(other);
+            return false;
+        };
+        observed seen;
+        std::size_t asked = 0;
+        seen.maySend = [&] { return ++asked == 1; };
+        test.send(before, test.request());
+        test.send(seen, test.request("POST", "order"));
+        raw_socket fresh = test.server.accept();
+        REQUIRE(fresh.waitFor("order"));
+        fresh.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood");
+        REQUIRE(test.waitForEnd(seen));
+        CHECK(seen.ends[0] == attempt_end { attempt_end_kind::complete, true });
+        CHECK(seen.body == "good");
+        CHECK(asked == 1);
+    }
+}
+
 // Guards against accepting a response that belongs to no request or to the
 // previous one.
 TEST_CASE("unrequested bytes end a connection instead of answering a request")
