Forward no status that means not run unless the server says so

Callers of at-most-once requests were told by 408, 429 or 503 that a request had not run, and sent it again, although its server had not said so: a response with such a status and without X-Not-Executed was forwarded as it came, while the router itself takes it as run. This includes a refusal that a server repeats without that header.

Such a response to a request that may run once now ends as unknown outcome (502). What may be repeated is retried or gets the server's answer, as before.

The new test, against the code before: CHECK_FALSE( find<forward_response_head>(after) ) failed at status 408, and no refusal was made.

--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "pimentoladder/Dispatch/Dispatcher.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "TrackedRequest.h"
@@ -56,6 +57,13 @@
         return status >= 200 && status < 300;
     }
 
+    // Returns whether a status tells a caller that its request was not run and will not be.
+    bool isNotRunStatus(int status)
+    {
+        constexpr std::array<int, 4> statuses { 408, 421, 429, 503 };
+        return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+    }
+
     // Pause between two trials of a quarantined trait, in which the end of the first becomes
     // known to all routers. Each pause doubles the number of routers that may start a trial,
     // so that a rare trait is tried too.
@@ -334,6 +342,11 @@
         schedule(request, nextCheck(*request));
         return out;
     }
+    if (isNotRunStatus(head.status) && !request->isRepeatable()) {
+        // The caller would take the status as a promise, which the server has not given.
+        drop(true, "unconfirmed_refusal");
+        return out;
+    }
     if (isSuccess(head.status) && !head.isAuthentic) {
         condition.failed(now);
         drop(true, "unsigned_answer");
--- a/unittests/Dispatch/DispatcherTests.cpp
+++ b/unittests/Dispatch/DispatcherTests.cpp
@@ -99,6 +99,29 @@
     CHECK(find<refuse_inbound>(after)->kind == refusal_kind::outcomeUnknown);
 }
 
+// Guards against a caller that is told by the status that its request has not run, although
+// the server does not say so, and sends it again.
+TEST_CASE("a status that means not run is not forwarded for an at-most-once request that may have run")
+{
+    for (const int status : { 408, 429, 503 }) {
+        CAPTURE(status);
+        for (const char* path : { "/order/1", "/once/1" }) {
+            small_fleet fleet;
+            const attempt_number attempt = fleet.open(path);
+            REQUIRE(fleet.core.mayStartSending(fleet.now, attempt));
+            const auto after = fleet.core.onHead(fleet.now, attempt, makeHead(status));
+            CHECK_FALSE(find<forward_response_head>(after));
+            REQUIRE(find<refuse_inbound>(after));
+            CHECK(find<refuse_inbound>(after)->kind == refusal_kind::outcomeUnknown);
+        }
+        small_fleet fleet;
+        const attempt_number attempt = fleet.open("/read/1");
+        REQUIRE(fleet.core.mayStartSending(fleet.now, attempt));
+        const auto after = fleet.core.onHead(fleet.now, attempt, makeHead(status));
+        CHECK((find<forward_response_head>(after) != nullptr || find<open_dispatch>(after) != nullptr));
+    }
+}
+
 // Guards against responses that do not belong to the request: unsigned ones, and those
 // of another attempt.
 TEST_CASE("a success without signature, or of another attempt, is not forwarded")
