Test responses that are cut off at every byte

Other operators saw a server that stopped in the middle of its head and closed, after which callers got a 200 with an empty or short body, framed as whole. This cannot happen here: evhttp gets a head only once it is whole, and the client takes a response as complete only if its own parser does.

The client meets each byte of three responses (length, chunks, until close) followed by a close, a half-close or a reset, on a new and on a kept connection.

--- a/unittests/Net/HttpClientTests.cpp
+++ b/unittests/Net/HttpClientTests.cpp
@@ -152,6 +152,50 @@
     }
 }
 
+// Guards against a response that is passed on as whole although its server stopped in the
+// middle of the head or of the body.
+TEST_CASE("a response that is cut off at any byte, by a close, a half-close or a reset, is not complete")
+{
+    constexpr std::string_view heads[] { "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 4\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n" };
+    constexpr std::string_view bodies[] { "abcd", "2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n", "abcd" };
+    using end_connection = void (raw_socket::*)();
+    constexpr end_connection ends[] { &raw_socket::close, &raw_socket::shutdownWrite, &raw_socket::reset };
+    for (std::size_t form = 0; form < std::size(heads); ++form) {
+        const std::string whole = std::string(heads[form]) + std::string(bodies[form]);
+        for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
+            for (const end_connection end : ends) {
+                for (const bool isKept : { false, true }) {
+                    CAPTURE(whole);
+                    CAPTURE(cut);
+                    CAPTURE(isKept);
+                    const bool isReset = end == &raw_socket::reset;
+                    CAPTURE(isReset);
+                    client_fixture test;
+                    std::optional<raw_socket> connection;
+                    if (isKept)
+                        connection.emplace(test.openKeptConnection());
+                    observed seen;
+                    test.send(seen, test.request("POST", "order"));
+                    if (!isKept)
+                        connection.emplace(test.server.accept());
+                    REQUIRE(connection->waitFor("order"));
+                    connection->send(whole.substr(0, cut));
+                    test.loop.runFor(1ms);
+                    ((*connection).*end)();
+                    REQUIRE(test.waitForEnd(seen));
+                    const bool isHeadWhole = cut >= heads[form].size();
+                    const bool endsWithConnection = form == 2 && isHeadWhole && !isReset;
+                    const bool isComplete = endsWithConnection || (form != 2 && cut == whole.size());
+                    const attempt_end_kind broken = isHeadWhole ? attempt_end_kind::truncated : attempt_end_kind::resetAfterSent;
+                    CHECK(static_cast<int>(seen.ends[0].kind) == static_cast<int>(isComplete ? attempt_end_kind::complete : broken));
+                    CHECK(seen.heads.size() == (isHeadWhole ? 1 : 0));
+                    CHECK(std::string_view("abcd").starts_with(seen.body));
+                }
+            }
+        }
+    }
+}
+
 // Guards against reporting `notSent` after a byte was written to a socket, and
 // against a connection error that does not say that no byte was written.
 TEST_CASE("an attempt that reaches no server is reported as not sent")
--- a/unittests/Net/RawSocket.h
+++ b/unittests/Net/RawSocket.h
@@ -115,6 +115,9 @@
             ::close(std::exchange(m_socket, -1));
     }
 
+    /// Ends the own direction of the connection.
+    void shutdownWrite() { shutdown(m_socket, SHUT_WR); }
+
     /// Closes the connection with a TCP reset.
     void reset()
     {
