Continue a broken stream with an event stream only

Callers found the text of an error in the middle of their stream, or their stream ended as complete without its second half. When a stream broke off, the next server's response was checked for its status class, signature and id alone. A signed 2xx that is no event stream, such as a document, an empty 200, 204 or 206, was joined to the first half, and its end became the end of the stream.

The second response now has to be an event stream. Any other one fails the attempt before its first byte is passed on; if no server is left, the connection is aborted.

--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -38,6 +38,7 @@
     bool isNotExecuted = false; ///< The server reports that it did not run the request.
     bool isMisdirected = false; ///< The address now belongs to another server, which did not run the request.
     bool isAuthentic = false; ///< Carries the server's signature.
+    bool isEventStream = false; ///< A success whose body is a stream of events.
     std::optional<reported_load> load;
     named_limit limit;
 
--- a/lib/Daemon/DispatchFront.cpp
+++ b/lib/Daemon/DispatchFront.cpp
@@ -194,7 +194,8 @@
 {
     if (isEventStream(head))
         target->events.emplace();
-    const served_head described = m_codec.describeHead(head, target->request);
+    served_head described = m_codec.describeHead(head, target->request);
+    described.isEventStream = target->events.has_value();
     // The server may write the refusal again, which must not meet another request.
     if (described.isRefusal() && target->attemptNumber == attempt)
         target->attempt->closeAfterResponse();
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -355,13 +355,13 @@
     if (head.status >= minServerErrorStatus)
         condition.failed(now);
     const bool isResumed = request->hasHead;
-    const bool isFailure = isResumed ? !isSuccess(head.status) : head.status >= minServerErrorStatus;
+    const bool isFailure = isResumed ? !head.isEventStream : head.status >= minServerErrorStatus;
     // The server's error response goes to the caller unless the request is retried.
     const bool isRetried = isFailure && !isResumed && request->isRepeatable() && canRetry(now, *request, true)
         && m_budget.tryAcquireRetry(now, request->pool);
     request->hasReservedRetry = isRetried;
     if (isFailure && (isResumed || isRetried)) {
-        drop(true, "server_failure");
+        drop(true, isSuccess(head.status) ? "no_event_stream" : "server_failure");
         return out;
     }
     request->isForwarding = true;
--- a/unittests/Dispatch/DispatcherTests.cpp
+++ b/unittests/Dispatch/DispatcherTests.cpp
@@ -15,6 +15,13 @@
     return head;
 }
 
+served_head makeStreamHead()
+{
+    served_head head = makeHead(200);
+    head.isEventStream = true;
+    return head;
+}
+
 }
 
 // Guards against requests to a server whose registration ended during an outage. Its
@@ -145,14 +152,14 @@
     small_fleet fleet;
     const attempt_number first = fleet.open("/stream/1");
     REQUIRE(fleet.core.mayStartSending(fleet.now, first));
-    CHECK(find<forward_response_head>(fleet.core.onHead(fleet.now, first, makeHead(200))));
+    CHECK(find<forward_response_head>(fleet.core.onHead(fleet.now, first, makeStreamHead())));
     CHECK(find<forward_response_bytes>(fleet.core.onBytes(fleet.now, first, "id: 4\n\n", 4)));
     const auto broken = fleet.core.onAttemptEnded(fleet.now, first, { attempt_end_kind::truncated, true });
     const auto* resumed = find<open_dispatch>(broken);
     REQUIRE(resumed);
     CHECK(resumed->resumeAfter == std::optional<std::uint64_t>(4));
     REQUIRE(fleet.core.mayStartSending(fleet.now, resumed->attempt));
-    const auto head = fleet.core.onHead(fleet.now, resumed->attempt, makeHead(200));
+    const auto head = fleet.core.onHead(fleet.now, resumed->attempt, makeStreamHead());
     CHECK_FALSE(find<forward_response_head>(head));
 }
 
@@ -162,7 +169,7 @@
     small_fleet fleet;
     const attempt_number first = fleet.open("/once/1");
     REQUIRE(fleet.core.mayStartSending(fleet.now, first));
-    fleet.core.onHead(fleet.now, first, makeHead(200));
+    fleet.core.onHead(fleet.now, first, makeStreamHead());
     fleet.core.onBytes(fleet.now, first, "id: 4\n\n", 4);
     const auto broken = fleet.core.onAttemptEnded(fleet.now, first, { attempt_end_kind::truncated, true });
     CHECK(find<abort_response>(broken));
--- a/unittests/PlatformAdapter/RawBackend.h
+++ b/unittests/PlatformAdapter/RawBackend.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <array>
+#include <cerrno>
 #include <functional>
 #include <optional>
 #include <string>
@@ -153,6 +154,49 @@
     std::vector<connection> m_connections;
 };
 
+/// A caller that sends a request as HTTP/1.0 and reads to the end of the connection.
+class plain_caller {
+public:
+    plain_caller(std::uint16_t port, const std::string& path)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        const std::string request = "POST " + path + " HTTP/1.0\r\nHost: h\r\nApi-Key: key\r\nX-Attempt-Id: plain\r\nX-Deadline-Ms: 3000\r\nContent-Length: 4\r\n\r\nbody";
+        send(m_socket, request.data(), request.size(), MSG_NOSIGNAL);
+    }
+    ~plain_caller() { ::close(m_socket); }
+    plain_caller(const plain_caller&) = delete;
+    plain_caller& operator=(const plain_caller&) = delete;
+
+    /// Reads what has arrived. Returns whether the connection has ended.
+    bool poll()
+    {
+        char buffer[4096];
+        ssize_t count = recv(m_socket, buffer, sizeof buffer, MSG_DONTWAIT);
+        for (; count > 0; count = recv(m_socket, buffer, sizeof buffer, MSG_DONTWAIT))
+            received.append(buffer, static_cast<std::size_t>(count));
+        isReset = isReset || (count < 0 && errno == ECONNRESET);
+        return count == 0 || isReset;
+    }
+
+    /// Returns the body received.
+    std::string body() const
+    {
+        const std::size_t at = received.find("\r\n\r\n");
+        return at == std::string::npos ? std::string() : received.substr(at + 4);
+    }
+
+    std::string received;
+    bool isReset = false;
+
+private:
+    int m_socket;
+};
+
 /// A router with raw backend servers that share one script. The paths `/read/`, `/order/`,
 /// `/stream/` and `/once/` are an idempotent route, an at-most-once one, a resumable stream
 /// and one that must not be resumed.
