Continue no response that is not an event stream

Callers of resumable routes found the events of a second server in the body of an error or a document. Whether a response that broke off is continued depended on the route alone, so a 404 or a 200 without events, cut in its body, was followed by the event stream of the retried request, and by its end.

A response is now continued only if its own head was that of an event stream. One that is not is aborted when it breaks off, and no longer given up for its silence.

--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -372,6 +372,7 @@
     }
     if (!isResumed) {
         request->hasHead = true;
+        request->isEventStream = head.isEventStream;
         out.push_back(forward_response_head { request->number });
     }
     return out;
@@ -532,7 +533,7 @@
     const bool hasNotRun = request->runs == 0;
     // Once a head has been forwarded, only a stream can continue on another server: the
     // body of another server's response does not belong to that head.
-    const bool isAllowed = request->hasHead ? request->isResumable() : hasNotRun || request->isRepeatable();
+    const bool isAllowed = request->hasHead ? request->canContinue() : hasNotRun || request->isRepeatable();
     const bool isCurrent = !request->hasKey || m_fleet.mayUseKeys(now);
     // Sending a suspected request again is likely to cost another server.
     const auto quarantined = m_crashes.findTrait(request->traits, trait_state::quarantined);
@@ -618,11 +619,12 @@
 {
     if (!request.refusal.empty())
         return std::min(request.deadline, request.progressAt + m_limits.idempotentTimeout);
-    const bool canFailOver = request.isRepeatable() && !request.isWaitingForDeadline;
+    const bool isMovable = request.hasHead ? request.canContinue() : request.isRepeatable();
+    const bool canFailOver = isMovable && !request.isWaitingForDeadline;
     if (!canFailOver)
         return request.deadline;
     if (!request.target.isStream)
-        return request.hasHead ? request.deadline : std::min(request.deadline, request.progressAt + m_limits.idempotentTimeout);
+        return std::min(request.deadline, request.progressAt + m_limits.idempotentTimeout);
     const duration usual = request.firstEvent ? request.target.pauseLimit : request.target.objective;
     return std::min(request.deadline, request.progressAt + usual + m_limits.streamStallTimeout);
 }
--- a/lib/Dispatch/TrackedRequest.h
+++ b/lib/Dispatch/TrackedRequest.h
@@ -44,6 +44,7 @@
     bool hasReservedRetry = false; ///< A retry for the next attempt has been taken from the budget.
     std::set<server_id> triedServers;
     bool hasHead = false; ///< The head of a response has been forwarded to the caller.
+    bool isEventStream = false; ///< That response is an event stream.
     std::optional<std::uint64_t> lastEvent;
     std::optional<duration> firstEvent;
     duration longestPause {};
@@ -54,6 +55,7 @@
 
     bool isRepeatable() const { return target.repeat != repeat_policy::atMostOnce; }
     bool isResumable() const { return target.isStream && target.repeat == repeat_policy::resumable; }
+    bool canContinue() const { return isResumable() && isEventStream; }
 };
 
 }
--- a/unittests/Dispatch/DispatcherTests.cpp
+++ b/unittests/Dispatch/DispatcherTests.cpp
@@ -176,6 +176,28 @@
     CHECK_FALSE(find<end_response>(broken));
 }
 
+// Guards against the events of one response in the body of another one that is no stream.
+TEST_CASE("a response that is no event stream is not continued by another server")
+{
+    for (const int status : { 200, 404, 500 }) {
+        CAPTURE(status);
+        dispatch_limits limits;
+        limits.fleetRetries = 0;
+        limits.retryShare = 1;
+        small_fleet fleet(limits);
+        const attempt_number attempt = fleet.open("/stream/1");
+        REQUIRE(fleet.core.mayStartSending(fleet.now, attempt));
+        served_head head = makeHead(status);
+        const auto forwarded = fleet.core.onHead(fleet.now, attempt, head);
+        if (!find<forward_response_head>(forwarded))
+            continue; // A retry of the whole request, which nothing has been forwarded of.
+        fleet.core.onBytes(fleet.now, attempt, "<html>", std::nullopt);
+        const auto broken = fleet.core.onAttemptEnded(fleet.now, attempt, { attempt_end_kind::truncated, true });
+        CHECK_FALSE(find<open_dispatch>(broken));
+        CHECK(find<abort_response>(broken));
+    }
+}
+
 // Guards against a request that is sent under a revoked key because it waited for its
 // connection.
 TEST_CASE("the age of a key's confirmation is checked again at the first byte")
--- a/unittests/PlatformAdapter/BrokenStreamTests.cpp
+++ b/unittests/PlatformAdapter/BrokenStreamTests.cpp
@@ -122,3 +122,21 @@
         }
     }
 }
+
+// Guards against events of a second response in the body of an error or a document that broke off.
+TEST_CASE("a response that is no event stream is not continued as one")
+{
+    for (const char* status : { "200 OK", "404 Not Found" }) {
+        CAPTURE(std::string(status));
+        std::size_t requests = 0;
+        raw_fleet fleet([&](const std::string&) -> raw_reply {
+            if (++requests == 1)
+                return { { headOf(status, "X-Response-Seal: raw\r\nContent-Type: text/plain\r\nContent-Length: 19\r\n") + "text" }, ending::close };
+            return { { streamHead("Content-Length: 15\r\n") + "id: 1\ndata: a\n\n" }, ending::close };
+        });
+        const auto answer = fleet.askRaw("/stream/a");
+        CHECK(answer.end != tools::call_end::answered);
+        CHECK(answer.body == "text");
+        CHECK(requests == 1);
+    }
+}
