Check the first event of a resumed stream

Callers got events twice, or an event that is none, in the middle of their stream: the next server's events were forwarded from the first one on, whatever its id. A server that ignores Last-Event-Id, or writes an error as an event, made the stream wrong without a sign of it.

The first event of a resumed stream must have an id above the last one that the caller has. Otherwise nothing of it is forwarded and the attempt fails. The ids only have to increase on this platform, so a gap cannot be told from a larger step.

The tests that pass event ids to the dispatcher pass the first and the last one.

--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -46,6 +46,12 @@
     bool isRefusal() const { return isNotExecuted || isMisdirected; }
 };
 
+/// Ids of the events that were received together.
+struct event_ids {
+    std::optional<std::uint64_t> first; ///< Of the first event, if it has one.
+    std::optional<std::uint64_t> last; ///< Of the last event that has one.
+};
+
 /// Open an attempt at a backend server.
 struct open_dispatch {
     request_number request;
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -60,9 +60,9 @@
 
     dispatch_actions onHead(time_point now, attempt_number attempt, const served_head& head);
 
-    /// Handles bytes of the response. For a stream they are complete events, and
-    /// \p lastEvent is the id of the last one.
-    dispatch_actions onBytes(time_point now, attempt_number attempt, std::string_view bytes, std::optional<std::uint64_t> lastEvent);
+    /// Handles bytes of the response. For a stream they are complete events with
+    /// these ids.
+    dispatch_actions onBytes(time_point now, attempt_number attempt, std::string_view bytes, event_ids events);
     dispatch_actions onAttemptEnded(time_point now, attempt_number attempt, attempt_end end);
 
     // State read from the platform's store.
--- a/include/pimentoladder/Net/EventStream.h
+++ b/include/pimentoladder/Net/EventStream.h
@@ -14,6 +14,7 @@
 /// Complete events taken from a stream, byte for byte.
 struct event_stream_batch {
     std::string bytes; ///< Empty if no event is complete yet.
+    std::optional<std::uint64_t> firstId; ///< Id of the first event, if it has one.
     std::optional<std::uint64_t> lastId; ///< Id of the last event that has one.
 };
 
--- a/lib/Daemon/DispatchFront.cpp
+++ b/lib/Daemon/DispatchFront.cpp
@@ -213,7 +213,7 @@
     }
     if (!bytes.empty()) {
         target->bytes = bytes;
-        m_driver.post([&](dispatcher& core, time_point now) { return core.onBytes(now, attempt, bytes, batch.lastId); });
+        m_driver.post([&](dispatcher& core, time_point now) { return core.onBytes(now, attempt, bytes, { batch.firstId, batch.lastId }); });
         target->bytes = {};
         applyBackPressure(target);
     }
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -378,14 +378,21 @@
     return out;
 }
 
-dispatch_actions dispatcher::onBytes(time_point now, attempt_number attempt, std::string_view bytes, std::optional<std::uint64_t> lastEvent)
+dispatch_actions dispatcher::onBytes(time_point now, attempt_number attempt, std::string_view bytes, event_ids events)
 {
     dispatch_actions out;
     const tracked request = findByAttempt(attempt);
     if (!request || !request->isForwarding || bytes.empty())
         return out;
     m_crashes.onServerAlive(now, request->server, request->openedAt);
-    if (lastEvent) {
+    const bool isResumption = request->lastEvent && !request->hasBegun && request->canContinue();
+    if (isResumption && (!events.first || *events.first <= *request->lastEvent)) {
+        m_selector.condition(request->server).failed(now);
+        out.push_back(cancel_dispatch { request->number, attempt });
+        failAttempt(now, request, true, "wrong_event", request->status, out);
+        return out;
+    }
+    if (events.last) {
         server_condition& condition = m_selector.condition(request->server);
         condition.responded(now, attempt);
         if (!std::exchange(request->hasBegun, true))
@@ -397,7 +404,7 @@
         } else {
             request->longestPause = std::max(request->longestPause, now - request->progressAt);
         }
-        request->lastEvent = lastEvent;
+        request->lastEvent = events.last;
         request->progressAt = now;
     }
     out.push_back(forward_response_bytes { request->number });
--- a/lib/Net/EventStream.cpp
+++ b/lib/Net/EventStream.cpp
@@ -42,7 +42,10 @@
             m_pendingId = id;
         if (!line.empty())
             continue;
+        const bool isFirst = eventEnd == 0;
         eventEnd = lineStart;
+        if (isFirst)
+            batch.firstId = m_pendingId;
         if (m_pendingId)
             batch.lastId = std::exchange(m_pendingId, std::nullopt);
     }
--- a/unittests/Dispatch/CrashTests.cpp
+++ b/unittests/Dispatch/CrashTests.cpp
@@ -83,7 +83,7 @@
         REQUIRE(opened);
         core.mayStartSending(now, opened->attempt);
         core.onHead(now, opened->attempt, makeHead());
-        core.onBytes(now, opened->attempt, "id: 1\n\n", 1);
+        core.onBytes(now, opened->attempt, "id: 1\n\n", { 1, 1 });
         core.onAttemptEnded(now, opened->attempt, { attempt_end_kind::complete, true });
     }
 
--- a/unittests/Dispatch/DispatcherTests.cpp
+++ b/unittests/Dispatch/DispatcherTests.cpp
@@ -153,7 +153,7 @@
     const attempt_number first = fleet.open("/stream/1");
     REQUIRE(fleet.core.mayStartSending(fleet.now, first));
     CHECK(find<forward_response_head>(fleet.core.onHead(fleet.now, first, makeStreamHead())));
-    CHECK(find<forward_response_bytes>(fleet.core.onBytes(fleet.now, first, "id: 4\n\n", 4)));
+    CHECK(find<forward_response_bytes>(fleet.core.onBytes(fleet.now, first, "id: 4\n\n", { 4, 4 })));
     const auto broken = fleet.core.onAttemptEnded(fleet.now, first, { attempt_end_kind::truncated, true });
     const auto* resumed = find<open_dispatch>(broken);
     REQUIRE(resumed);
@@ -170,7 +170,7 @@
     const attempt_number first = fleet.open("/once/1");
     REQUIRE(fleet.core.mayStartSending(fleet.now, first));
     fleet.core.onHead(fleet.now, first, makeStreamHead());
-    fleet.core.onBytes(fleet.now, first, "id: 4\n\n", 4);
+    fleet.core.onBytes(fleet.now, first, "id: 4\n\n", { 4, 4 });
     const auto broken = fleet.core.onAttemptEnded(fleet.now, first, { attempt_end_kind::truncated, true });
     CHECK(find<abort_response>(broken));
     CHECK_FALSE(find<end_response>(broken));
@@ -191,7 +191,7 @@
         const auto forwarded = fleet.core.onHead(fleet.now, attempt, head);
         if (!find<forward_response_head>(forwarded))
             continue; // A retry of the whole request, which nothing has been forwarded of.
-        fleet.core.onBytes(fleet.now, attempt, "<html>", std::nullopt);
+        fleet.core.onBytes(fleet.now, attempt, "<html>", {});
         const auto broken = fleet.core.onAttemptEnded(fleet.now, attempt, { attempt_end_kind::truncated, true });
         CHECK_FALSE(find<open_dispatch>(broken));
         CHECK(find<abort_response>(broken));
--- a/unittests/Net/EventStreamTests.cpp
+++ b/unittests/Net/EventStreamTests.cpp
@@ -25,6 +25,18 @@
     }
 }
 
+// Guards against a resumed stream whose first event is not noticed to be the wrong one.
+TEST_CASE("the id of the first event of a batch is reported only if that event has one")
+{
+    event_stream_splitter splitter;
+    CHECK(splitter.feed("id: 3\ndata: a\n\nid: 4\ndata: b\n\nid: 5").firstId == std::optional<std::uint64_t>(3));
+    CHECK(splitter.feed("\ndata: c\n\n").firstId == std::optional<std::uint64_t>(5));
+    const event_stream_batch unnumbered = splitter.feed("data: d\n\nid: 6\ndata: e\n\n");
+    CHECK_FALSE(unnumbered.firstId);
+    CHECK(unnumbered.lastId == std::optional<std::uint64_t>(6));
+    CHECK_FALSE(splitter.feed("data: f\n").firstId);
+}
+
 // Guards against memory that grows with an event that never ends.
 TEST_CASE("an event without end is dropped at the size limit")
 {
