--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -34,12 +34,22 @@
 /// Head of a backend server's response.
 struct served_head {
     int status = 0;
-    bool isFromExpectedAttempt = true; ///< False if the response carries the id of another attempt.
+    bool isFromExpectedAttempt = true; ///< False if the response carries the id of another attempt, or none although the request has one.
     bool isNotExecuted = false; ///< The server reports that it did not run the request.
     bool isMisdirected = false; ///< The address now belongs to another server, which did not run the request.
     bool isAuthentic = false; ///< Carries the server's signature.
+    bool isEventStream = false; ///< A success whose body is a stream of events.
     std::optional<reported_load> load;
     named_limit limit;
+
+    /// Returns whether the server refused the request without running it.
+    bool isRefusal() const { return isNotExecuted || isMisdirected; }
+};
+
+/// Ids of the events that were received together.
+struct event_ids {
+    std::optional<std::uint64_t> first; ///< Of the first event, if it has one.
+    std::optional<std::uint64_t> last; ///< Of the last event that has one.
 };
 
 /// Open an attempt at a backend server.
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -27,7 +27,7 @@
     freshness_limits freshness;
     double retryShare = 0.1; ///< Retries that this router may send per request.
     std::uint64_t fleetRetries = 36; ///< Retries that all routers together may send in 10 s, whatever the request rate.
-    duration idempotentTimeout = std::chrono::milliseconds(300); ///< Wait for the response head before an idempotent request is sent to another server.
+    duration idempotentTimeout = std::chrono::milliseconds(300); ///< Wait for the response head before an idempotent request is sent to another server, and for the end of a refusal.
     duration streamStallTimeout = std::chrono::milliseconds(1500); ///< Wait for an event beyond the route's objective or pause limit before a stream is resumed on another server.
 };
 
@@ -60,9 +60,9 @@
 
     dispatch_actions onHead(time_point now, attempt_number attempt, const served_head& head);
 
-    /// Handles bytes of the response. For a stream they are complete events, and
-    /// \p lastEvent is the id of the last one.
-    dispatch_actions onBytes(time_point now, attempt_number attempt, std::string_view bytes, std::optional<std::uint64_t> lastEvent);
+    /// Handles bytes of the response. For a stream they are complete events with
+    /// these ids.
+    dispatch_actions onBytes(time_point now, attempt_number attempt, std::string_view bytes, event_ids events);
     dispatch_actions onAttemptEnded(time_point now, attempt_number attempt, attempt_end end);
 
     // State read from the platform's store.
--- a/lib/Daemon/DispatchFront.cpp
+++ b/lib/Daemon/DispatchFront.cpp
@@ -194,7 +194,11 @@
 {
     if (isEventStream(head))
         target->events.emplace();
-    const served_head described = m_codec.describeHead(head, target->request);
+    served_head described = m_codec.describeHead(head, target->request);
+    described.isEventStream = target->events.has_value();
+    // The server may write the refusal again, which must not meet another request.
+    if (described.isRefusal() && target->attemptNumber == attempt)
+        target->attempt->closeAfterResponse();
     target->head = &head;
     m_driver.post([&](dispatcher& core, time_point now) { return core.onHead(now, attempt, described); });
     target->head = nullptr;
@@ -209,7 +213,7 @@
     }
     if (!bytes.empty()) {
         target->bytes = bytes;
-        m_driver.post([&](dispatcher& core, time_point now) { return core.onBytes(now, attempt, bytes, batch.lastId); });
+        m_driver.post([&](dispatcher& core, time_point now) { return core.onBytes(now, attempt, bytes, { batch.firstId, batch.lastId }); });
         target->bytes = {};
         applyBackPressure(target);
     }
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "pimentoladder/Dispatch/Dispatcher.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "TrackedRequest.h"
@@ -47,11 +48,22 @@
         return "unknown";
     }
 
+    // Results of attempts whose request was not run.
+    constexpr std::string_view otherServer = "other_server";
+    constexpr std::string_view refusedUnrun = "refused_unrun";
+
     bool isSuccess(int status)
     {
         return status >= 200 && status < 300;
     }
 
+    // Returns whether a status tells a caller that its request was not run and will not be.
+    bool isNotRunStatus(int status)
+    {
+        constexpr std::array<int, 4> statuses { 408, 421, 429, 503 };
+        return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+    }
+
     // Pause between two trials of a quarantined trait, in which the end of the first becomes
     // known to all routers. Each pause doubles the number of routers that may start a trial,
     // so that a rare trait is tried too.
@@ -271,6 +283,7 @@
     request->hasBegun = false;
     request->isWaitingForDeadline = false;
     request->status = 0;
+    request->refusal = {};
     request->uncachedTokens = best->uncachedTokens;
     m_byAttempt[request->attempt] = request->number;
     m_selector.condition(best->server).started(now, request->attempt, best->uncachedTokens);
@@ -321,10 +334,17 @@
         drop(true, "foreign_answer");
         return out;
     }
-    if (head.isMisdirected || head.isNotExecuted) {
-        if (head.isMisdirected)
-            condition.unreachable(now);
-        drop(false, head.isMisdirected ? "other_server" : "refused_unrun");
+    if (head.isRefusal()) {
+        // Decided at the end of the response: if another one follows, this one may be a
+        // repeated refusal of an earlier request.
+        request->refusal = head.isMisdirected ? otherServer : refusedUnrun;
+        request->progressAt = now;
+        schedule(request, nextCheck(*request));
+        return out;
+    }
+    if (isNotRunStatus(head.status) && !request->isRepeatable()) {
+        // The caller would take the status as a promise, which the server has not given.
+        drop(true, "unconfirmed_refusal");
         return out;
     }
     if (isSuccess(head.status) && !head.isAuthentic) {
@@ -335,13 +355,13 @@
     if (head.status >= minServerErrorStatus)
         condition.failed(now);
     const bool isResumed = request->hasHead;
-    const bool isFailure = isResumed ? !isSuccess(head.status) : head.status >= minServerErrorStatus;
+    const bool isFailure = isResumed ? !head.isEventStream : head.status >= minServerErrorStatus;
     // The server's error response goes to the caller unless the request is retried.
     const bool isRetried = isFailure && !isResumed && request->isRepeatable() && canRetry(now, *request, true)
         && m_budget.tryAcquireRetry(now, request->pool);
     request->hasReservedRetry = isRetried;
     if (isFailure && (isResumed || isRetried)) {
-        drop(true, "server_failure");
+        drop(true, isSuccess(head.status) ? "no_event_stream" : "server_failure");
         return out;
     }
     request->isForwarding = true;
@@ -352,19 +372,27 @@
     }
     if (!isResumed) {
         request->hasHead = true;
+        request->isEventStream = head.isEventStream;
         out.push_back(forward_response_head { request->number });
     }
     return out;
 }
 
-dispatch_actions dispatcher::onBytes(time_point now, attempt_number attempt, std::string_view bytes, std::optional<std::uint64_t> lastEvent)
+dispatch_actions dispatcher::onBytes(time_point now, attempt_number attempt, std::string_view bytes, event_ids events)
 {
     dispatch_actions out;
     const tracked request = findByAttempt(attempt);
     if (!request || !request->isForwarding || bytes.empty())
         return out;
     m_crashes.onServerAlive(now, request->server, request->openedAt);
-    if (lastEvent) {
+    const bool isResumption = request->lastEvent && !request->hasBegun && request->canContinue();
+    if (isResumption && (!events.first || *events.first <= *request->lastEvent)) {
+        m_selector.condition(request->server).failed(now);
+        out.push_back(cancel_dispatch { request->number, attempt });
+        failAttempt(now, request, true, "wrong_event", request->status, out);
+        return out;
+    }
+    if (events.last) {
         server_condition& condition = m_selector.condition(request->server);
         condition.responded(now, attempt);
         if (!std::exchange(request->hasBegun, true))
@@ -376,7 +404,7 @@
         } else {
             request->longestPause = std::max(request->longestPause, now - request->progressAt);
         }
-        request->lastEvent = lastEvent;
+        request->lastEvent = events.last;
         request->progressAt = now;
     }
     out.push_back(forward_response_bytes { request->number });
@@ -404,14 +432,21 @@
         failAttempt(now, request, false, request->isDenied ? "withheld" : "not_sent", 0, out);
         return out;
     }
+    const bool isRefused = !request->refusal.empty();
+    if (isRefused && end.kind == attempt_end_kind::complete && !end.hasExtraInput) {
+        if (request->refusal == otherServer)
+            condition.unreachable(now);
+        failAttempt(now, request, false, request->refusal, request->status, out);
+        return out;
+    }
     condition.failed(now);
     const bool isServerLost = end.kind == attempt_end_kind::resetAfterSent || end.kind == attempt_end_kind::truncated;
-    if (isServerLost && !request->hasBegun)
+    if (isServerLost && !request->hasBegun && !isRefused)
         recordLoss(now, *request);
     evaluateCrashes(now, out);
     // The evaluation may have ended the request.
     if (findByAttempt(attempt))
-        failAttempt(now, request, true, endName(end.kind), request->status, out);
+        failAttempt(now, request, true, isRefused ? "doubtful_refusal" : endName(end.kind), request->status, out);
     return out;
 }
 
@@ -505,7 +540,7 @@
     const bool hasNotRun = request->runs == 0;
     // Once a head has been forwarded, only a stream can continue on another server: the
     // body of another server's response does not belong to that head.
-    const bool isAllowed = request->hasHead ? request->isResumable() : hasNotRun || request->isRepeatable();
+    const bool isAllowed = request->hasHead ? request->canContinue() : hasNotRun || request->isRepeatable();
     const bool isCurrent = !request->hasKey || m_fleet.mayUseKeys(now);
     // Sending a suspected request again is likely to cost another server.
     const auto quarantined = m_crashes.findTrait(request->traits, trait_state::quarantined);
@@ -603,11 +638,14 @@
 
 time_point dispatcher::nextCheck(const tracked_request& request) const
 {
-    const bool canFailOver = request.isRepeatable() && !request.isWaitingForDeadline;
+    if (!request.refusal.empty())
+        return std::min(request.deadline, request.progressAt + m_limits.idempotentTimeout);
+    const bool isMovable = request.hasHead ? request.canContinue() : request.isRepeatable();
+    const bool canFailOver = isMovable && !request.isWaitingForDeadline;
     if (!canFailOver)
         return request.deadline;
     if (!request.target.isStream)
-        return request.hasHead ? request.deadline : std::min(request.deadline, request.progressAt + m_limits.idempotentTimeout);
+        return std::min(request.deadline, request.progressAt + m_limits.idempotentTimeout);
     const duration usual = request.firstEvent ? request.target.pauseLimit : request.target.objective;
     return std::min(request.deadline, request.progressAt + usual + m_limits.streamStallTimeout);
 }
@@ -633,7 +671,7 @@
     std::set<server_id> tried = request->triedServers;
     tried.insert(request->server);
     const bool hasAlternative = canRetry(now, *request, true) && m_selector.select(now, { request->workspace, request->pool, prompt, tried });
-    if (!hasAlternative) {
+    if (!hasAlternative && request->refusal.empty()) {
         request->isWaitingForDeadline = true;
         schedule(request, nextCheck(*request));
         return;
--- a/lib/Dispatch/TrackedRequest.h
+++ b/lib/Dispatch/TrackedRequest.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <string_view>
 
 #include "pimentoladder/Dispatch/Dispatcher.h"
 
@@ -37,11 +38,13 @@
     bool hasBegun = false; ///< The open attempt has sent a response head or, for a stream, an event.
     bool isWaitingForDeadline = false; ///< A timeout passed and no other server was available; the attempt may run until the deadline.
     int status = 0;
+    std::string_view refusal; ///< Result of the open attempt if its response says that the request was not run; otherwise empty.
 
     std::uint32_t runs = 0; ///< Attempts that may have run.
     bool hasReservedRetry = false; ///< A retry for the next attempt has been taken from the budget.
     std::set<server_id> triedServers;
     bool hasHead = false; ///< The head of a response has been forwarded to the caller.
+    bool isEventStream = false; ///< That response is an event stream.
     std::optional<std::uint64_t> lastEvent;
     std::optional<duration> firstEvent;
     duration longestPause {};
@@ -52,6 +55,7 @@
 
     bool isRepeatable() const { return target.repeat != repeat_policy::atMostOnce; }
     bool isResumable() const { return target.isStream && target.repeat == repeat_policy::resumable; }
+    bool canContinue() const { return isResumable() && isEventStream; }
 };
 
 }
--- a/lib/Net/HttpClientConnection.cpp
+++ b/lib/Net/HttpClientConnection.cpp
@@ -240,6 +240,15 @@
 {
     if (!m_attempt || m_hasAskedMaySend || m_isEnding)
         return;
+    // Input that arrived since the connection was taken would be read as the response.
+    if (isUnusable(bufferevent_getfd(m_channel))) {
+        discardOutput();
+        const std::shared_ptr<http_attempt_state> attempt = std::exchange(m_attempt, nullptr);
+        attempt->connection = nullptr;
+        end(attempt_end_kind::notSent);
+        m_pool.startOnNewConnection(attempt);
+        return;
+    }
     if (!askMaySend()) {
         m_isSendDenied = true;
         discardOutput();
@@ -341,8 +350,8 @@
 {
     const std::shared_ptr<http_attempt_state> attempt = std::exchange(m_attempt, nullptr);
     const bool isComplete = m_endKind == attempt_end_kind::complete;
-    const bool isReusable = attempt && isComplete && !m_isClosed && !m_hasUnexpectedInput && m_parser.isPersistent();
-    attempt_end ended { m_endKind, attempt && attempt->mayHaveBeenSent };
+    const bool isReusable = attempt && isComplete && !m_isClosed && !m_hasUnexpectedInput && !m_isLastResponse && m_parser.isPersistent();
+    attempt_end ended { m_endKind, attempt && attempt->mayHaveBeenSent, m_hasUnexpectedInput };
     if (attempt) {
         attempt->connection = nullptr;
         if (!ended.mayHaveBeenSent)
--- a/lib/Net/HttpClientConnection.h
+++ b/lib/Net/HttpClientConnection.h
@@ -42,6 +42,8 @@
     virtual const http_client_limits& limits() const = 0;
     /// Adds the connection to the idle pool, or destroys it if the pool is full.
     virtual void keep(http_client_connection& unused) = 0;
+    /// Starts an attempt of which no byte was written on a new connection.
+    virtual void startOnNewConnection(std::shared_ptr<http_attempt_state> attempt) = 0;
     /// Destroys the connection. Must not be called from within an evhttp callback.
     virtual void discard(http_client_connection& dead) = 0;
 };
@@ -61,6 +63,7 @@
     void begin(std::shared_ptr<http_attempt_state> attempt);
     void pause();
     void resume();
+    void closeAfterResponse() { m_isLastResponse = true; }
     void cancel();
     /// Starts the timer that closes the idle connection.
     void becomeIdle();
@@ -108,6 +111,7 @@
     bool m_isPaused = false;
     bool m_isClosed = false;
     bool m_hasUnexpectedInput = false; ///< Whether bytes arrived that belong to no response.
+    bool m_isLastResponse = false; ///< Whether the connection closes after the response.
     bool m_isRewriting = false;
 };
 
--- a/unittests/Dispatch/DispatcherTests.cpp
+++ b/unittests/Dispatch/DispatcherTests.cpp
@@ -15,6 +15,13 @@
     return head;
 }
 
+served_head makeStreamHead()
+{
+    served_head head = makeHead(200);
+    head.isEventStream = true;
+    return head;
+}
+
 }
 
 // Guards against requests to a server whose registration ended during an outage. Its
@@ -77,12 +84,68 @@
     REQUIRE(fleet.core.mayStartSending(fleet.now, opened->attempt));
     served_head head = makeHead(503);
     head.isNotExecuted = true;
-    const auto after = fleet.core.onHead(fleet.now, opened->attempt, head);
+    CHECK_FALSE(find<open_dispatch>(fleet.core.onHead(fleet.now, opened->attempt, head)));
+    const auto after = fleet.core.onAttemptEnded(fleet.now, opened->attempt, { attempt_end_kind::complete, true });
     const auto* again = find<open_dispatch>(after);
     REQUIRE(again);
     CHECK(again->server != opened->server);
 }
 
+// Guards against a second run of a request, or a false report that it did not run, after a
+// refusal that may belong to an earlier request or that never ends.
+TEST_CASE("a refusal that is followed by more input, breaks off or does not end may have run")
+{
+    for (const bool isMisdirected : { false, true }) {
+        for (const attempt_end end : { attempt_end { attempt_end_kind::complete, true, true }, attempt_end { attempt_end_kind::truncated, true }, attempt_end { attempt_end_kind::malformed, true } }) {
+            small_fleet fleet;
+            const attempt_number attempt = fleet.open("/order/1");
+            REQUIRE(fleet.core.mayStartSending(fleet.now, attempt));
+            served_head head = makeHead(isMisdirected ? 421 : 503);
+            head.isMisdirected = isMisdirected;
+            head.isNotExecuted = true;
+            CHECK_FALSE(find<refuse_inbound>(fleet.core.onHead(fleet.now, attempt, head)));
+            const auto after = fleet.core.onAttemptEnded(fleet.now, attempt, end);
+            CHECK_FALSE(find<open_dispatch>(after));
+            REQUIRE(find<refuse_inbound>(after));
+            CHECK(find<refuse_inbound>(after)->kind == refusal_kind::outcomeUnknown);
+        }
+    }
+    small_fleet fleet;
+    const attempt_number attempt = fleet.open("/order/1");
+    REQUIRE(fleet.core.mayStartSending(fleet.now, attempt));
+    served_head head = makeHead(503);
+    head.isNotExecuted = true;
+    fleet.core.onHead(fleet.now, attempt, head);
+    fleet.now += 300ms;
+    const auto after = fleet.core.onTick(fleet.now);
+    CHECK(find<cancel_dispatch>(after));
+    REQUIRE(find<refuse_inbound>(after));
+    CHECK(find<refuse_inbound>(after)->kind == refusal_kind::outcomeUnknown);
+}
+
+// Guards against a caller that is told by the status that its request has not run, although
+// the server does not say so, and sends it again.
+TEST_CASE("a status that means not run is not forwarded for an at-most-once request that may have run")
+{
+    for (const int status : { 408, 429, 503 }) {
+        CAPTURE(status);
+        for (const char* path : { "/order/1", "/once/1" }) {
+            small_fleet fleet;
+            const attempt_number attempt = fleet.open(path);
+            REQUIRE(fleet.core.mayStartSending(fleet.now, attempt));
+            const auto after = fleet.core.onHead(fleet.now, attempt, makeHead(status));
+            CHECK_FALSE(find<forward_response_head>(after));
+            REQUIRE(find<refuse_inbound>(after));
+            CHECK(find<refuse_inbound>(after)->kind == refusal_kind::outcomeUnknown);
+        }
+        small_fleet fleet;
+        const attempt_number attempt = fleet.open("/read/1");
+        REQUIRE(fleet.core.mayStartSending(fleet.now, attempt));
+        const auto after = fleet.core.onHead(fleet.now, attempt, makeHead(status));
+        CHECK((find<forward_response_head>(after) != nullptr || find<open_dispatch>(after) != nullptr));
+    }
+}
+
 // Guards against responses that do not belong to the request: unsigned ones, and those
 // of another attempt.
 TEST_CASE("a success without signature, or of another attempt, is not forwarded")
@@ -106,14 +169,14 @@
     small_fleet fleet;
     const attempt_number first = fleet.open("/stream/1");
     REQUIRE(fleet.core.mayStartSending(fleet.now, first));
-    CHECK(find<forward_response_head>(fleet.core.onHead(fleet.now, first, makeHead(200))));
-    CHECK(find<forward_response_bytes>(fleet.core.onBytes(fleet.now, first, "id: 4\n\n", 4)));
+    CHECK(find<forward_response_head>(fleet.core.onHead(fleet.now, first, makeStreamHead())));
+    CHECK(find<forward_response_bytes>(fleet.core.onBytes(fleet.now, first, "id: 4\n\n", { 4, 4 })));
     const auto broken = fleet.core.onAttemptEnded(fleet.now, first, { attempt_end_kind::truncated, true });
     const auto* resumed = find<open_dispatch>(broken);
     REQUIRE(resumed);
     CHECK(resumed->resumeAfter == std::optional<std::uint64_t>(4));
     REQUIRE(fleet.core.mayStartSending(fleet.now, resumed->attempt));
-    const auto head = fleet.core.onHead(fleet.now, resumed->attempt, makeHead(200));
+    const auto head = fleet.core.onHead(fleet.now, resumed->attempt, makeStreamHead());
     CHECK_FALSE(find<forward_response_head>(head));
 }
 
@@ -123,13 +186,35 @@
     small_fleet fleet;
     const attempt_number first = fleet.open("/once/1");
     REQUIRE(fleet.core.mayStartSending(fleet.now, first));
-    fleet.core.onHead(fleet.now, first, makeHead(200));
-    fleet.core.onBytes(fleet.now, first, "id: 4\n\n", 4);
+    fleet.core.onHead(fleet.now, first, makeStreamHead());
+    fleet.core.onBytes(fleet.now, first, "id: 4\n\n", { 4, 4 });
     const auto broken = fleet.core.onAttemptEnded(fleet.now, first, { attempt_end_kind::truncated, true });
     CHECK(find<abort_response>(broken));
     CHECK_FALSE(find<end_response>(broken));
 }
 
+// Guards against the events of one response in the body of another one that is no stream.
+TEST_CASE("a response that is no event stream is not continued by another server")
+{
+    for (const int status : { 200, 404, 500 }) {
+        CAPTURE(status);
+        dispatch_limits limits;
+        limits.fleetRetries = 0;
+        limits.retryShare = 1;
+        small_fleet fleet(limits);
+        const attempt_number attempt = fleet.open("/stream/1");
+        REQUIRE(fleet.core.mayStartSending(fleet.now, attempt));
+        served_head head = makeHead(status);
+        const auto forwarded = fleet.core.onHead(fleet.now, attempt, head);
+        if (!find<forward_response_head>(forwarded))
+            continue; // A retry of the whole request, which nothing has been forwarded of.
+        fleet.core.onBytes(fleet.now, attempt, "<html>", {});
+        const auto broken = fleet.core.onAttemptEnded(fleet.now, attempt, { attempt_end_kind::truncated, true });
+        CHECK_FALSE(find<open_dispatch>(broken));
+        CHECK(find<abort_response>(broken));
+    }
+}
+
 // Guards against a request that is sent under a revoked key because it waited for its
 // connection.
 TEST_CASE("the age of a key's confirmation is checked again at the first byte")
