Let a repeated SIGTERM not shorten the shutdown

A platform or supervisor may send SIGTERM more than once. The second one ended the process at once and cut every request in progress.

Further SIGTERMs are logged as shutdown_signal_ignored and change nothing. SIGINT keeps the meaning for operators: it begins a shutdown, or ends the one in progress. SIGHUP during a shutdown only reads the settings, as before.

--- a/include/pimentoladder/Daemon/DispatchProcess.h
+++ b/include/pimentoladder/Daemon/DispatchProcess.h
@@ -40,9 +40,13 @@
 
     /// Reports unready and closes connections after their responses, then drains, and stops
     /// the loop once no request is in progress or the deadline of the settings has passed.
-    /// The times of the settings count from \p receivedAt, when the signal came.
+    /// The times of the settings count from \p receivedAt, when the signal came. Further
+    /// calls change nothing.
     void shutDown(time_point receivedAt);
 
+    /// Shuts down, or ends the shutdown that is in progress at once.
+    void interrupt(time_point receivedAt);
+
     /// Applies the settings that may change at run time: the log level.
     void reload(const settings& changed);
 
--- a/include/pimentoladder/Daemon/RouterProcess.h
+++ b/include/pimentoladder/Daemon/RouterProcess.h
@@ -27,11 +27,14 @@
     /// address cannot be bound; nothing has started then.
     result<void> start();
 
-    /// Begins a graceful shutdown; a second call ends it at once. The loop is
+    /// Begins a graceful shutdown; further calls change nothing. The loop is
     /// stopped when it has ended. The times of the settings count from \p receivedAt,
     /// when the signal came.
     void shutDown(time_point receivedAt);
 
+    /// Shuts down, or ends the shutdown that is in progress at once.
+    void interrupt(time_point receivedAt);
+
 private:
     struct parts;
     std::unique_ptr<parts> m_parts;
--- a/include/pimentoladder/Daemon/ShutdownSequence.h
+++ b/include/pimentoladder/Daemon/ShutdownSequence.h
@@ -17,7 +17,7 @@
 /// Shuts a router down in steps: it reports unready and closes connections after their
 /// responses, waits a grace period for the load balancer, then drains: refuses new requests
 /// while those in progress end.
-/// A second call of `begin`, or the deadline, aborts the remaining requests.
+/// The deadline, or an interrupt while it is in progress, aborts the remaining requests.
 /// Not thread-safe; call on the loop's thread.
 class shutdown_sequence {
 public:
@@ -33,8 +33,12 @@
     shutdown_sequence(targets components, shutdown_settings limits);
 
     /// The times of the settings count from \p receivedAt, when the signal came.
+    /// Further calls change nothing.
     void begin(time_point receivedAt);
 
+    /// Begins, or ends the shutdown that is in progress at once.
+    void interrupt(time_point receivedAt);
+
 private:
     void drain();
     void endIfIdle();
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -273,7 +273,7 @@
 void dispatch_process::shutDown(time_point receivedAt)
 {
     if (std::exchange(m_parts->isLeaving, true)) {
-        m_parts->end("second signal");
+        m_parts->log.write(log_level::info, "shutdown_signal_ignored", { { "requests", std::uint64_t { m_parts->front.inProgress() } } });
         return;
     }
     const time_point now = m_parts->loop.now();
@@ -284,6 +284,14 @@
     m_parts->deadlineTimer.arm(receivedAt + limits.deadline - now);
 }
 
+void dispatch_process::interrupt(time_point receivedAt)
+{
+    if (m_parts->isLeaving)
+        m_parts->end("interrupt");
+    else
+        shutDown(receivedAt);
+}
+
 void dispatch_process::reload(const settings& changed)
 {
     m_parts->log.setThreshold(parseLogLevel(changed.logLevel));
--- a/lib/Daemon/RouterProcess.cpp
+++ b/lib/Daemon/RouterProcess.cpp
@@ -244,4 +244,9 @@
     m_parts->shutdown.begin(receivedAt);
 }
 
+void router_process::interrupt(time_point receivedAt)
+{
+    m_parts->shutdown.interrupt(receivedAt);
+}
+
 }
--- a/lib/Daemon/ShutdownSequence.cpp
+++ b/lib/Daemon/ShutdownSequence.cpp
@@ -25,7 +25,7 @@
 void shutdown_sequence::begin(time_point receivedAt)
 {
     if (m_hasBegun) {
-        end("second signal");
+        m_targets.log.write(log_level::info, "shutdown_signal_ignored", { { "requests", static_cast<std::uint64_t>(m_targets.callers.inProgress()) } });
         return;
     }
     m_hasBegun = true;
@@ -37,6 +37,14 @@
     m_deadlineTimer.arm(receivedAt + m_limits.deadline - now);
 }
 
+void shutdown_sequence::interrupt(time_point receivedAt)
+{
+    if (m_hasBegun)
+        end("interrupt");
+    else
+        begin(receivedAt);
+}
+
 void shutdown_sequence::drain()
 {
     m_drainedAt = m_targets.driver.loop().now();
--- a/tools/pimentoladder/Main.cpp
+++ b/tools/pimentoladder/Main.cpp
@@ -109,9 +109,8 @@
     int runWithPeers(event_loop& loop, logger& log, const settings& configured)
     {
         router_process router(loop, log, configured, incarnationFromWallClock(), std::random_device {}());
-        const auto shutDown = [&router](time_point receivedAt) { router.shutDown(receivedAt); };
-        signal_listener onTerminate(loop, SIGTERM, shutDown);
-        signal_listener onInterrupt(loop, SIGINT, shutDown);
+        signal_listener onTerminate(loop, SIGTERM, [&router](time_point receivedAt) { router.shutDown(receivedAt); });
+        signal_listener onInterrupt(loop, SIGINT, [&router](time_point receivedAt) { router.interrupt(receivedAt); });
         if (const auto started = router.start(); !started) {
             std::cerr << started.error().message << "\n";
             return exitFailed;
@@ -127,9 +126,8 @@
         platform::fleet_rows fleet;
         platform::request_headers ingress;
         dispatch_process router(loop, log, configured, { rows, fleet, ingress }, incarnationFromWallClock(), std::random_device {}());
-        const auto shutDown = [&router](time_point receivedAt) { router.shutDown(receivedAt); };
-        signal_listener onTerminate(loop, SIGTERM, shutDown);
-        signal_listener onInterrupt(loop, SIGINT, shutDown);
+        signal_listener onTerminate(loop, SIGTERM, [&router](time_point receivedAt) { router.shutDown(receivedAt); });
+        signal_listener onInterrupt(loop, SIGINT, [&router](time_point receivedAt) { router.interrupt(receivedAt); });
         signal_listener onHangUp(loop, SIGHUP, [&router](time_point) {
             // If the new settings are invalid, loadSettings() prints the errors and the
             // current settings remain in force.
--- a/unittests/PlatformAdapter/RouterTests.cpp
+++ b/unittests/PlatformAdapter/RouterTests.cpp
@@ -147,6 +147,30 @@
     CHECK(fleet.runUntil([&] { return fleet.logged("shutdown_draining") == 1; }, 500ms));
 }
 
+// Guards against requests that are cut because the platform repeats SIGTERM.
+TEST_CASE("a repeated SIGTERM does not shorten the shutdown, an interrupt ends it")
+{
+    for (const bool isInterrupted : { false, true }) {
+        CAPTURE(isInterrupted);
+        router_fixture fleet;
+        fleet.serve();
+        const auto answer = fleet.begin("/stream/a", "key", { { "X-Token-Counts", "10,200" } });
+        for (int signal = 0; signal < 3; ++signal) {
+            fleet.runFor(60ms);
+            fleet.router->process.shutDown(fleet.router->loop.now());
+        }
+        REQUIRE_FALSE(answer->has_value());
+        CHECK(fleet.logged("shutdown_ended") == 0);
+        if (isInterrupted)
+            fleet.router->process.interrupt(fleet.router->loop.now());
+        CHECK(fleet.runUntil([&] { return fleet.logged("shutdown_ended") == 1; }));
+        CHECK(fleet.lines.back()["reason"] == (isInterrupted ? "interrupt" : "idle"));
+        CHECK(fleet.lines.back()["requests_cut"] == (isInterrupted ? 1 : 0));
+        CHECK(fleet.runUntil([&] { return answer->has_value(); }));
+        CHECK(((*answer)->end == tools::call_end::answered) == !isInterrupted);
+    }
+}
+
 // Guards against callers that stay on the connections of a router until its drain closes them.
 TEST_CASE("a router closes connections after their responses from the start of its shutdown")
 {
