Write pending responses before a process ends at its shutdown deadline

Callers whose response had been handed over when the deadline of a shutdown passed saw a connection closed without an answer: the process stopped its loop in the same callback, and what libevent had not written to the sockets was dropped. shutdown_ended did not count them, as their requests were no longer in progress.

At the deadline the remaining requests are aborted, as before, and the loop goes on until every connection has closed, 250 ms at most. With a deadline of 7.5 s this ends before the platform's kill at 8 s. The end as idle waits for all connections anyway. An interrupt still ends at once. shutdown_sequence, the shutdown of the other mechanism, is unchanged.

--- a/include/pimentoladder/Daemon/DispatchProcess.h
+++ b/include/pimentoladder/Daemon/DispatchProcess.h
@@ -39,7 +39,8 @@
     result<void> start();
 
     /// Reports unready and closes connections after their responses, then drains, and stops
-    /// the loop once no request is in progress or the deadline of the settings has passed.
+    /// the loop once no request is in progress. At the deadline of the settings it aborts the
+    /// remaining requests, and stops when all pending responses are written or shortly after.
     /// The times of the settings count from \p receivedAt, when the signal came. Further
     /// calls change nothing.
     void shutDown(time_point receivedAt);
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -26,6 +26,8 @@
     constexpr duration lagInterval = 50ms;
     // Interval at which a shutdown checks for requests in progress.
     constexpr duration checkInterval = 20ms;
+    // How long the process goes on after the deadline, to write what responses are pending.
+    constexpr duration flushTimeout = 250ms;
 
     // Freshness of a key is checked before the first byte goes to the server; the
     // margin covers the transit time.
@@ -107,6 +109,7 @@
     void refuseNewWork();
     void measureLag();
     void endIfIdle();
+    void cutRequests();
     void end(std::string_view reason);
 
     event_loop& loop;
@@ -128,6 +131,9 @@
     loop_timer graceTimer;
     loop_timer deadlineTimer;
     loop_timer checkTimer;
+    loop_timer flushTimer;
+    std::string_view endReason = "idle";
+    std::uint64_t requestsCut = 0;
     bool isLeaving = false;
 };
 
@@ -145,8 +151,9 @@
     , adminServer(loop, {}, [this](const http_request& request, const std::shared_ptr<http_response_writer>& answer) { answerAdmin(request, *answer); })
     , lagTimer(loop, [this] { measureLag(); })
     , graceTimer(loop, [this] { refuseNewWork(); })
-    , deadlineTimer(loop, [this] { end("deadline"); })
+    , deadlineTimer(loop, [this] { cutRequests(); })
     , checkTimer(loop, [this] { endIfIdle(); })
+    , flushTimer(loop, [this] { end(endReason); })
 {
     driver.setHandler(*this);
     callerServer.setCloseObserver([this](const server_close& closing) { report.recordClose(closing); });
@@ -234,17 +241,26 @@
 void dispatch_process::parts::endIfIdle()
 {
     if (front.inProgress() == 0 && callerServer.connectionCount() == 0) {
-        end("idle");
+        end(endReason);
         return;
     }
     checkTimer.arm(checkInterval);
 }
 
-void dispatch_process::parts::end(std::string_view reason)
+void dispatch_process::parts::cutRequests()
 {
-    const std::uint64_t cut = front.inProgress();
+    endReason = "deadline";
+    requestsCut += front.inProgress();
     driver.post([](dispatcher& each, time_point now) { return each.abortAll(now); });
-    log.write(cut == 0 ? log_level::info : log_level::warning, "shutdown_ended", { { "reason", reason }, { "requests_cut", cut } });
+    if (!flushTimer.isArmed())
+        flushTimer.arm(flushTimeout);
+}
+
+void dispatch_process::parts::end(std::string_view reason)
+{
+    cutRequests();
+    log.write(requestsCut == 0 ? log_level::info : log_level::warning, "shutdown_ended", { { "reason", reason }, { "requests_cut", requestsCut } });
+    flushTimer.cancel();
     loop.stop();
 }
 
--- a/unittests/PlatformAdapter/RouterTests.cpp
+++ b/unittests/PlatformAdapter/RouterTests.cpp
@@ -147,6 +147,26 @@
     CHECK(fleet.runUntil([&] { return fleet.logged("shutdown_draining") == 1; }, 500ms));
 }
 
+// Guards against responses that are dropped because the process ends before it has written them.
+TEST_CASE("a response that arrives as the deadline of a shutdown passes is delivered")
+{
+    router_fixture fleet;
+    fleet.configured.shutdown.deadline = 300ms;
+    fleet.serve();
+    const std::size_t before = fleet.logged("request_dispatched");
+    const auto answer = fleet.begin("/read/b");
+    REQUIRE(fleet.runUntil([&] { return fleet.logged("request_dispatched") == before + 1; }));
+    fleet.router->loop.runFor(2ms);
+    fleet.router->process.shutDown(fleet.router->loop.now() - 290ms);
+    // The server answers while the router's loop is late.
+    fleet.events.runFor(30ms);
+    REQUIRE(fleet.runUntil([&] { return fleet.logged("shutdown_ended") == 1; }));
+    fleet.router.reset();
+    REQUIRE(fleet.runUntil([&] { return answer->has_value(); }));
+    CHECK((*answer)->status == 200);
+    CHECK((*answer)->end == tools::call_end::answered);
+}
+
 // Guards against requests that are cut because the platform repeats SIGTERM.
 TEST_CASE("a repeated SIGTERM does not shorten the shutdown, an interrupt ends it")
 {
