--- a/include/pimentoladder/Base/Ids.h
+++ b/include/pimentoladder/Base/Ids.h
@@ -78,6 +78,9 @@
 
 /// Revision of the configuration document in the platform's table. Zero: none.
 using revision = strong_number<struct revision_tag>;
+/// Number of the store's history. A store that has been restored from a copy continues
+/// from earlier revisions under the next era. Zero: the store names no era.
+using store_era = strong_number<struct store_era_tag>;
 /// Number of a process start. A later start on the same VM has a higher one.
 using incarnation = strong_number<struct incarnation_tag>;
 /// Fencing token of a shard owner: the revision at which its ownership began.
--- a/include/pimentoladder/Protocol/PublishedRow.h
+++ b/include/pimentoladder/Protocol/PublishedRow.h
@@ -24,6 +24,7 @@
 struct rows_page {
     std::vector<published_row> rows;
     revision newest; ///< Revision of the store when it answered.
+    store_era era; ///< Era of the store when it answered.
 };
 
 }
