Give every position of a row or table its era

Rows, replicas and the relay's messages hold a store_position instead of a bare revision, so that positions of two eras of the store cannot be compared by mistake.

No behaviour changes for a store with one era.

--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -227,10 +227,10 @@
     std::vector<server_loss> entries;
 };
 
-/// Revision up to which a router has read one table of the store.
+/// Position up to which a router has read one table of the store.
 struct table_position {
     std::uint32_t table = 0; ///< Index that all routers of a version share.
-    revision at;
+    store_position position;
 };
 
 /// Asks a router that reads the store to forward what it reads, and to reply at
@@ -240,12 +240,12 @@
     std::vector<table_position> have;
 };
 
-/// Rows of one table that changed after `from`, up to `to`. If `isWhole` is set,
-/// they are the whole table.
+/// Rows of one table that changed after `from`, up to `to`. Both positions and the rows
+/// are of one era. If `isWhole` is set, they are the whole table.
 struct table_update {
     std::uint32_t table = 0;
-    revision from;
-    revision to;
+    store_position from;
+    store_position to;
     bool isWhole = false;
     std::vector<published_row> rows;
 };
--- a/include/pimentoladder/Protocol/PublishedRow.h
+++ b/include/pimentoladder/Protocol/PublishedRow.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "pimentoladder/Base/Ids.h"
+#include "pimentoladder/Protocol/StorePosition.h"
 
 namespace pimentoladder {
 
@@ -14,7 +15,7 @@
 struct published_row {
     std::string key;
     std::string value; ///< Empty if the row was deleted.
-    revision at; ///< Revision of the transaction that wrote or deleted it.
+    store_position position; ///< Of the transaction that wrote or deleted it.
     bool isDeleted = false;
 
     bool operator==(const published_row&) const = default;
@@ -24,7 +25,9 @@
 struct rows_page {
     std::vector<published_row> rows;
     revision newest; ///< Revision of the store when it answered.
-    store_era era; ///< Era of the store when it answered.
+    store_era era; ///< Era of the store when it answered, and of the rows.
+
+    store_position position() const { return { era, newest }; }
 };
 
 }
--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -53,11 +53,11 @@
     retry_pauses otherRetry { std::chrono::milliseconds(1600), std::chrono::milliseconds(6400) }; ///< Backoff of any other router; longer, since hundreds of them would call a store that is down.
 };
 
-/// Read a table of the store, either completely or only the changes after a revision.
+/// Read a table of the store, either completely or only the changes after a position.
 struct read_table {
     followed_table table {};
     bool isWhole = true;
-    revision since;
+    store_position since;
     duration wait {};
 };
 
@@ -179,7 +179,7 @@
     void follow(time_point now, relay_actions& out);
     void answerFollower(time_point now, const member_ref& from, const follow_rows& asked, relay_actions& out);
     void applyUpdate(time_point now, const member_ref& from, const rows_update& received, relay_actions& out);
-    void publish(time_point now, followed_table table, revision before, const std::vector<published_row>& changed, relay_actions& out);
+    void publish(time_point now, followed_table table, store_position before, const std::vector<published_row>& changed, relay_actions& out);
     static void report(followed_table table, const std::vector<published_row>& changed, relay_actions& out);
     void confirm(relay_actions& out);
     bool isReader() const;
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -235,7 +235,7 @@
     if (step.isWhole)
         m_parts.store.list(nameOf(step.table), onEnd);
     else
-        m_parts.store.changes(nameOf(step.table), step.since, step.wait, onEnd);
+        m_parts.store.changes(nameOf(step.table), step.since.at, step.wait, onEnd);
 }
 
 void fleet_follower::perform(const send_to_router& step)
@@ -334,7 +334,7 @@
             const std::uint64_t routes = plan->routes.size();
             const bool isApplied = core.applyPlan(std::move(*plan));
             m_parts.log.write(log_level::info, isApplied ? "configuration_applied" : "configuration_ignored",
-                { { "version", version.value() }, { "row_revision", row.at.value() }, { "routes", routes } });
+                { { "version", version.value() }, { "row_revision", row.position.at.value() }, { "routes", routes } });
             if (isApplied)
                 m_parts.planApplied(core.fleet().plan());
         }
@@ -347,7 +347,7 @@
     }
     if (out == core.fleet().outOfService())
         return;
-    m_parts.log.write(log_level::info, "data_centres_out", { { "data_centres", std::string_view(names) }, { "row_revision", row.at.value() } });
+    m_parts.log.write(log_level::info, "data_centres_out", { { "data_centres", std::string_view(names) }, { "row_revision", row.position.at.value() } });
     core.setOutOfService(now, std::move(out));
 }
 
@@ -359,7 +359,7 @@
     const registered_server* known = core.fleet().findServer(id);
     if (row.isDeleted) {
         if (known)
-            m_parts.log.write(log_level::info, "server_gone", { { "server", std::string_view(row.key) }, { "row_revision", row.at.value() } });
+            m_parts.log.write(log_level::info, "server_gone", { { "server", std::string_view(row.key) }, { "row_revision", row.position.at.value() } });
         core.removeServer(now, id);
         return;
     }
@@ -374,7 +374,7 @@
         const std::int64_t coldMs = std::chrono::duration_cast<std::chrono::milliseconds>(decoded->remainingColdTime).count();
         m_parts.log.write(log_level::info, decoded->isLeaving ? "server_leaving" : "server_registered",
             { { "server", std::string_view(row.key) }, { "pool", std::string_view(decoded->pool.value()) }, { "start", decoded->start.value() },
-                { "cold_ms", coldMs }, { "row_revision", row.at.value() } });
+                { "cold_ms", coldMs }, { "row_revision", row.position.at.value() } });
     }
     core.putServer(now, *decoded);
 }
@@ -384,7 +384,7 @@
     const std::string name = nameOf(table);
     m_parts.values.count("pimentoladder_store_unreadable_rows_total", { { "table", name } });
     m_parts.log.write(log_level::warning, "row_unreadable",
-        { { "table", std::string_view(name) }, { "key", std::string_view(row.key) }, { "row_revision", row.at.value() }, { "message", std::string_view(fault.message) } });
+        { { "table", std::string_view(name) }, { "key", std::string_view(row.key) }, { "row_revision", row.position.at.value() }, { "message", std::string_view(fault.message) } });
 }
 
 }
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -272,8 +272,8 @@
     read.failures = 0;
     read.nextReadAt = read.sentAt + m_limits.pause[static_cast<std::size_t>(table)];
     const bool isWhole = std::exchange(read.needsWhole, false);
-    const revision before = read.replica.position();
-    const auto changed = isWhole ? read.replica.applyWhole(answer->rows, answer->newest) : read.replica.apply(answer->rows, answer->newest);
+    const store_position before = read.replica.position();
+    const auto changed = isWhole ? read.replica.applyWhole(answer->rows, answer->position()) : read.replica.apply(answer->rows, answer->position());
     report(table, changed, out);
     if (isWhole)
         out.push_back(table_listed { table });
@@ -291,7 +291,7 @@
     return now - *m_returnedAt;
 }
 
-void row_relay::publish(time_point now, followed_table table, revision before, const std::vector<published_row>& changed, relay_actions& out)
+void row_relay::publish(time_point now, followed_table table, store_position before, const std::vector<published_row>& changed, relay_actions& out)
 {
     std::erase_if(m_followers, [&](const auto& each) { return now - each.second > m_limits.sourceTimeout; });
     if (changed.empty())
@@ -325,8 +325,8 @@
     for (const table_position& have : asked.have) {
         if (have.table >= m_tables.size() || !m_tables[have.table].replica.isWhole())
             continue;
-        table_update update = m_tables[have.table].replica.updateSince(have.at);
-        if (update.isWhole || !update.rows.empty() || update.to > have.at)
+        table_update update = m_tables[have.table].replica.updateSince(have.position);
+        if (update.isWhole || !update.rows.empty() || update.to > have.position)
             answer.tables.push_back(std::move(update));
     }
     out.push_back(send_to_router { from.vm, std::move(answer) });
--- a/lib/Wire/MessageDecoder.cpp
+++ b/lib/Wire/MessageDecoder.cpp
@@ -181,12 +181,12 @@
 
     table_position read(const wire::TablePosition& source, field_reader&)
     {
-        return { source.table(), revision(source.at()) };
+        return { source.table(), { store_era(source.era()), revision(source.at()) } };
     }
 
     published_row read(const wire::PublishedRow& source, field_reader& fields)
     {
-        return { fields.text(source.key(), "key"), fields.text(source.value(), "value"), revision(source.at()), source.is_deleted() };
+        return { fields.text(source.key(), "key"), fields.text(source.value(), "value"), { store_era(), revision(source.at()) }, source.is_deleted() };
     }
 
     usage_entry read(const wire::Usage& source, field_reader& fields)
@@ -324,7 +324,11 @@
     {
         if (source.to() < source.from())
             fields.failField("to", "must not be below \"from\"");
-        return { source.table(), revision(source.from()), revision(source.to()), source.is_whole(), readList(source.rows(), fields) };
+        const store_era era(source.era());
+        table_update update { source.table(), { era, revision(source.from()) }, { era, revision(source.to()) }, source.is_whole(), readList(source.rows(), fields) };
+        for (published_row& row : update.rows)
+            row.position.era = era;
+        return update;
     }
 
     server_loss read(const wire::ServerLoss& source, field_reader& fields)
--- a/lib/Wire/MessageEncoder.cpp
+++ b/lib/Wire/MessageEncoder.cpp
@@ -107,14 +107,14 @@
 
     Offset<wire::TablePosition> write(FlatBufferBuilder& builder, const table_position& source)
     {
-        return wire::CreateTablePosition(builder, source.table, source.at.value());
+        return wire::CreateTablePosition(builder, source.table, source.position.at.value(), source.position.era.value());
     }
 
     Offset<wire::PublishedRow> write(FlatBufferBuilder& builder, const published_row& source)
     {
         const auto key = builder.CreateString(source.key);
         const auto value = builder.CreateString(source.value);
-        return wire::CreatePublishedRow(builder, key, value, source.at.value(), source.isDeleted);
+        return wire::CreatePublishedRow(builder, key, value, source.position.at.value(), source.isDeleted);
     }
 
     Offset<wire::Usage> write(FlatBufferBuilder& builder, const usage_entry& source)
@@ -241,7 +241,7 @@
     Offset<wire::TableUpdate> write(FlatBufferBuilder& builder, const table_update& source)
     {
         const auto rows = writeList(builder, source.rows);
-        return wire::CreateTableUpdate(builder, source.table, source.from.value(), source.to.value(), source.isWhole, rows);
+        return wire::CreateTableUpdate(builder, source.table, source.from.at.value(), source.to.at.value(), source.isWhole, rows, source.to.era.value());
     }
 
     Offset<wire::FollowRows> write(FlatBufferBuilder& builder, const follow_rows& source)
--- a/unittests/Replica/Fixture.h
+++ b/unittests/Replica/Fixture.h
@@ -16,6 +16,12 @@
 
 using namespace std::chrono_literals;
 
+/// Returns a position in the first era.
+inline store_position at(std::uint64_t position)
+{
+    return { store_era(), revision(position) };
+}
+
 /// Treats every change of a value as significant.
 class any_change final : public row_significance {
 public:
@@ -33,7 +39,7 @@
     void put(followed_table table, const std::string& key, const std::string& value)
     {
         newest = revision(newest.value() + 1);
-        tables[static_cast<std::size_t>(table)][key] = { key, value, newest, false };
+        tables[static_cast<std::size_t>(table)][key] = { key, value, { {}, newest }, false };
     }
 
     rows_page read(const read_table& asked) const
@@ -41,7 +47,7 @@
         rows_page page;
         page.newest = newest;
         for (const auto& [key, row] : tables[static_cast<std::size_t>(asked.table)]) {
-            if (asked.isWhole || row.at > asked.since)
+            if (asked.isWhole || row.position > asked.since)
                 page.rows.push_back(row);
         }
         return page;
--- a/unittests/Replica/MemberRegistrationTests.cpp
+++ b/unittests/Replica/MemberRegistrationTests.cpp
@@ -24,7 +24,7 @@
     member_registration registration(makeMember("r1"), "0123456789abcdef", codec);
     time_point now { 100s };
     CHECK_FALSE(registration.next(now, members));
-    members.applyWhole({}, revision(1));
+    members.applyWhole({}, at(1));
     const auto key = registration.next(now, members);
     REQUIRE(key);
     CHECK(key->mustBeAbsent);
@@ -33,7 +33,7 @@
     // Another router's key was written first; the result of this router's write is
     // irrelevant.
     registration.onWritten();
-    members.applyWhole({ { "fleet-key", "fedcba9876543210", revision(2), false } }, revision(2));
+    members.applyWhole({ { "fleet-key", "fedcba9876543210", at(2), false } }, at(2));
     CHECK(member_registration::fleetKey(members) == "fedcba9876543210");
     now += 1s;
     const auto own = registration.next(now, members);
@@ -41,7 +41,7 @@
     CHECK(own->key == "router/r1");
     CHECK_FALSE(own->mustBeAbsent);
     registration.onWritten();
-    members.apply({ { own->key, own->value, revision(3), false } }, revision(3));
+    members.apply({ { own->key, own->value, at(3), false } }, at(3));
     now += 1s;
     CHECK_FALSE(registration.next(now, members));
 }
@@ -53,9 +53,9 @@
     const member_json_codec codec;
     row_replica members(2, significance);
     const member_registration registration(makeMember("r1"), "0123456789abcdef", codec);
-    members.applyWhole({ { "router/r1", codec.encode(makeMember("r1")), revision(1), false },
-                           { "router/r2", "{}", revision(2), false }, { "router/r3", "x", revision(3), false } },
-        revision(3));
+    members.applyWhole({ { "router/r1", codec.encode(makeMember("r1")), at(1), false },
+                           { "router/r2", "{}", at(2), false }, { "router/r3", "x", at(3), false } },
+        at(3));
     const auto listed = registration.list(members);
     REQUIRE(listed.size() == 1);
     CHECK(listed[0] == makeMember("r1"));
--- a/unittests/Replica/RowReplicaTests.cpp
+++ b/unittests/Replica/RowReplicaTests.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-published_row makeRow(const std::string& key, const std::string& value, std::uint64_t at)
+published_row makeRow(const std::string& key, const std::string& value, std::uint64_t position)
 {
-    return { key, value, revision(at), false };
+    return { key, value, at(position), false };
 }
 
 }
@@ -20,9 +20,9 @@
 {
     const any_change significance;
     row_replica replica(0, significance);
-    CHECK(replica.apply({ makeRow("a", "new", 5) }, revision(5)).size() == 1);
-    CHECK(replica.apply({ makeRow("a", "old", 4) }, revision(4)).empty());
-    CHECK(replica.position() == revision(5));
+    CHECK(replica.apply({ makeRow("a", "new", 5) }, at(5)).size() == 1);
+    CHECK(replica.apply({ makeRow("a", "old", 4) }, at(4)).empty());
+    CHECK(replica.position() == at(5));
 }
 
 // Guards against rows that remain although a complete read no longer contains them, and
@@ -31,9 +31,9 @@
 {
     const any_change significance;
     row_replica replica(0, significance);
-    replica.applyWhole({ makeRow("a", "1", 1), makeRow("b", "1", 2) }, revision(2));
-    replica.apply({ makeRow("c", "1", 9) }, revision(9));
-    const auto changed = replica.applyWhole({ makeRow("a", "1", 1) }, revision(7));
+    replica.applyWhole({ makeRow("a", "1", 1), makeRow("b", "1", 2) }, at(2));
+    replica.apply({ makeRow("c", "1", 9) }, at(9));
+    const auto changed = replica.applyWhole({ makeRow("a", "1", 1) }, at(7));
     REQUIRE(changed.size() == 1);
     CHECK(changed[0].key == "b");
     CHECK(changed[0].isDeleted);
@@ -47,12 +47,12 @@
 {
     const any_change significance;
     row_replica replica(0, significance);
-    replica.applyWhole({ makeRow("a", "1", 1), makeRow("b", "1", 2) }, revision(2));
-    replica.apply({ makeRow("a", "1", 3), makeRow("b", "2", 4) }, revision(4));
-    const table_update update = replica.updateSince(revision(2));
+    replica.applyWhole({ makeRow("a", "1", 1), makeRow("b", "1", 2) }, at(2));
+    replica.apply({ makeRow("a", "1", 3), makeRow("b", "2", 4) }, at(4));
+    const table_update update = replica.updateSince(at(2));
     CHECK_FALSE(update.isWhole);
     REQUIRE(update.rows.size() == 1);
     CHECK(update.rows[0].key == "b");
-    CHECK(update.to == revision(4));
-    CHECK(replica.updateSince(revision()).isWhole);
+    CHECK(update.to == at(4));
+    CHECK(replica.updateSince({}).isWhole);
 }
