--- a/include/pimentoladder/Daemon/FleetFollower.h
+++ b/include/pimentoladder/Daemon/FleetFollower.h
@@ -27,16 +27,20 @@
 using relay_driver = basic_core_driver<row_relay, relay_action>;
 
 /// Compares rows by the decoded fields that the dispatcher uses. Thread-safe.
-class decoded_significance final : public row_significance {
+class decoded_rules final : public row_rules {
 public:
     /// \p codec outlives this object.
-    explicit decoded_significance(const fleet_codec& codec)
+    explicit decoded_rules(const fleet_codec& codec)
         : m_codec(codec)
     {
     }
 
     bool isSignificant(std::uint32_t table, const published_row& before, const published_row& after) const override;
 
+    /// Compares the version of configurations, and the start and the sequence of
+    /// registrations. Other rows are unordered unless they are equal.
+    std::partial_ordering order(std::uint32_t table, const published_row& left, const published_row& right) const override;
+
 private:
     const fleet_codec& m_codec;
 };
@@ -77,9 +81,11 @@
     void perform(const table_reads_recovered& step);
     void perform(const source_changed& step);
     void perform(const store_recovered& step);
+    void perform(const store_era_changed& step);
+    void perform(const restored_rows_accepted& step);
 
     std::string nameOf(followed_table table) const;
-    void applyOperatorRow(const published_row& row);
+    void applyOperatorRow(const published_row& row, bool mayBeOlder);
     void applyServerRow(const published_row& row);
     void reportUnreadable(const published_row& row, followed_table table, const error& fault);
     void updateMembers();
@@ -92,7 +98,7 @@
 
     follower_parts m_parts;
     fleet_router m_self;
-    decoded_significance m_significance;
+    decoded_rules m_rules;
     row_relay m_relay;
     relay_driver m_driver;
     member_json_codec m_memberCodec;
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -68,7 +68,7 @@
     // State read from the platform's store.
 
     /// Returns whether the version was applied.
-    bool applyPlan(serving_plan plan);
+    bool applyPlan(serving_plan plan, bool mayBeOlder = false);
     void setOutOfService(time_point now, std::set<data_centre_id> dataCentres);
     void putServer(time_point now, const registered_server& server);
     void removeServer(time_point now, const server_id& server);
--- a/include/pimentoladder/Dispatch/FleetView.h
+++ b/include/pimentoladder/Dispatch/FleetView.h
@@ -35,9 +35,9 @@
 public:
     explicit fleet_view(freshness_limits limits);
 
-    /// Applies a version of the configuration. Versions at or below the one in
-    /// force are ignored. Returns whether it was applied.
-    bool applyPlan(serving_plan plan);
+    /// Applies a version of the configuration. Unless \p mayBeOlder is set, versions at or
+    /// below the one in force are ignored. Returns whether it was applied.
+    bool applyPlan(serving_plan plan, bool mayBeOlder = false);
 
     /// Records that the configuration and the data centres out of service were current
     /// at \p sentAt.
--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -231,6 +231,7 @@
 struct table_position {
     std::uint32_t table = 0; ///< Index that all routers of a version share.
     store_position position;
+    bool hasEra = true; ///< False: the sender's version sends no era.
 };
 
 /// Asks a router that reads the store to forward what it reads, and to reply at
@@ -250,12 +251,23 @@
     std::vector<published_row> rows;
 };
 
+/// Rows of one table that are in force at the sender, although the store, which was
+/// restored from a copy, has older ones or lacks them. A deleted row has its last value.
+struct retained_rows {
+    std::uint32_t table = 0;
+    store_position position; ///< Position up to which the sender has compared its rows with the store's.
+    duration remaining {}; ///< Time until the store's rows are accepted.
+    std::vector<published_row> rows;
+};
+
 /// Rows that the sender has read from the store.
 struct rows_update {
     std::uint64_t echoSequence = 0; ///< Number of the `follow_rows` that this answers; 0: none.
     std::optional<duration> basisAge; ///< Age of the read that last confirmed the operators' rows.
     std::vector<table_update> tables;
     std::optional<duration> returnedAge; ///< Time since the store became available again after an outage, if that is recent.
+    store_era era; ///< Earliest era among the tables that `basisAge` is of.
+    std::vector<retained_rows> retained;
 };
 
 /// Model tokens of one workspace.
--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -49,6 +50,8 @@
     duration startGrace = std::chrono::milliseconds(500); ///< Time at the start to connect to a reader before this router reads the store itself.
     duration recoveryNoticePeriod = std::chrono::seconds(3); ///< How long followers are told that the store has recovered from an outage.
     duration sourceCooldownWithoutStore = std::chrono::milliseconds(500); ///< How long a source that reports that it has lost the store is not followed again.
+    duration restoredHold = std::chrono::seconds(60); ///< How long rows that were in force stay in force after the store was restored from a copy, unless they are written again.
+    duration absentServerHold = std::chrono::milliseconds(1900); ///< The same for servers that the copy lacks; live ones have registered again by then.
     retry_pauses readerRetry { std::chrono::milliseconds(200), std::chrono::milliseconds(400) }; ///< Backoff of readers and of routers with followers.
     retry_pauses otherRetry { std::chrono::milliseconds(1600), std::chrono::milliseconds(6400) }; ///< Backoff of any other router; longer, since hundreds of them would call a store that is down.
 };
@@ -67,10 +70,11 @@
     message content;
 };
 
-/// A row has changed significantly (see `row_significance`).
+/// A row has changed significantly (see `row_rules`).
 struct row_changed {
     followed_table table {};
     published_row row;
+    bool mayBeOlder = false; ///< The row may have been written before the one that it replaces.
 };
 
 /// A complete table has been applied, for the first time or after a gap.
@@ -78,6 +82,24 @@
     followed_table table {};
 };
 
+/// A table of a later era of the store has been applied: the store was restored from a copy.
+struct store_era_changed {
+    followed_table table {};
+    vm_id source; ///< Router that sent the table; empty: read from the store.
+    store_position from;
+    store_position to;
+    std::size_t changed = 0; ///< Rows in force that changed.
+    std::size_t retained = 0; ///< Rows in force that the table does not confirm, including deletions.
+    std::size_t dropped = 0; ///< Rows of the table that were not put in force.
+};
+
+/// Rows of a restored store were accepted, although the rows in force were not written
+/// again.
+struct restored_rows_accepted {
+    followed_table table {};
+    std::size_t rows = 0;
+};
+
 /// The tables `operators` and `servers` were current at this time.
 struct basis_confirmed {
     time_point at;
@@ -109,7 +131,7 @@
 };
 
 using relay_action = std::variant<read_table, send_to_router, row_changed, table_listed, basis_confirmed,
-    store_lost, table_reads_recovered, source_changed, store_recovered>;
+    store_lost, table_reads_recovered, source_changed, store_recovered, store_era_changed, restored_rows_accepted>;
 using relay_actions = std::vector<relay_action>;
 
 /// Keeps this router's replicas of the tables current, from the store or from another
@@ -123,21 +145,29 @@
 /// readers. A reader that has lost the store follows another one until its own reads
 /// succeed again. While no reader has the store, the other routers read only one table,
 /// at growing intervals.
+///
+/// A store that was restored from a copy is in a later era. A router that learns of it,
+/// from a read or a message, confirms nothing more by data of the earlier era. Readers read
+/// each table once completely; the others receive it from them. See `row_replica` for the
+/// rows that stay in force.
 /// Not thread-safe; call on the loop's thread.
 class row_relay {
 public:
-    /// \p significance outlives the relay.
-    row_relay(vm_id self, data_centre_id ownDataCentre, const row_significance& significance, relay_limits limits, std::uint64_t seed);
+    /// \p rules outlives the relay.
+    row_relay(vm_id self, data_centre_id ownDataCentre, const row_rules& rules, relay_limits limits, std::uint64_t seed);
 
     /// Sets the routers of the fleet, with or without this one.
     void setMembers(std::vector<fleet_router> members);
 
     relay_actions onRead(time_point now, followed_table table, const result<rows_page>& answer);
     relay_actions onMessage(time_point now, const member_ref& from, const message& received);
-    void onLinkOpened(const vm_id& peer) { m_linked.insert(peer); }
+
+    /// Returns the rows that the peer needs if it has been restarted since the store was
+    /// restored.
+    relay_actions onLinkOpened(time_point now, const vm_id& peer);
     void onLinkClosed(const vm_id& peer) { m_linked.erase(peer); }
 
-    /// Makes the complete table of members be read again as soon as possible.
+    /// Makes this router read the table of members from the store as soon as possible.
     void refreshMembers();
 
     relay_actions onTick(time_point now);
@@ -162,6 +192,13 @@
         row_replica replica;
         bool isReading = false;
         bool needsWhole = true;
+        bool needsOwnRead = false; ///< Must be read from the store, even if this router follows a source.
+        bool isReadingWhole = false; ///< The read in progress is of the complete table.
+        bool isReadingOwn = false; ///< The read in progress was requested by `needsOwnRead`.
+        store_era sentInEra; ///< Latest era known at the start of the read in progress.
+        std::optional<time_point> enteredAt; ///< When a later era was entered, while rows may be retained.
+        bool holdsAbsent = false; ///< Servers that the copy lacks are still in force.
+        std::vector<retained_rows> pending; ///< Retained rows of peers, until this replica is in their era.
         bool isFailing = false;
         std::uint32_t failures = 0; ///< Failed reads in a row.
         time_point sentAt; ///< Start of the read in progress or the last one.
@@ -179,8 +216,20 @@
     void follow(time_point now, relay_actions& out);
     void answerFollower(time_point now, const member_ref& from, const follow_rows& asked, relay_actions& out);
     void applyUpdate(time_point now, const member_ref& from, const rows_update& received, relay_actions& out);
-    void publish(time_point now, followed_table table, store_position before, const std::vector<published_row>& changed, relay_actions& out);
-    static void report(followed_table table, const std::vector<published_row>& changed, relay_actions& out);
+    void publish(time_point now, table_update update, relay_actions& out);
+    static void report(followed_table table, const std::vector<published_row>& changed, bool mayBeOlder, relay_actions& out);
+    void onReadFailed(time_point now, followed_table table, error reason, relay_actions& out);
+    row_changes applyRows(time_point now, followed_table table, const rows_page& page, bool isWhole, const vm_id& source, relay_actions& out);
+    bool applyTable(time_point now, const vm_id& source, const table_update& update, relay_actions& out);
+    void learnEra(time_point now, store_era era, relay_actions& out);
+    store_era basisEra() const;
+    void sendRetained(time_point now, const vm_id& to, std::span<const followed_table> tables, relay_actions& out) const;
+    void sendUnknown(time_point now, followed_table table, relay_actions& out) const;
+    void publishEra(time_point now, followed_table table, store_position before, relay_actions& out);
+    void receiveRetained(time_point now, const retained_rows& received, relay_actions& out);
+    void adopt(time_point now, followed_table table, const retained_rows& received, relay_actions& out);
+    void endRetention(time_point now, relay_actions& out);
+    time_point nextRetentionEnd() const;
     void confirm(relay_actions& out);
     bool isReader() const;
     bool mustReadStore(time_point now) const;
@@ -196,6 +245,7 @@
     relay_limits m_limits;
     random_source m_random;
     std::vector<table_state> m_tables;
+    store_era m_era; ///< Latest era of the store that this router knows of.
     std::vector<fleet_router> m_members;
     std::vector<fleet_router> m_readers;
     std::set<vm_id> m_linked;
--- a/include/pimentoladder/Settings/Settings.h
+++ b/include/pimentoladder/Settings/Settings.h
@@ -72,6 +72,7 @@
     std::chrono::nanoseconds keys = std::chrono::seconds(5); ///< Time until a revoked key is refused everywhere.
     std::chrono::nanoseconds configuration = std::chrono::seconds(2); ///< Time until a configuration is in force everywhere.
     std::chrono::nanoseconds drain = std::chrono::seconds(2); ///< Time until a leaving server receives no new requests.
+    std::chrono::nanoseconds restoredHold = std::chrono::minutes(1); ///< How long rows stay in force that a store restored from a copy lacks.
 };
 
 /// Retry budget that the platform allows all routers together, in 10 s.
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -54,6 +54,7 @@
         limits.maxBasisAge = std::chrono::duration_cast<duration>(bound * stalenessFraction);
         for (const followed_table table : { followed_table::operators, followed_table::servers })
             limits.pause[static_cast<std::size_t>(table)] = std::chrono::duration_cast<duration>(bound * readIntervalFraction);
+        limits.restoredHold = configured.freshness.restoredHold;
         return limits;
     }
 
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -1,6 +1,7 @@
 #include "pimentoladder/Daemon/FleetFollower.h"
 
 #include <algorithm>
+#include <compare>
 #include <utility>
 
 namespace pimentoladder {
@@ -30,9 +31,30 @@
         return link;
     }
 
+    std::partial_ordering planOrder(const fleet_codec& codec, const published_row& left, const published_row& right)
+    {
+        const auto first = codec.decodeOperatorRow(left.key, left.value);
+        const auto second = codec.decodeOperatorRow(right.key, right.value);
+        if (!first || !second || !std::holds_alternative<serving_plan>(*first) || !std::holds_alternative<serving_plan>(*second))
+            return std::partial_ordering::unordered;
+        return std::get<serving_plan>(*first).version <=> std::get<serving_plan>(*second).version;
+    }
+
+    std::partial_ordering registrationOrder(const fleet_codec& codec, const published_row& left, const published_row& right)
+    {
+        const auto first = codec.decodeServer(left.key, left.value);
+        const auto second = codec.decodeServer(right.key, right.value);
+        if (!first || !second)
+            return std::partial_ordering::unordered;
+        // Heartbeats that followed the last value of a deleted row may not have been received.
+        if (left.isDeleted || right.isDeleted)
+            return first->start <=> second->start;
+        return std::pair(first->start, first->sequence) <=> std::pair(second->start, second->sequence);
+    }
+
 }
 
-bool decoded_significance::isSignificant(std::uint32_t table, const published_row& before, const published_row& after) const
+bool decoded_rules::isSignificant(std::uint32_t table, const published_row& before, const published_row& after) const
 {
     if (table != static_cast<std::uint32_t>(followed_table::servers))
         return before.value != after.value;
@@ -45,14 +67,28 @@
     // is not significant while the server is cold.
     if (now->remainingColdTime <= old->remainingColdTime && now->remainingColdTime > duration::zero())
         expected.remainingColdTime = now->remainingColdTime;
+    expected.sequence = now->sequence;
     return !(expected == *now);
 }
 
+std::partial_ordering decoded_rules::order(std::uint32_t table, const published_row& left, const published_row& right) const
+{
+    if (left.value == right.value && left.isDeleted == right.isDeleted)
+        return std::partial_ordering::equivalent;
+    std::partial_ordering order = std::partial_ordering::unordered;
+    if (table == static_cast<std::uint32_t>(followed_table::operators))
+        order = planOrder(m_codec, left, right);
+    if (table == static_cast<std::uint32_t>(followed_table::servers))
+        order = registrationOrder(m_codec, left, right);
+    // The values differ, so equal numbers do not tell which one is newer.
+    return std::is_eq(order) ? std::partial_ordering::unordered : order;
+}
+
 fleet_follower::fleet_follower(follower_parts parts, const fleet_router& self, const std::string& freshKey, std::uint64_t seed)
     : m_parts(parts)
     , m_self(self)
-    , m_significance(parts.codec)
-    , m_relay(self.vm, self.dataCentre, m_significance, parts.limits, seed)
+    , m_rules(parts.codec)
+    , m_relay(self.vm, self.dataCentre, m_rules, parts.limits, seed)
     , m_driver(parts.dispatch.loop(), m_relay)
     , m_registration(self, freshKey, m_memberCodec)
     , m_mesh(parts.dispatch.loop(), parts.log, linkSettings(self), meshOwner(), seed + 1)
@@ -84,13 +120,17 @@
     };
     owner.locate = [](const vm_id&) { return std::nullopt; };
     owner.opened = [this](const member_ref& peer, const endpoint&) {
-        m_relay.onLinkOpened(peer.vm);
         // A router that has restarted knows nothing, and if it is a reader, its followers ask it.
         const auto& readers = m_relay.readers();
         const bool isReader = std::any_of(readers.begin(), readers.end(), [&](const fleet_router& each) { return each.vm == peer.vm; });
         if (isReader)
             sendLosses({ peer.vm }, m_parts.dispatch.core().crashes().evidence(m_driver.loop().now()));
-        m_driver.post([](row_relay& relay, time_point now) { return relay.onTick(now); });
+        m_driver.post([vm = peer.vm](row_relay& relay, time_point now) {
+            relay_actions actions = relay.onLinkOpened(now, vm);
+            for (relay_action& each : relay.onTick(now))
+                actions.push_back(std::move(each));
+            return actions;
+        });
     };
     owner.closed = [this](const vm_id& peer) {
         m_relay.onLinkClosed(peer);
@@ -189,6 +229,8 @@
 void fleet_follower::registerSelf()
 {
     m_registrationTimer.arm(registrationInterval);
+    for (const followed_table table : { followed_table::operators, followed_table::servers, followed_table::members })
+        m_parts.values.set("pimentoladder_store_retained_rows", { { "table", nameOf(table) } }, static_cast<double>(m_relay.replica(table).retained().size()));
     const auto write = m_registration.next(m_driver.loop().now(), m_relay.replica(followed_table::members));
     if (!write)
         return;
@@ -232,6 +274,8 @@
         });
     };
     m_parts.values.count("pimentoladder_store_reads_total", { { "table", nameOf(step.table) } });
+    if (step.isWhole)
+        m_parts.values.count("pimentoladder_store_whole_reads_total", { { "table", nameOf(step.table) } });
     if (step.isWhole)
         m_parts.store.list(nameOf(step.table), onEnd);
     else
@@ -246,7 +290,7 @@
 void fleet_follower::perform(const row_changed& step)
 {
     if (step.table == followed_table::operators)
-        applyOperatorRow(step.row);
+        applyOperatorRow(step.row, step.mayBeOlder);
     else if (step.table == followed_table::servers)
         applyServerRow(step.row);
     else
@@ -255,6 +299,8 @@
 
 void fleet_follower::perform(const table_listed& step)
 {
+    const store_era era = m_relay.replica(step.table).position().era;
+    m_parts.values.set("pimentoladder_store_era", { { "table", nameOf(step.table) } }, static_cast<double>(era.value()));
     if (step.table == followed_table::servers)
         m_parts.dispatch.core().markServersListed();
     if (step.table == followed_table::members)
@@ -271,6 +317,21 @@
     m_parts.dispatch.core().onStoreRecovered(step.at);
 }
 
+void fleet_follower::perform(const store_era_changed& step)
+{
+    const std::string table = nameOf(step.table);
+    m_parts.log.write(log_level::warning, "store_era_changed",
+        { { "table", std::string_view(table) }, { "source", step.source.isEmpty() ? std::string_view("store") : std::string_view(step.source.value()) },
+            { "from", step.from.era.value() }, { "to", step.to.era.value() }, { "position_before", step.from.at.value() }, { "position_after", step.to.at.value() },
+            { "rows_changed", std::uint64_t { step.changed } }, { "rows_retained", std::uint64_t { step.retained } }, { "rows_dropped", std::uint64_t { step.dropped } } });
+}
+
+void fleet_follower::perform(const restored_rows_accepted& step)
+{
+    const std::string table = nameOf(step.table);
+    m_parts.log.write(log_level::warning, "restored_rows_accepted", { { "table", std::string_view(table) }, { "rows", std::uint64_t { step.rows } } });
+}
+
 void fleet_follower::perform(const store_lost& step)
 {
     const std::string table = nameOf(step.table);
@@ -316,7 +377,7 @@
     m_mesh.refreshTargets();
 }
 
-void fleet_follower::applyOperatorRow(const published_row& row)
+void fleet_follower::applyOperatorRow(const published_row& row, bool mayBeOlder)
 {
     const time_point now = m_driver.loop().now();
     dispatcher& core = m_parts.dispatch.core();
@@ -332,7 +393,7 @@
         if (auto* plan = std::get_if<serving_plan>(&*decoded)) {
             const revision version = plan->version;
             const std::uint64_t routes = plan->routes.size();
-            const bool isApplied = core.applyPlan(std::move(*plan));
+            const bool isApplied = core.applyPlan(std::move(*plan), mayBeOlder);
             m_parts.log.write(log_level::info, isApplied ? "configuration_applied" : "configuration_ignored",
                 { { "version", version.value() }, { "row_revision", row.position.at.value() }, { "routes", routes } });
             if (isApplied)
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -693,9 +693,9 @@
     return out;
 }
 
-bool dispatcher::applyPlan(serving_plan plan)
+bool dispatcher::applyPlan(serving_plan plan, bool mayBeOlder)
 {
-    return m_fleet.applyPlan(std::move(plan));
+    return m_fleet.applyPlan(std::move(plan), mayBeOlder);
 }
 
 void dispatcher::setOutOfService(time_point now, std::set<data_centre_id> dataCentres)
--- a/lib/Dispatch/FleetView.cpp
+++ b/lib/Dispatch/FleetView.cpp
@@ -22,9 +22,9 @@
     return id;
 }
 
-bool fleet_view::applyPlan(serving_plan plan)
+bool fleet_view::applyPlan(serving_plan plan, bool mayBeOlder)
 {
-    if (m_plan && plan.version <= m_plan->version)
+    if (!mayBeOlder && m_plan && plan.version <= m_plan->version)
         return false;
     m_plan = std::move(plan);
     m_routes = route_table(m_plan->routes);
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -22,6 +22,12 @@
 
     constexpr std::array allTables { followed_table::operators, followed_table::servers, followed_table::members };
 
+    // Maximum size of the retained rows in one message, which keeps it below the maximum
+    // size of a frame.
+    constexpr std::size_t maxRetainedSize = 256UL * 1024;
+    // Maximum number of messages with retained rows that wait for their era.
+    constexpr std::size_t maxPendingRetained = 8;
+
     constexpr std::uint64_t fnvOffset = 0xcbf29ce484222325;
     constexpr std::uint64_t fnvPrime = 0x100000001b3;
 
@@ -35,14 +41,16 @@
 
 }
 
-row_relay::row_relay(vm_id self, data_centre_id ownDataCentre, const row_significance& significance, relay_limits limits, std::uint64_t seed)
+row_relay::row_relay(vm_id self, data_centre_id ownDataCentre, const row_rules& rules, relay_limits limits, std::uint64_t seed)
     : m_self(std::move(self))
     , m_ownDataCentre(std::move(ownDataCentre))
     , m_limits(limits)
     , m_random(seed)
 {
     for (const followed_table table : allTables)
-        m_tables.emplace_back(row_replica(static_cast<std::uint32_t>(table), significance));
+        m_tables.emplace_back(row_replica(static_cast<std::uint32_t>(table), rules));
+    // Each router must read the members itself at its start, to find the readers.
+    state(followed_table::members).needsOwnRead = true;
 }
 
 void row_relay::setMembers(std::vector<fleet_router> members)
@@ -63,7 +71,7 @@
 void row_relay::refreshMembers()
 {
     table_state& members = state(followed_table::members);
-    members.needsWhole = true;
+    members.needsOwnRead = true;
     members.nextReadAt = {};
 }
 
@@ -107,13 +115,11 @@
 bool row_relay::isWanted(followed_table table, time_point now) const
 {
     const table_state& each = m_tables[static_cast<std::size_t>(table)];
-    // Each router must read the members itself at its start, to find the readers.
-    const bool isStart = table == followed_table::members && each.needsWhole;
-    if (each.isReading || (!isStart && !readsStore(now)))
+    if (each.isReading || (!each.needsOwnRead && !readsStore(now)))
         return false;
     // Until a read succeeds, only the first table is read, to check whether the store is
     // reachable.
-    const bool isProbing = !isStart && !mustReadStore(now) && !hasRead(m_tables.front(), now);
+    const bool isProbing = !each.needsOwnRead && !mustReadStore(now) && !hasRead(m_tables.front(), now);
     return !isProbing || table == allTables.front();
 }
 
@@ -193,6 +199,7 @@
     relay_actions out;
     if (!m_startedAt)
         m_startedAt = now;
+    endRetention(now, out);
     chooseSource(now, out);
     follow(now, out);
     for (const followed_table table : allTables) {
@@ -201,6 +208,9 @@
             continue;
         const auto index = static_cast<std::size_t>(table);
         each.isReading = true;
+        each.isReadingWhole = each.needsWhole;
+        each.isReadingOwn = std::exchange(each.needsOwnRead, false);
+        each.sentInEra = m_era;
         each.sentAt = now;
         out.push_back(read_table { table, each.needsWhole, each.replica.position(), m_limits.wait[index] });
     }
@@ -216,6 +226,7 @@
         if (isWanted(table, now))
             next = std::min(next, std::max(now, m_tables[static_cast<std::size_t>(table)].nextReadAt));
     }
+    next = std::min(next, std::max(now, nextRetentionEnd()));
     if (m_source.isEmpty() && !isReader())
         return std::max(now, std::min(next, now + sourceCheckInterval));
     if (!m_source.isEmpty())
@@ -225,10 +236,10 @@
     return next;
 }
 
-void row_relay::report(followed_table table, const std::vector<published_row>& changed, relay_actions& out)
+void row_relay::report(followed_table table, const std::vector<published_row>& changed, bool mayBeOlder, relay_actions& out)
 {
     for (const published_row& row : changed)
-        out.push_back(row_changed { table, row });
+        out.push_back(row_changed { table, row, mayBeOlder });
 }
 
 void row_relay::confirm(relay_actions& out)
@@ -245,21 +256,87 @@
     out.push_back(basis_confirmed { oldest });
 }
 
+void row_relay::learnEra(time_point now, store_era era, relay_actions& out)
+{
+    if (era <= m_era)
+        return;
+    m_era = era;
+    const auto isWhole = [](const table_state& each) { return each.replica.isWhole(); };
+    if (std::none_of(m_tables.begin(), m_tables.end(), isWhole))
+        return;
+    for (table_state& each : m_tables) {
+        each.needsWhole = true;
+        each.nextReadAt = std::min(each.nextReadAt, now);
+    }
+    // Servers whose registrations the copy lacks need time to register again.
+    m_returnedAt = now;
+    out.push_back(store_recovered { now });
+}
+
+store_era row_relay::basisEra() const
+{
+    store_era earliest = m_era;
+    for (std::size_t table = 0; table < static_cast<std::size_t>(basisTables); ++table)
+        earliest = std::min(earliest, m_tables[table].replica.position().era);
+    return earliest;
+}
+
+void row_relay::onReadFailed(time_point now, followed_table table, error reason, relay_actions& out)
+{
+    table_state& read = state(table);
+    ++read.failures;
+    read.needsOwnRead |= read.isReadingOwn;
+    read.nextReadAt = now + retryPause(read, now);
+    // A gap in the history is not an outage: the complete table is read at once.
+    if (reason.kind == error_kind::notFound) {
+        read.needsWhole = true;
+        read.nextReadAt = now;
+        return;
+    }
+    if (!std::exchange(read.isFailing, true))
+        out.push_back(store_lost { table, std::move(reason) });
+}
+
+row_changes row_relay::applyRows(time_point now, followed_table table, const rows_page& page, bool isWhole, const vm_id& source, relay_actions& out)
+{
+    table_state& held = state(table);
+    const store_position before = held.replica.position();
+    const bool isNewEra = held.replica.isWhole() && before.era < page.era;
+    row_changes changes = isWhole ? held.replica.applyWhole(page.rows, page.position()) : held.replica.apply(page.rows, page.position());
+    report(table, changes.inForce, false, out);
+    if (isNewEra) {
+        held.enteredAt = now;
+        held.holdsAbsent = table == followed_table::servers;
+        out.push_back(store_era_changed { table, source, before, held.replica.position(), changes.inForce.size(), held.replica.retained().size(), changes.dropped });
+    }
+    if (!isWhole)
+        return changes;
+    held.needsWhole = false;
+    if (isNewEra && !source.isEmpty())
+        sendUnknown(now, table, out);
+    for (const retained_rows& each : std::exchange(held.pending, {}))
+        adopt(now, table, each, out);
+    out.push_back(table_listed { table });
+    return changes;
+}
+
 relay_actions row_relay::onRead(time_point now, followed_table table, const result<rows_page>& answer)
 {
     relay_actions out;
     table_state& read = state(table);
     read.isReading = false;
     if (!answer) {
-        ++read.failures;
-        read.nextReadAt = now + retryPause(read, now);
-        // A gap in the history is not an outage: the complete table is read at once.
-        if (answer.error().kind == error_kind::notFound) {
-            read.needsWhole = true;
-            read.nextReadAt = now;
-        } else if (!std::exchange(read.isFailing, true)) {
-            out.push_back(store_lost { table, answer.error() });
-        }
+        onReadFailed(now, table, answer.error(), out);
+        return out;
+    }
+    if (answer->era < m_era && read.sentInEra < m_era) {
+        // The read was sent before this router knew of the later era.
+        read.needsOwnRead |= read.isReadingOwn;
+        read.nextReadAt = now;
+        return out;
+    }
+    if (answer->era < m_era) {
+        onReadFailed(now, table, { error_kind::corruptData, "the store is in era " + std::to_string(answer->era.value()) + " after era " + std::to_string(m_era.value()) + "; restart the routers if its eras were reset" }, out);
         return out;
     }
     if (std::exchange(read.isFailing, false)) {
@@ -269,18 +346,25 @@
         for (table_state& each : m_tables)
             each.nextReadAt = std::min(each.nextReadAt, now);
     }
+    learnEra(now, answer->era, out);
     read.failures = 0;
-    read.nextReadAt = read.sentAt + m_limits.pause[static_cast<std::size_t>(table)];
-    const bool isWhole = std::exchange(read.needsWhole, false);
-    const store_position before = read.replica.position();
-    const auto changed = isWhole ? read.replica.applyWhole(answer->rows, answer->position()) : read.replica.apply(answer->rows, answer->position());
-    report(table, changed, out);
-    if (isWhole)
-        out.push_back(table_listed { table });
     read.readAt = read.sentAt;
+    const store_position before = read.replica.position();
+    const bool isNewEra = read.replica.isWhole() && before.era < answer->era;
+    if (isNewEra && !read.isReadingWhole) {
+        // The changes may continue another history than the one that this replica holds.
+        read.needsOwnRead |= read.isReadingOwn;
+        read.nextReadAt = now;
+        return out;
+    }
+    read.nextReadAt = read.sentAt + m_limits.pause[static_cast<std::size_t>(table)];
+    const row_changes changes = applyRows(now, table, *answer, read.isReadingWhole, {}, out);
     read.confirmedAt = std::max(read.confirmedAt.value_or(read.sentAt), read.sentAt);
     confirm(out);
-    publish(now, table, before, changed, out);
+    if (isNewEra)
+        publishEra(now, table, before, out);
+    else if (!changes.stored.empty())
+        publish(now, { static_cast<std::uint32_t>(table), before, read.replica.position(), false, changes.stored }, out);
     return out;
 }
 
@@ -291,16 +375,54 @@
     return now - *m_returnedAt;
 }
 
-void row_relay::publish(time_point now, followed_table table, store_position before, const std::vector<published_row>& changed, relay_actions& out)
+/// Sends the readers the rows retained here that none of them has sent. All readers may have
+/// been restarted since they were changed.
+void row_relay::sendUnknown(time_point now, followed_table table, relay_actions& out) const
 {
-    std::erase_if(m_followers, [&](const auto& each) { return now - each.second > m_limits.sourceTimeout; });
-    if (changed.empty())
+    const table_state& held = m_tables[static_cast<std::size_t>(table)];
+    std::set<std::string> known;
+    for (const retained_rows& each : held.pending) {
+        for (const published_row& row : each.rows)
+            known.insert(row.key);
+    }
+    const auto isUnknown = [&](const auto& each) {
+        const bool isNeeded = !each.second.isDeleted || held.replica.findStored(each.first);
+        return isNeeded && !known.contains(each.first);
+    };
+    const auto& retained = held.replica.retained();
+    if (std::none_of(retained.begin(), retained.end(), isUnknown))
         return;
-    rows_update update;
-    update.returnedAge = returnedAge(now);
-    update.tables.push_back({ static_cast<std::uint32_t>(table), before, state(table).replica.position(), false, changed });
+    for (const fleet_router& each : m_readers) {
+        if (m_linked.contains(each.vm))
+            sendRetained(now, each.vm, std::span(&table, 1), out);
+    }
+}
+
+/// Retained rows are sent first, so that a router that did not see a deletion does not put
+/// the older rows in force.
+void row_relay::publishEra(time_point now, followed_table table, store_position before, relay_actions& out)
+{
+    std::set<vm_id> peers;
+    for (const fleet_router& each : m_readers) {
+        if (m_linked.contains(each.vm))
+            peers.insert(each.vm);
+    }
     for (const auto& [vm, askedAt] : m_followers)
-        out.push_back(send_to_router { vm, update });
+        peers.insert(vm);
+    for (const vm_id& each : peers)
+        sendRetained(now, each, std::span(&table, 1), out);
+    publish(now, state(table).replica.updateSince(before), out);
+}
+
+void row_relay::publish(time_point now, table_update update, relay_actions& out)
+{
+    std::erase_if(m_followers, [&](const auto& each) { return now - each.second > m_limits.sourceTimeout; });
+    rows_update published;
+    published.returnedAge = returnedAge(now);
+    published.era = basisEra();
+    published.tables.push_back(std::move(update));
+    for (const auto& [vm, askedAt] : m_followers)
+        out.push_back(send_to_router { vm, published });
 }
 
 relay_actions row_relay::onMessage(time_point now, const member_ref& from, const message& received)
@@ -316,22 +438,146 @@
 void row_relay::answerFollower(time_point now, const member_ref& from, const follow_rows& asked, relay_actions& out)
 {
     m_followers[from.vm] = now;
+    for (const table_position& have : asked.have)
+        learnEra(now, have.position.era, out);
     rows_update answer;
     answer.echoSequence = asked.sequence;
     // Without `basisAge`, the follower switches to another reader at once.
     if (m_basis && !isStoreFailing())
         answer.basisAge = now - *m_basis;
+    answer.era = basisEra();
     answer.returnedAge = returnedAge(now);
     for (const table_position& have : asked.have) {
         if (have.table >= m_tables.size() || !m_tables[have.table].replica.isWhole())
             continue;
-        table_update update = m_tables[have.table].replica.updateSince(have.position);
-        if (update.isWhole || !update.rows.empty() || update.to > have.position)
+        const row_replica& replica = m_tables[have.table].replica;
+        // A version without eras would take each complete table for an older one.
+        const store_position position = have.hasEra ? have.position : store_position { replica.position().era, have.position.at };
+        if (position.era > replica.position().era)
+            continue;
+        table_update update = replica.updateSince(position);
+        if (update.isWhole || !update.rows.empty() || update.to > position)
             answer.tables.push_back(std::move(update));
     }
+    // Sent first, so that a router that has been restarted never has the older rows in force.
+    const auto isWhole = [](const table_update& each) { return each.isWhole; };
+    if (std::any_of(answer.tables.begin(), answer.tables.end(), isWhole))
+        sendRetained(now, from.vm, allTables, out);
     out.push_back(send_to_router { from.vm, std::move(answer) });
 }
 
+/// Returns false if rows between the table's position and the update's are missing.
+bool row_relay::applyTable(time_point now, const vm_id& source, const table_update& update, relay_actions& out)
+{
+    learnEra(now, update.to.era, out);
+    if (update.to.era < m_era)
+        return false;
+    const auto table = static_cast<followed_table>(update.table);
+    const row_replica& held = state(table).replica;
+    const rows_page page { update.rows, update.to.at, update.to.era };
+    const bool isLate = held.isWhole() && update.to < held.position();
+    if (update.isWhole && !isLate) {
+        applyRows(now, table, page, true, source, out);
+        return true;
+    }
+    const bool isContiguous = held.isWhole() && update.from <= held.position();
+    if (isContiguous)
+        applyRows(now, table, page, false, source, out);
+    return isContiguous;
+}
+
+void row_relay::sendRetained(time_point now, const vm_id& to, std::span<const followed_table> tables, relay_actions& out) const
+{
+    rows_update sent;
+    sent.era = basisEra();
+    std::size_t size = 0;
+    for (const followed_table table : tables) {
+        const table_state& each = m_tables[static_cast<std::size_t>(table)];
+        if (!each.enteredAt)
+            continue;
+        retained_rows part { static_cast<std::uint32_t>(table), each.replica.position(), *each.enteredAt + m_limits.restoredHold - now, {} };
+        for (const auto& [key, row] : each.replica.retained()) {
+            size += key.size() + row.value.size();
+            const bool isNeeded = !row.isDeleted || each.replica.findStored(key);
+            if (isNeeded && size <= maxRetainedSize)
+                part.rows.push_back(row);
+        }
+        if (!part.rows.empty())
+            sent.retained.push_back(std::move(part));
+    }
+    if (!sent.retained.empty())
+        out.push_back(send_to_router { to, std::move(sent) });
+}
+
+relay_actions row_relay::onLinkOpened(time_point now, const vm_id& peer)
+{
+    m_linked.insert(peer);
+    relay_actions out;
+    sendRetained(now, peer, allTables, out);
+    return out;
+}
+
+void row_relay::receiveRetained(time_point now, const retained_rows& received, relay_actions& out)
+{
+    if (received.table >= m_tables.size())
+        return;
+    learnEra(now, received.position.era, out);
+    const auto table = static_cast<followed_table>(received.table);
+    table_state& held = state(table);
+    const bool isInEra = held.replica.isWhole() && held.replica.position().era == received.position.era;
+    if (isInEra)
+        adopt(now, table, received, out);
+    else if (received.position.era >= m_era && held.pending.size() < maxPendingRetained)
+        held.pending.push_back(received);
+}
+
+void row_relay::adopt(time_point now, followed_table table, const retained_rows& received, relay_actions& out)
+{
+    table_state& held = state(table);
+    const std::vector<published_row> changed = held.replica.adoptRetained(received.rows, received.position);
+    if (!held.enteredAt)
+        held.enteredAt = now - m_limits.restoredHold + std::min(received.remaining, m_limits.restoredHold);
+    held.holdsAbsent |= table == followed_table::servers && !changed.empty();
+    report(table, changed, true, out);
+    if (changed.empty())
+        return;
+    for (const auto& [vm, askedAt] : m_followers)
+        sendRetained(now, vm, std::span(&table, 1), out);
+}
+
+time_point row_relay::nextRetentionEnd() const
+{
+    time_point next = time_point::max();
+    for (const table_state& each : m_tables) {
+        if (!each.enteredAt)
+            continue;
+        next = std::min(next, *each.enteredAt + m_limits.restoredHold);
+        if (each.holdsAbsent)
+            next = std::min(next, *each.enteredAt + m_limits.absentServerHold);
+    }
+    return next;
+}
+
+void row_relay::endRetention(time_point now, relay_actions& out)
+{
+    for (const followed_table table : allTables) {
+        table_state& each = state(table);
+        if (!each.enteredAt)
+            continue;
+        const bool isOver = now >= *each.enteredAt + m_limits.restoredHold;
+        const bool isAbsentOver = each.holdsAbsent && now >= *each.enteredAt + m_limits.absentServerHold;
+        if (!isOver && !isAbsentOver)
+            continue;
+        const std::vector<published_row> changed = isOver ? each.replica.acceptStored() : each.replica.acceptAbsent();
+        each.holdsAbsent = false;
+        if (isOver)
+            each.enteredAt.reset();
+        report(table, changed, true, out);
+        if (!changed.empty())
+            out.push_back(restored_rows_accepted { table, changed.size() });
+    }
+}
+
 void row_relay::applyUpdate(time_point now, const member_ref& from, const rows_update& received, relay_actions& out)
 {
     // Removals of rows that expired in the outage are delayed here as at the sender.
@@ -340,26 +586,14 @@
         m_returnedAt = now - *received.returnedAge;
         out.push_back(store_recovered { *m_returnedAt });
     }
+    for (const retained_rows& each : received.retained)
+        receiveRetained(now, each, out);
     bool hasGap = false;
     for (const table_update& update : received.tables) {
-        if (update.table >= m_tables.size())
-            continue;
-        const auto table = static_cast<followed_table>(update.table);
-        table_state& held = state(table);
-        if (update.isWhole && update.to >= held.replica.position()) {
-            const auto changed = held.replica.applyWhole(update.rows, update.to);
-            held.needsWhole = false;
-            report(table, changed, out);
-            out.push_back(table_listed { table });
-            continue;
-        }
-        const bool isContiguous = held.replica.isWhole() && update.from <= held.replica.position();
-        if (!isContiguous) {
-            hasGap = true;
-            continue;
-        }
-        report(table, held.replica.apply(update.rows, update.to), out);
+        if (update.table < m_tables.size())
+            hasGap |= !applyTable(now, from.vm, update, out);
     }
+    hasGap |= received.era < m_era || basisEra() < m_era;
     const auto asked = m_unanswered.find(received.echoSequence);
     if (from.vm != m_source || asked == m_unanswered.end())
         return;
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -133,6 +133,7 @@
         assignIfSet(target.keys, reader.time("keys", range));
         assignIfSet(target.configuration, reader.time("configuration", range));
         assignIfSet(target.drain, reader.time("drain", range));
+        assignIfSet(target.restoredHold, reader.time("restored_hold", { 2s, 10min }));
         reader.finish();
     }
 
--- a/lib/Wire/MessageDecoder.cpp
+++ b/lib/Wire/MessageDecoder.cpp
@@ -181,12 +181,12 @@
 
     table_position read(const wire::TablePosition& source, field_reader&)
     {
-        return { source.table(), { store_era(source.era()), revision(source.at()) } };
+        return { source.table(), { store_era(source.era().value_or(0)), revision(source.at()) }, source.era().has_value() };
     }
 
     published_row read(const wire::PublishedRow& source, field_reader& fields)
     {
-        return { fields.text(source.key(), "key"), fields.text(source.value(), "value"), { store_era(), revision(source.at()) }, source.is_deleted() };
+        return { fields.text(source.key(), "key"), fields.text(source.value(), "value"), { store_era(source.era()), revision(source.at()) }, source.is_deleted() };
     }
 
     usage_entry read(const wire::Usage& source, field_reader& fields)
@@ -331,6 +331,11 @@
         return update;
     }
 
+    retained_rows read(const wire::RetainedRows& source, field_reader& fields)
+    {
+        return { source.table(), { store_era(source.era()), revision(source.at()) }, std::chrono::milliseconds(source.remaining()), readList(source.rows(), fields) };
+    }
+
     server_loss read(const wire::ServerLoss& source, field_reader& fields)
     {
         return { fields.requiredName<server_id>(source.server(), "server"), incarnation(source.server_start()),
@@ -354,7 +359,8 @@
 
     message read(const wire::RowsUpdate& source, field_reader& fields)
     {
-        return rows_update { source.echo(), optionalDuration(source.basis_age()), readList(source.tables(), fields), optionalDuration(source.returned_age()) };
+        return rows_update { source.echo(), optionalDuration(source.basis_age()), readList(source.tables(), fields), optionalDuration(source.returned_age()),
+            store_era(source.era()), readList(source.retained(), fields) };
     }
 
     message read(const wire::UsageReport& source, field_reader& fields)
--- a/lib/Wire/MessageEncoder.cpp
+++ b/lib/Wire/MessageEncoder.cpp
@@ -107,14 +107,14 @@
 
     Offset<wire::TablePosition> write(FlatBufferBuilder& builder, const table_position& source)
     {
-        return wire::CreateTablePosition(builder, source.table, source.position.at.value(), source.position.era.value());
+        return wire::CreateTablePosition(builder, source.table, source.position.at.value(), source.hasEra ? flatbuffers::Optional<std::uint64_t>(source.position.era.value()) : flatbuffers::nullopt);
     }
 
     Offset<wire::PublishedRow> write(FlatBufferBuilder& builder, const published_row& source)
     {
         const auto key = builder.CreateString(source.key);
         const auto value = builder.CreateString(source.value);
-        return wire::CreatePublishedRow(builder, key, value, source.position.at.value(), source.isDeleted);
+        return wire::CreatePublishedRow(builder, key, value, source.position.at.value(), source.isDeleted, source.position.era.value());
     }
 
     Offset<wire::Usage> write(FlatBufferBuilder& builder, const usage_entry& source)
@@ -144,7 +144,15 @@
         return wire::CreateServerRateLimit(builder, writeName(builder, source.server), source.isLimited, source.perSecond, roundedUpMicroseconds(source.age));
     }
 
+    // The era of a row in a table's update is that of the update.
+    published_row withoutEra(published_row row)
+    {
+        row.position.era = store_era();
+        return row;
+    }
+
     // Defined below, because they contain a list and so need `writeList`.
+    Offset<wire::RetainedRows> write(FlatBufferBuilder& builder, const retained_rows& source);
     Offset<wire::TableUpdate> write(FlatBufferBuilder& builder, const table_update& source);
     Offset<wire::ServerLoss> write(FlatBufferBuilder& builder, const server_loss& source);
 
@@ -240,10 +248,19 @@
 
     Offset<wire::TableUpdate> write(FlatBufferBuilder& builder, const table_update& source)
     {
-        const auto rows = writeList(builder, source.rows);
+        std::vector<published_row> plain;
+        std::transform(source.rows.begin(), source.rows.end(), std::back_inserter(plain), withoutEra);
+        const auto rows = writeList(builder, plain);
         return wire::CreateTableUpdate(builder, source.table, source.from.at.value(), source.to.at.value(), source.isWhole, rows, source.to.era.value());
     }
 
+    Offset<wire::RetainedRows> write(FlatBufferBuilder& builder, const retained_rows& source)
+    {
+        const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(source.remaining).count();
+        return wire::CreateRetainedRows(builder, source.table, source.position.at.value(), source.position.era.value(),
+            static_cast<std::uint32_t>(remaining), writeList(builder, source.rows));
+    }
+
     Offset<wire::FollowRows> write(FlatBufferBuilder& builder, const follow_rows& source)
     {
         return wire::CreateFollowRows(builder, source.sequence, writeList(builder, source.have));
@@ -252,8 +269,9 @@
     Offset<wire::RowsUpdate> write(FlatBufferBuilder& builder, const rows_update& source)
     {
         const auto tables = writeList(builder, source.tables);
+        const auto retained = source.retained.empty() ? 0 : writeList(builder, source.retained);
         return wire::CreateRowsUpdate(builder, source.echoSequence, optionalMicroseconds(source.basisAge), tables,
-            optionalMicroseconds(source.returnedAge));
+            optionalMicroseconds(source.returnedAge), source.era.value(), retained);
     }
 
     Offset<wire::UsageReport> write(FlatBufferBuilder& builder, const usage_report& source)
--- a/unittests/Dispatch/FleetViewTests.cpp
+++ b/unittests/Dispatch/FleetViewTests.cpp
@@ -15,6 +15,17 @@
     CHECK(fleet.plan().version == revision(5));
 }
 
+// Guards against a router that never returns to the version of a restored store, while
+// routers that know only the copy use it.
+TEST_CASE("an older version is applied if the store's row was accepted")
+{
+    fleet_view fleet({});
+    CHECK(fleet.applyPlan(makePlan(5)));
+    CHECK(fleet.applyPlan(makePlan(4), true));
+    CHECK(fleet.plan().version == revision(4));
+    CHECK(fleet.applyPlan(makePlan(5)));
+}
+
 // Guards against routing by a shorter prefix than the longest match.
 TEST_CASE("the longest matching prefix of the host is used")
 {
--- a/unittests/PlatformAdapter/FleetRowsTests.cpp
+++ b/unittests/PlatformAdapter/FleetRowsTests.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "pimentoladder/Admin/Operators.h"
+#include "pimentoladder/Daemon/FleetFollower.h"
 #include "platform/FleetRows.h"
 
 using namespace pimentoladder;
@@ -69,3 +70,35 @@
     CHECK(std::get<evacuated_data_centre>(*out).dataCentre == data_centre_id("zone-1"));
     CHECK(std::holds_alternative<unrelated_row>(*codec.decodeOperatorRow("other", "?")));
 }
+
+namespace {
+
+published_row makeConfiguration(int version, const std::string& tenants = "[]")
+{
+    return { "config", R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[],"tenants":)" + tenants + "}", {}, false };
+}
+
+published_row makeRegistration(int born, int sequence, const std::string& state, bool isDeleted = false)
+{
+    return { "i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,"state":")" + state + R"(","born":)" + std::to_string(born) + R"(,"sequence":)" + std::to_string(sequence) + "}", {}, isDeleted };
+}
+
+}
+
+// Guards against rows of a restored store that are taken for newer than the rows in force.
+TEST_CASE("rows are ordered as their writers wrote them")
+{
+    const platform::fleet_rows codec;
+    const decoded_rules rules(codec);
+    const auto operators = static_cast<std::uint32_t>(followed_table::operators);
+    const auto servers = static_cast<std::uint32_t>(followed_table::servers);
+    CHECK(std::is_lt(rules.order(operators, makeConfiguration(9), makeConfiguration(10))));
+    CHECK(std::is_eq(rules.order(operators, makeConfiguration(9), makeConfiguration(9))));
+    CHECK(rules.order(operators, makeConfiguration(9), makeConfiguration(9, R"([{"name":"t","api_keys":["k"]}])")) == std::partial_ordering::unordered);
+    CHECK(rules.order(operators, makeConfiguration(9), { "config", "?", {}, false }) == std::partial_ordering::unordered);
+    CHECK(std::is_gt(rules.order(servers, makeRegistration(5, 9, "draining"), makeRegistration(5, 7, "ready"))));
+    CHECK(std::is_lt(rules.order(servers, makeRegistration(5, 9, "draining"), makeRegistration(6, 1, "ready"))));
+    CHECK(rules.order(servers, makeRegistration(5, 3, "ready", true), makeRegistration(5, 7, "ready")) == std::partial_ordering::unordered);
+    CHECK(std::is_lt(rules.order(servers, makeRegistration(5, 3, "ready", true), makeRegistration(6, 1, "ready"))));
+    CHECK_FALSE(rules.isSignificant(servers, makeRegistration(5, 3, "ready"), makeRegistration(5, 4, "ready")));
+}
--- a/unittests/Replica/Fixture.h
+++ b/unittests/Replica/Fixture.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <algorithm>
+#include <compare>
+#include <cstdlib>
 #include <deque>
 #include <map>
 #include <memory>
@@ -16,23 +18,34 @@
 
 using namespace std::chrono_literals;
 
-/// Returns a position in the first era.
-inline store_position at(std::uint64_t position)
+inline store_position at(std::uint64_t position, std::uint64_t era = 0)
 {
-    return { store_era(), revision(position) };
+    return { store_era(era), revision(position) };
 }
 
-/// Treats every change of a value as significant.
-class any_change final : public row_significance {
+/// Treats every change of a value as significant. Values that begin with a positive
+/// number are ordered by it, unless one of the rows is deleted.
+class any_change final : public row_rules {
 public:
     bool isSignificant(std::uint32_t, const published_row& before, const published_row& after) const override
     {
         return before.value != after.value;
     }
+
+    std::partial_ordering order(std::uint32_t, const published_row& left, const published_row& right) const override
+    {
+        if (left.isDeleted || right.isDeleted)
+            return std::partial_ordering::unordered;
+        const auto [leftNumber, rightNumber] = std::pair(std::atoi(left.value.c_str()), std::atoi(right.value.c_str()));
+        if (leftNumber != rightNumber && leftNumber > 0 && rightNumber > 0)
+            return leftNumber <=> rightNumber;
+        return left.value == right.value ? std::partial_ordering::equivalent : std::partial_ordering::unordered;
+    }
 };
 
 /// In-memory store that responds immediately.
 struct fake_store {
+    store_era era;
     revision newest { 1 };
     std::array<std::map<std::string, published_row>, followedTableCount> tables;
 
@@ -42,13 +55,33 @@
         tables[static_cast<std::size_t>(table)][key] = { key, value, { {}, newest }, false };
     }
 
-    rows_page read(const read_table& asked) const
+    void remove(followed_table table, const std::string& key)
     {
+        newest = revision(newest.value() + 1);
+        tables[static_cast<std::size_t>(table)][key] = { key, {}, { {}, newest }, true };
+    }
+
+    /// Replaces the contents with those of \p copy, in the next era.
+    void restoreFrom(const fake_store& copy)
+    {
+        const store_era next(era.value() + 1);
+        *this = copy;
+        era = next;
+    }
+
+    result<rows_page> read(const read_table& asked) const
+    {
+        if (!asked.isWhole && asked.since.at > newest)
+            return makeError(error_kind::notFound, "gone");
         rows_page page;
         page.newest = newest;
+        page.era = era;
         for (const auto& [key, row] : tables[static_cast<std::size_t>(asked.table)]) {
-            if (asked.isWhole || row.position > asked.since)
-                page.rows.push_back(row);
+            const bool isWanted = asked.isWhole ? !row.isDeleted : row.position.at > asked.since.at;
+            if (!isWanted)
+                continue;
+            page.rows.push_back(row);
+            page.rows.back().position.era = era;
         }
         return page;
     }
@@ -56,9 +89,9 @@
 
 /// One simulated router.
 struct router {
-    explicit router(const std::string& name, const row_significance& significance)
+    explicit router(const std::string& name, const row_rules& rules)
         : vm(name)
-        , relay(vm, data_centre_id("a"), significance, {}, 1)
+        , relay(vm, data_centre_id("a"), rules, {}, 1)
     {
     }
 
@@ -67,6 +100,10 @@
     bool reachesStore = true;
     bool isFrozen = false;
     std::map<std::string, std::string> rows; ///< Rows of the operators' table, from `row_changed` actions.
+    std::map<std::string, std::string> servers; ///< Rows of the servers' table, in the same way.
+    std::uint64_t wholeReads = 0;
+    std::vector<store_era_changed> eraChanges;
+    std::size_t outages = 0; ///< Number of `store_lost` actions.
     time_point basis;
     std::uint64_t reads = 0;
     std::uint64_t sourceChanges = 0; ///< Number of `source_changed` actions.
@@ -77,19 +114,41 @@
 struct fleet {
     explicit fleet(std::size_t size)
     {
-        std::vector<fleet_router> members;
         for (std::size_t i = 0; i < size; ++i) {
-            routers.push_back(std::make_unique<router>("router-" + std::to_string(i), significance));
+            routers.push_back(std::make_unique<router>("router-" + std::to_string(i), rules));
             members.push_back({ routers.back()->vm, incarnation(1), data_centre_id("a"), { "127.0.0.1", 1 } });
         }
-        for (const auto& each : routers) {
+        for (const auto& each : routers)
             each->relay.setMembers(members);
-            for (const fleet_router& peer : each->relay.readers()) {
-                if (peer.vm == each->vm)
-                    continue;
-                each->relay.onLinkOpened(peer.vm);
-                at(peer.vm).relay.onLinkOpened(each->vm);
-            }
+        for (const auto& each : routers)
+            connect(*each);
+    }
+
+    /// Opens the links between a router and the readers.
+    void connect(router& opened)
+    {
+        for (const fleet_router& peer : opened.relay.readers()) {
+            if (peer.vm == opened.vm)
+                continue;
+            perform(opened, opened.relay.onLinkOpened(now, peer.vm));
+            perform(at(peer.vm), at(peer.vm).relay.onLinkOpened(now, opened.vm));
+        }
+    }
+
+    /// Replaces a router by one that knows nothing.
+    void restart(std::size_t index)
+    {
+        routers[index] = std::make_unique<router>("router-" + std::to_string(index), rules);
+        router& started = *routers[index];
+        started.relay.setMembers(members);
+        started.dueAt = now;
+        connect(started);
+        const auto& readers = started.relay.readers();
+        if (std::none_of(readers.begin(), readers.end(), [&](const fleet_router& each) { return each.vm == started.vm; }))
+            return;
+        for (const auto& each : routers) {
+            if (each->vm != started.vm)
+                perform(*each, each->relay.onLinkOpened(now, started.vm));
         }
     }
 
@@ -103,19 +162,24 @@
         for (const relay_action& action : actions) {
             if (const auto* read = std::get_if<read_table>(&action)) {
                 ++by.reads;
-                const result<rows_page> answer = by.reachesStore ? result<rows_page>(store.read(*read)) : makeError(error_kind::unavailable, "down");
+                by.wholeReads += read->isWhole ? 1 : 0;
+                const result<rows_page> answer = by.reachesStore ? store.read(*read) : makeError(error_kind::unavailable, "down");
                 perform(by, by.relay.onRead(now, read->table, answer));
             }
             if (std::holds_alternative<source_changed>(action))
                 ++by.sourceChanges;
             if (const auto* sent = std::get_if<send_to_router>(&action))
                 frames.push_back({ by.vm, sent->to, sent->content });
-            if (const auto* changed = std::get_if<row_changed>(&action); changed && changed->table == followed_table::operators) {
+            if (const auto* changed = std::get_if<row_changed>(&action); changed && changed->table != followed_table::members) {
+                auto& held = changed->table == followed_table::operators ? by.rows : by.servers;
                 if (changed->row.isDeleted)
-                    by.rows.erase(changed->row.key);
+                    held.erase(changed->row.key);
                 else
-                    by.rows[changed->row.key] = changed->row.value;
+                    held[changed->row.key] = changed->row.value;
             }
+            if (const auto* changed = std::get_if<store_era_changed>(&action))
+                by.eraChanges.push_back(*changed);
+            by.outages += std::holds_alternative<store_lost>(action) ? 1 : 0;
             if (const auto* confirmed = std::get_if<basis_confirmed>(&action))
                 by.basis = confirmed->at;
         }
@@ -150,9 +214,10 @@
         message content;
     };
 
-    any_change significance;
+    any_change rules;
     fake_store store;
     std::vector<std::unique_ptr<router>> routers;
+    std::vector<fleet_router> members;
     std::deque<frame> frames;
     time_point now { 100s };
 };
--- a/unittests/Replica/MemberRegistrationTests.cpp
+++ b/unittests/Replica/MemberRegistrationTests.cpp
@@ -18,9 +18,9 @@
 // Guards against two keys in one fleet, and against a router that is not registered.
 TEST_CASE("the key is proposed only while there is none, then the router's row is written")
 {
-    const any_change significance;
+    const any_change rules;
     const member_json_codec codec;
-    row_replica members(2, significance);
+    row_replica members(2, rules);
     member_registration registration(makeMember("r1"), "0123456789abcdef", codec);
     time_point now { 100s };
     CHECK_FALSE(registration.next(now, members));
@@ -49,9 +49,9 @@
 // Guards against one unreadable row that hides the other members.
 TEST_CASE("unreadable rows are skipped")
 {
-    const any_change significance;
+    const any_change rules;
     const member_json_codec codec;
-    row_replica members(2, significance);
+    row_replica members(2, rules);
     const member_registration registration(makeMember("r1"), "0123456789abcdef", codec);
     members.applyWhole({ { "router/r1", codec.encode(makeMember("r1")), at(1), false },
                            { "router/r2", "{}", at(2), false }, { "router/r3", "x", at(3), false } },
--- a/unittests/Replica/RowReplicaTests.cpp
+++ b/unittests/Replica/RowReplicaTests.cpp
@@ -18,10 +18,10 @@
 // late.
 TEST_CASE("an older revision of a row is ignored")
 {
-    const any_change significance;
-    row_replica replica(0, significance);
-    CHECK(replica.apply({ makeRow("a", "new", 5) }, at(5)).size() == 1);
-    CHECK(replica.apply({ makeRow("a", "old", 4) }, at(4)).empty());
+    const any_change rules;
+    row_replica replica(0, rules);
+    CHECK(replica.apply({ makeRow("a", "new", 5) }, at(5)).inForce.size() == 1);
+    CHECK(replica.apply({ makeRow("a", "old", 4) }, at(4)).inForce.empty());
     CHECK(replica.position() == at(5));
 }
 
@@ -29,11 +29,11 @@
 // against a late complete read that removes newer rows.
 TEST_CASE("a complete table removes rows that it does not contain, unless they are newer")
 {
-    const any_change significance;
-    row_replica replica(0, significance);
+    const any_change rules;
+    row_replica replica(0, rules);
     replica.applyWhole({ makeRow("a", "1", 1), makeRow("b", "1", 2) }, at(2));
     replica.apply({ makeRow("c", "1", 9) }, at(9));
-    const auto changed = replica.applyWhole({ makeRow("a", "1", 1) }, at(7));
+    const auto changed = replica.applyWhole({ makeRow("a", "1", 1) }, at(7)).inForce;
     REQUIRE(changed.size() == 1);
     CHECK(changed[0].key == "b");
     CHECK(changed[0].isDeleted);
@@ -45,8 +45,8 @@
 // Guards against updates full of rows that were only rewritten as heartbeats.
 TEST_CASE("a peer gets only rows with a significant change")
 {
-    const any_change significance;
-    row_replica replica(0, significance);
+    const any_change rules;
+    row_replica replica(0, rules);
     replica.applyWhole({ makeRow("a", "1", 1), makeRow("b", "1", 2) }, at(2));
     replica.apply({ makeRow("a", "1", 3), makeRow("b", "2", 4) }, at(4));
     const table_update update = replica.updateSince(at(2));
--- a/unittests/Wire/MessageCodecTests.cpp
+++ b/unittests/Wire/MessageCodecTests.cpp
@@ -40,8 +40,8 @@
             { { grant_number(977), fencing_token(81000), server_id("engine-3"), workspace_id("uv-alerts"), 120, 40 } } },
         shard_release { shard, token }, service_counters { { { peer, workspace_id("uv-alerts"), 1e6, 2e4 } }, { { shard, workspace_id("uv-alerts"), 10 } } },
         crash_report { server_id("engine-3"), incarnation(3), { fingerprint(0x99aabbccddeeff00) } }, shard_owner { shard, token },
-        follow_rows { 7, { { 1, { store_era(2), revision(81234) } } } },
-        rows_update { 7, 20ms, { { 1, { store_era(3), revision(1) }, { store_era(3), revision(2) }, false, { { "i-1", "{}", { store_era(3), revision(2) }, false } } } }, 30ms },
+        follow_rows { 7, { { 1, { store_era(2), revision(81234) } }, { 2, { {}, revision(3) }, false } } },
+        rows_update { 7, 20ms, { { 1, { store_era(3), revision(1) }, { store_era(3), revision(2) }, false, { { "i-1", "{}", { store_era(3), revision(2) }, false } } } }, 30ms, store_era(3), {} },
         usage_report { { { workspace_id("uv-alerts"), 10, 5 } }, { { server_id("i-1"), 20ms, 3, 1, 500 } } },
         usage_totals { 8, { { workspace_id("uv-alerts"), 10, 5 } }, { { server_id("i-1"), 20ms, 3, 1, 500 } } },
         server_losses { { { server_id("i-1"), incarnation(3), 20ms, true,
@@ -100,6 +100,27 @@
     CHECK(reported.entries.at(0).firstByteLatency == 41ms);
 }
 
+// Guards against positions that lose their era on the wire, and against a peer of a version
+// without eras whose position is taken for one of the first era.
+TEST_CASE("positions of rows and tables keep their era")
+{
+    const published_row kept { "i-2", "{}", { store_era(2), revision(9) }, true };
+    rows_update update { 7, 20ms, { { 1, { store_era(3), revision(1) }, { store_era(3), revision(2) }, false, { { "i-1", "{}", { store_era(3), revision(2) }, false } } } }, 30ms, store_era(3), {} };
+    update.retained.push_back({ 1, { store_era(3), revision(2) }, 4s, { kept } });
+    const auto received = std::get<rows_update>(*decodeKnown(encodeMessage(update)));
+    CHECK(received.era == store_era(3));
+    CHECK(received.tables.at(0).to == store_position { store_era(3), revision(2) });
+    CHECK(received.tables.at(0).rows == update.tables[0].rows);
+    CHECK(received.retained.at(0).position == store_position { store_era(3), revision(2) });
+    CHECK(received.retained.at(0).remaining == 4s);
+    CHECK(received.retained.at(0).rows == std::vector { kept });
+    const follow_rows asked { 7, { { 1, { store_era(2), revision(3) } }, { 2, { {}, revision(4) }, false } } };
+    const auto positions = std::get<follow_rows>(*decodeKnown(encodeMessage(asked))).have;
+    CHECK(positions.at(0).position == store_position { store_era(2), revision(3) });
+    CHECK(positions.at(0).hasEra);
+    CHECK_FALSE(positions.at(1).hasEra);
+}
+
 // Guards against an age that is understated on the wire.
 TEST_CASE("ages are rounded up")
 {
