Let the stand-in store come back from a copy

The platform's store may be away for a moment and return from a copy some seconds old: versions go back and are given out again, what was written since is gone, a read from a version that it does not have gets 410, and the era that it names in every answer rises by one. No test could show this. The fault restore does it (age of the copy, time away), also to writes that had not taken effect and to feeds that wait; era_header leaves the header out, repeats it or replaces it.

Backend servers register again by their heartbeat as they are now, leaving included.

--- a/tools/standins/FaultPlan.cpp
+++ b/tools/standins/FaultPlan.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr std::array<std::pair<std::string_view, fault_kind>, 17> kindNames { {
+    constexpr std::array<std::pair<std::string_view, fault_kind>, 19> kindNames { {
         { "outage", fault_kind::outage },
         { "hang", fault_kind::hang },
         { "refuse", fault_kind::refuse },
@@ -23,6 +23,8 @@
         { "stop_backward", fault_kind::stopBackward },
         { "drop_new", fault_kind::dropNew },
         { "drop_history", fault_kind::dropHistory },
+        { "restore", fault_kind::restore },
+        { "era_header", fault_kind::eraHeader },
         { "reset_all", fault_kind::resetAll },
         { "request_limit", fault_kind::requestLimit },
         { "endless", fault_kind::endless },
--- a/tools/standins/FaultPlan.h
+++ b/tools/standins/FaultPlan.h
@@ -31,6 +31,8 @@
     stopBackward, ///< The relay forwards no bytes from the target to the caller.
     dropNew, ///< The relay closes new connections.
     dropHistory, ///< The store discards its change history up to now.
+    restore, ///< The store is away, then comes back from a copy.
+    eraHeader, ///< The store names other eras than its own in its answers, or none.
     resetAll, ///< The relay resets every open connection at once.
     requestLimit, ///< The backend server names a request limit in its responses.
     endless, ///< A stream sends bytes without end that complete no event.
@@ -50,6 +52,8 @@
     bool isAnnounced = true; ///< Whether load reports show a cold engine as cold.
     double perSecond = 0; ///< For `requestLimit`.
     duration latency {}; ///< For `latency` and `lateEffect`.
+    duration age {}; ///< Of the copy, for `restore`.
+    std::vector<std::string> values; ///< Of the header, once for each, for `eraHeader`.
     std::optional<time_point> expiresAt;
 };
 
--- a/tools/standins/Service.cpp
+++ b/tools/standins/Service.cpp
@@ -21,6 +21,8 @@
     parsed.perSecond = order.value("perSecond", 0.0);
     parsed.isAnnounced = order.value("announced", true);
     parsed.latency = milliseconds(order.value("latencyMs", std::int64_t { 0 }));
+    parsed.age = milliseconds(order.value("ageMs", std::int64_t { 0 }));
+    parsed.values = order.value("values", std::vector<std::string>());
     if (order.contains("durationMs"))
         parsed.expiresAt = now + milliseconds(order["durationMs"].get<std::int64_t>());
     return parsed;
--- a/tools/standins/platform/RowTables.cpp
+++ b/tools/standins/platform/RowTables.cpp
@@ -10,11 +10,28 @@
     if (!isExpected)
         return false;
     ++m_newest;
-    for (const row_write& each : writes)
-        m_rows[each.name] = { each.value, m_newest };
+    for (const row_write& each : writes) {
+        row& written = m_rows[each.name];
+        m_overwritten.push_back({ m_newest, each.name, written });
+        written = { each.value, m_newest };
+    }
     return true;
 }
 
+void row_tables::restore(std::uint64_t version)
+{
+    while (!m_overwritten.empty() && m_overwritten.back().version > version) {
+        const overwritten_row& last = m_overwritten.back();
+        if (last.before.version == 0)
+            m_rows.erase(last.name);
+        else
+            m_rows[last.name] = last.before;
+        m_overwritten.pop_back();
+    }
+    m_newest = std::min(m_newest, version);
+    m_historyFrom = std::min(m_historyFrom, m_newest);
+}
+
 std::uint64_t row_tables::versionOf(const row_name& name) const
 {
     const auto found = m_rows.find(name);
@@ -41,7 +58,7 @@
 
 std::optional<std::vector<stored_row>> row_tables::changes(const std::string& table, std::uint64_t since) const
 {
-    if (since < m_historyFrom)
+    if (since < m_historyFrom || since > m_newest)
         return std::nullopt;
     std::vector<stored_row> rows;
     for (const auto& [name, kept] : m_rows) {
--- a/tools/standins/platform/RowTables.h
+++ b/tools/standins/platform/RowTables.h
@@ -39,7 +39,8 @@
     std::uint64_t version = 0;
 };
 
-/// Rows of all tables, with one version counter, and their change history.
+/// Rows of all tables, with one version counter, and their change history. The tables can
+/// be restored from a copy, as of an earlier version.
 /// Not thread-safe; call on the loop's thread.
 class row_tables {
 public:
@@ -59,20 +60,32 @@
     std::vector<stored_row> list(const std::string& table, const std::string& part, const std::string& startKey, std::size_t limit) const;
 
     /// Returns the rows of a table changed after \p since, in order of version, or
-    /// nothing if that history has been dropped.
+    /// nothing if that history has been dropped or \p since has not been reached.
     std::optional<std::vector<stored_row>> changes(const std::string& table, std::uint64_t since) const;
 
     /// Discards the history up to now: `changes` since an earlier version returns
     /// nothing.
     void dropHistory() { m_historyFrom = m_newest; }
 
+    /// Undoes all changes after \p version, whose successors are given out again. The history
+    /// up to \p version is kept.
+    void restore(std::uint64_t version);
+
 private:
     struct row {
         std::optional<std::string> value;
         std::uint64_t version = 0;
     };
 
+    /// State of a row before the transaction that made \c version; version 0: there was none.
+    struct overwritten_row {
+        std::uint64_t version = 0;
+        row_name name;
+        row before;
+    };
+
     std::map<row_name, row> m_rows;
+    std::vector<overwritten_row> m_overwritten; ///< In the order of the changes.
     std::uint64_t m_newest = 0;
     std::uint64_t m_historyFrom = 0;
 };
--- a/tools/standins/platform/StoreService.cpp
+++ b/tools/standins/platform/StoreService.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <utility>
 
 namespace pimentoladder::standins {
@@ -62,16 +63,63 @@
         { "GET", "/v1/rows-get", &store_service::handleList },
         { "GET", "/v1/rows-feed", &store_service::handleFeed },
     } };
+    if (bootTime() < m_awayUntil && exchange->path() != "/fault") {
+        exchange->reset();
+        return;
+    }
+    setEraHeader(exchange);
     dispatch<store_service>(*this, routes, exchange);
 }
 
+void store_service::setEraHeader(const exchange_ptr& exchange)
+{
+    const auto spoiled = m_faults.take(fault_kind::eraHeader, exchange->path(), bootTime());
+    std::vector<tools::http_header> headers;
+    for (const std::string& value : spoiled ? spoiled->values : std::vector { std::to_string(m_era) })
+        headers.push_back({ "Store-Era", value });
+    exchange->setAnswerHeaders(std::move(headers));
+}
+
 void store_service::handleFault(const exchange_ptr& exchange)
 {
     const auto requested = handleFaultRequest(m_faults, exchange, bootTime());
-    if (!requested || requested->kind != fault_kind::dropHistory)
-        return;
-    m_faults.take(fault_kind::dropHistory, {}, bootTime());
-    m_tables.dropHistory();
+    if (requested && requested->kind == fault_kind::dropHistory) {
+        m_faults.take(fault_kind::dropHistory, {}, bootTime());
+        m_tables.dropHistory();
+    }
+    if (requested && requested->kind == fault_kind::restore) {
+        m_faults.take(fault_kind::restore, {}, bootTime());
+        restore(*requested);
+    }
+}
+
+void store_service::restore(const fault& requested)
+{
+    const time_point now = bootTime();
+    const auto later = std::ranges::upper_bound(m_versions, now - requested.age, {}, &dated_version::at);
+    const std::uint64_t copied = later == m_versions.begin() ? 0 : std::prev(later)->newest;
+    m_versions.erase(later, m_versions.end());
+    ++m_era;
+    m_context.history.write(now, "restored", { { "era", m_era }, { "from", m_tables.newest() }, { "to", copied } });
+    m_tables.restore(copied);
+    m_awayUntil = requested.expiresAt.value_or(now);
+    m_registered.clear();
+    for (const stored_row& row : m_tables.list(std::string(registrationTable), {}, {}, std::numeric_limits<std::size_t>::max()))
+        m_registered[row.name] = m_awayUntil;
+    if (m_awayUntil > now)
+        resetFeeds();
+    for (const waiting_feed& each : m_feeds)
+        setEraHeader(each.exchange);
+    wakeFeeds();
+}
+
+void store_service::resetFeeds()
+{
+    for (const waiting_feed& each : m_feeds) {
+        m_context.events.cancel(each.timeout);
+        each.exchange->reset();
+    }
+    m_feeds.clear();
 }
 
 void store_service::runWithFaults(const exchange_ptr& exchange, const effect& action)
@@ -89,7 +137,13 @@
     if (late)
         exchange->reset();
     const duration wait = (late ? late->latency : duration::zero()) + (slow ? slow->latency : duration::zero());
-    m_context.events.callAfter(wait, action);
+    m_context.events.callAfter(wait, [this, exchange, action, era = m_era] {
+        // A call that had no effect before the store was restored never has one.
+        if (era == m_era)
+            action();
+        else
+            exchange->reset();
+    });
 }
 
 void store_service::answer(const exchange_ptr& exchange, int status, const json& body)
@@ -133,6 +187,7 @@
         answer(exchange, 412, { { "rows", rows } });
         return;
     }
+    onCommitted();
     for (const row_write& each : writes) {
         m_context.history.write(bootTime(), "row_written",
             { { "table", each.name.table }, { "key", each.name.key }, { "isRemoved", !each.value }, { "version", m_tables.newest() } });
@@ -179,6 +234,11 @@
     return true;
 }
 
+void store_service::onCommitted()
+{
+    m_versions.push_back({ bootTime(), m_tables.newest() });
+}
+
 void store_service::wakeFeeds()
 {
     for (auto each = m_feeds.begin(); each != m_feeds.end();) {
@@ -202,6 +262,7 @@
     if (removals.empty())
         return;
     m_tables.commit({}, removals);
+    onCommitted();
     for (const row_write& each : removals) {
         m_registered.erase(each.name);
         m_context.history.write(now, "row_written", { { "table", each.name.table }, { "key", each.name.key }, { "isRemoved", true }, { "version", m_tables.newest() } });
--- a/tools/standins/platform/StoreService.h
+++ b/tools/standins/platform/StoreService.h
@@ -1,6 +1,6 @@
 /// \file
 /// Stand-in for the platform's metadata store: rows, conditional transactions and
-/// a change feed, in the published format.
+/// a change feed, in the published format. It can come back from a copy some seconds old.
 
 #pragma once
 
@@ -34,7 +34,16 @@
     };
     using effect = std::function<void()>;
 
+    /// The newest version from a moment on.
+    struct dated_version {
+        time_point at;
+        std::uint64_t newest = 0;
+    };
+
     void handleFault(const exchange_ptr& exchange);
+    void restore(const fault& requested);
+    void resetFeeds();
+    void setEraHeader(const exchange_ptr& exchange);
     void handleTransaction(const exchange_ptr& exchange);
     void handleList(const exchange_ptr& exchange);
     void handleFeed(const exchange_ptr& exchange);
@@ -46,6 +55,7 @@
     void answer(const exchange_ptr& exchange, int status, const nlohmann::json& body);
     bool answerFeed(const exchange_ptr& exchange, const std::string& table, std::uint64_t since);
     void wakeFeeds();
+    void onCommitted();
     void expireRegistrations();
 
     service_context m_context;
@@ -53,6 +63,9 @@
     fault_plan m_faults;
     row_tables m_tables;
     std::list<waiting_feed> m_feeds;
+    std::uint64_t m_era = 1;
+    time_point m_awayUntil; ///< A store that is being restored resets every call until then.
+    std::vector<dated_version> m_versions; ///< In ascending order; tells the age of a copy.
     std::map<row_name, time_point> m_registered; ///< When each registration was last written.
 };
 
--- a/tools/support/HttpServer.cpp
+++ b/tools/support/HttpServer.cpp
@@ -103,6 +103,7 @@
     if (!m_request)
         return;
     addHeaders({ { "Content-Type", "application/json" } });
+    addHeaders(m_answerHeaders);
     addHeaders(headers);
     evbuffer* output = evbuffer_new();
     evbuffer_add(output, body.data(), body.size());
@@ -114,6 +115,7 @@
 {
     if (!m_request)
         return;
+    addHeaders(m_answerHeaders);
     addHeaders(headers);
     evhttp_send_reply_start(m_request, status, nullptr);
 }
--- a/tools/support/HttpServer.h
+++ b/tools/support/HttpServer.h
@@ -41,6 +41,9 @@
     /// Returns the decoded value of a query parameter, or an empty string.
     std::string query(std::string_view name) const;
 
+    /// Adds headers to the answer, whoever sends it.
+    void setAnswerHeaders(std::vector<http_header> headers) { m_answerHeaders = std::move(headers); }
+
     /// Sends a complete JSON answer.
     void reply(int status, const std::string& body, const std::vector<http_header>& headers = {});
 
@@ -75,6 +78,7 @@
     std::string m_path;
     std::string m_query;
     std::string m_body;
+    std::vector<http_header> m_answerHeaders;
     std::function<void()> m_onDisconnect;
 };
 
--- a/unittests/Standins/PlatformStandinTests.cpp
+++ b/unittests/Standins/PlatformStandinTests.cpp
@@ -2,6 +2,7 @@
 #include "standins/platform/StoreService.h"
 
 #include "StandinFixture.h"
+#include "pimentoladder/Codec/Base64.h"
 
 using namespace pimentoladder;
 using namespace pimentoladder::standins;
@@ -131,6 +132,134 @@
     CHECK_FALSE(store.call("GET", "/v1/rows-feed?table=t&since_revision=2&wait_ms=50", {}, 300ms));
 }
 
+// Guards against a copy that still has what was written after it, or that lacks what was removed after it.
+TEST_CASE("restored tables are as of their version, and count on from there")
+{
+    row_tables tables;
+    const row_name a { "t", "", "a" };
+    const row_name b { "t", "", "b" };
+    tables.commit({}, { { a, "1" } });
+    tables.commit({}, { { b, "1" } });
+    tables.commit({}, { { a, "2" }, { b, std::nullopt } });
+    tables.commit({}, { { { "t", "", "c" }, "1" } });
+    tables.restore(2);
+    CHECK(tables.newest() == 2);
+    CHECK(tables.valueOf(a) == "1");
+    CHECK(tables.versionOf(a) == 1);
+    CHECK(tables.valueOf(b) == "1");
+    CHECK(tables.versionOf({ "t", "", "c" }) == 0);
+    CHECK(tables.commit({}, { { a, "3" } }));
+    CHECK(tables.versionOf(a) == 3);
+    tables.restore(0);
+    CHECK(tables.list("t", "", "", 10).empty());
+}
+
+// Guards against a reader that notices a restored store by a refusal only: versions that were given out again refuse nothing.
+TEST_CASE("a read from a version that a restored store lacks gets 410 until versions have passed it")
+{
+    row_tables tables;
+    for (const char* value : { "1", "2", "3" })
+        tables.commit({}, { { { "t", "", "a" }, value } });
+    tables.restore(1);
+    CHECK_FALSE(tables.changes("t", 3));
+    tables.commit({}, { { { "t", "", "b" }, "1" } });
+    CHECK(tables.changes("t", 1)->size() == 1);
+    CHECK_FALSE(tables.changes("t", 3));
+    tables.commit({}, { { { "t", "", "c" }, "1" } });
+    REQUIRE(tables.changes("t", 3));
+    CHECK(tables.changes("t", 3)->empty());
+}
+
+// Guards against a restoration that does not take effect, or that is not announced in each answer.
+TEST_CASE("a store that was restored lacks later writes and names the next era in all its answers")
+{
+    store_fixture store(store_settings {});
+    const std::string list = "/v1/rows-get?table=t&part=";
+    store.call("POST", "/v1/rows-tx", writeOf("t", "a", "eA=="));
+    CHECK(store.call("GET", list)->header("Store-Era") == "1");
+    store.events.runFor(200ms);
+    CHECK(store.call("POST", "/v1/rows-tx", writeOf("t", "b", "eA=="))->header("Store-Era") == "1");
+    store.call("POST", "/fault", R"({"kind":"restore","ageMs":150,"durationMs":200})");
+    CHECK(store.call("GET", list)->end == call_end::cut);
+    store.events.runFor(250ms);
+    const auto restored = store.call("GET", list);
+    CHECK(restored->header("Store-Era") == "2");
+    CHECK(bodyOf(restored)["row_version"] == 1);
+    CHECK(bodyOf(restored)["rows"].size() == 1);
+    const auto unknown = store.call("GET", "/v1/rows-feed?table=t&since_revision=2&wait_ms=100");
+    CHECK(unknown->status == 410);
+    CHECK(unknown->header("Store-Era") == "2");
+    CHECK(bodyOf(store.call("POST", "/v1/rows-tx", writeOf("t", "c", "eA==")))["row_version"] == 2);
+    store.call("POST", "/fault", R"({"kind":"refuse","count":1})");
+    const auto refused = store.call("GET", list);
+    CHECK(refused->status == 503);
+    CHECK(refused->header("Store-Era") == "2");
+}
+
+// Guards against a feed that waits through a restoration and then continues in the wrong history.
+TEST_CASE("a feed that waits while the store is restored ends")
+{
+    for (const char* fault : { R"({"kind":"restore","ageMs":60000})", R"({"kind":"restore","ageMs":60000,"durationMs":50})" }) {
+        store_fixture store(store_settings {});
+        store.call("POST", "/v1/rows-tx", writeOf("t", "a", "eA=="));
+        std::optional<client_answer> ended;
+        store.client.send({ { "127.0.0.1", store.server.port() }, "GET", "/v1/rows-feed?table=t&since_revision=1&wait_ms=5000" }, [&](const client_answer& answer) { ended = answer; });
+        store.events.runFor(50ms);
+        store.call("POST", "/fault", fault);
+        store.events.runFor(50ms);
+        REQUIRE(ended);
+        CHECK((ended->end == call_end::cut || ended->status == 410));
+    }
+}
+
+// Guards against a write with unknown outcome that takes effect in a history that does not have it.
+TEST_CASE("a write that had not taken effect before a restoration never does")
+{
+    store_fixture store(store_settings {});
+    store.call("POST", "/fault", R"({"kind":"late_effect","target":"/v1/rows-tx","count":1,"latencyMs":100})");
+    store.call("POST", "/v1/rows-tx", writeOf("t", "a", "eA=="));
+    store.call("POST", "/fault", R"({"kind":"restore"})");
+    store.events.runFor(200ms);
+    CHECK(bodyOf(store.call("GET", "/v1/rows-get?table=t&part="))["rows"].empty());
+}
+
+// Guards against tests of an unusual era header that see the usual one.
+TEST_CASE("the era header can be left out, repeated and replaced")
+{
+    store_fixture store(store_settings {});
+    const std::string list = "/v1/rows-get?table=t&part=";
+    store.call("POST", "/fault", R"({"kind":"era_header","target":"/v1","count":1})");
+    CHECK(store.call("GET", list)->header("Store-Era").empty());
+    store.call("POST", "/fault", R"({"kind":"era_header","target":"/v1","count":1,"values":["x"]})");
+    CHECK(store.call("GET", list)->header("Store-Era") == "x");
+    CHECK(store.call("GET", list)->header("Store-Era") == "1");
+}
+
+// Guards against a server that is gone but stays registered because the copy has its row, and
+// against one that is alive and leaving but is shown as ready.
+TEST_CASE("after a restoration live servers register again as they are, and others expire")
+{
+    store_fixture store(store_settings { 400ms });
+    backend_settings settings = quickBackend();
+    settings.store = { "127.0.0.1", store.server.port() };
+    settings.heartbeat = 100ms;
+    backend_service backend({ store.events, store.history, "s-0", 1 }, settings);
+    http_server backendServer(store.events, "127.0.0.1:0", [&](const exchange_ptr& exchange) { backend.handle(exchange); });
+    store.call("POST", "/v1/rows-tx", writeOf("servers", "gone", "eA=="));
+    store.events.runFor(200ms);
+    store.port = backendServer.port();
+    store.call("POST", "/drain");
+    store.port = 0;
+    store.events.runFor(100ms);
+    store.call("POST", "/fault", R"({"kind":"restore","ageMs":200,"durationMs":100})");
+    store.events.runFor(800ms);
+    const json rows = bodyOf(store.call("GET", "/v1/rows-get?table=servers&part="))["rows"];
+    REQUIRE(rows.size() == 1);
+    CHECK(rows[0]["key"] == "s-0");
+    const std::string value = decodeBase64(rows[0]["value"].get<std::string>()).value();
+    CHECK(value.find("\"draining\"") != std::string::npos);
+}
+
 // Guards against registrations that outlive their server.
 TEST_CASE("a registration that is not renewed is removed, renewing one creates no version")
 {
