Read the store's era from its answers

The platform's store names its era in the header Store-Era of every answer and raises it whenever it was restored from a copy. The header was read nowhere, so a page of one era could not be told from a page of another.

rows_page::era now has it. An answer without the header is of era 0. One that has it twice, or whose value is no decimal number of 64 bits, is corrupt data: the read fails and nothing is applied. A list whose pages are of two eras fails like one whose history is gone, so that the complete table is read again at once. A status other than 200 comes first, so 410 stays notFound.

The new cases of StoreClientTests check each of these; the type alone had no reader before.

--- a/include/pimentoladder/Platform/RowStore.h
+++ b/include/pimentoladder/Platform/RowStore.h
@@ -14,7 +14,8 @@
 
 /// Called exactly once with the result of a read. Errors: `unavailable`, `timeout`,
 /// `resourceExhausted` (the store's rate limit was exceeded), `notFound` (the
-/// requested history was truncated; list the table instead), `corruptData`.
+/// requested history was truncated, or the store was restored from a copy during the read;
+/// list the table instead), `corruptData`.
 using rows_callback = std::function<void(result<rows_page>)>;
 
 /// Called exactly once with the result of a write.
--- a/unittests/PlatformAdapter/StoreClientTests.cpp
+++ b/unittests/PlatformAdapter/StoreClientTests.cpp
@@ -26,13 +26,14 @@
             answer->abort();
             return;
         }
-        answer->reply({ status, {} }, body);
+        answer->reply({ status, headers.empty() ? http_headers {} : headers.at(std::min(targets.size(), headers.size()) - 1) }, body);
     }
 
     event_loop loop;
     http_server server;
     endpoint location;
     std::vector<std::pair<int, std::string>> replies;
+    std::vector<http_headers> headers; ///< Of the replies; the last ones are repeated.
     std::vector<std::string> targets;
     std::vector<std::string> bodies;
 };
@@ -85,6 +86,69 @@
     }
 }
 
+// Guards against an era that is not read from an answer, or that a malformed header sets.
+TEST_CASE("the era of an answer is one decimal number, or none")
+{
+    const std::pair<int, std::string> empty { 200, R"({"rows":[],"has_more":false,"row_version":9,"now_ms":1})" };
+    const std::vector<std::pair<http_headers, store_era>> valid { { {}, store_era() }, { { { "Store-Era", "3" } }, store_era(3) }, { { { "store-era", "0004" } }, store_era(4) },
+        { { { "Store-Era", "18446744073709551615" } }, store_era(18446744073709551615U) } };
+    for (const bool isWhole : { true, false }) {
+        for (const auto& [headers, era] : valid) {
+            scripted_store store;
+            store.replies = { empty };
+            store.headers = { headers };
+            const auto page = read(store, isWhole);
+            REQUIRE(page);
+            CHECK(page->era == era);
+        }
+        for (const char* text : { "", "x", "-1", "+1", "1.5", "1e3", "0x1", "1 2", "1,2", "18446744073709551616", "99999999999999999999999999999999" }) {
+            CAPTURE(text);
+            scripted_store store;
+            store.replies = { empty };
+            store.headers = { { { "Store-Era", text } } };
+            const auto page = read(store, isWhole);
+            REQUIRE_FALSE(page);
+            CHECK(page.error().kind == error_kind::corruptData);
+        }
+        for (const char* second : { "1", "2" }) {
+            scripted_store store;
+            store.replies = { empty };
+            store.headers = { { { "Store-Era", "1" }, { "Store-Era", second } } };
+            const auto page = read(store, isWhole);
+            REQUIRE_FALSE(page);
+            CHECK(page.error().kind == error_kind::corruptData);
+        }
+    }
+}
+
+// Guards against a gap in the history that is taken for a malformed answer.
+TEST_CASE("the status of a failed read comes before its era")
+{
+    for (const auto& [status, kind] : { std::pair { 410, error_kind::notFound }, std::pair { 503, error_kind::unavailable } }) {
+        scripted_store store;
+        store.replies = { { status, "" } };
+        store.headers = { { { "Store-Era", "x" } } };
+        const auto page = read(store, false);
+        REQUIRE_FALSE(page);
+        CHECK(page.error().kind == kind);
+    }
+}
+
+// Guards against a table that is put together from two histories of the store.
+TEST_CASE("a read whose pages are of two eras fails and asks for another complete read")
+{
+    for (const char* second : { "2", "0", "9" }) {
+        scripted_store store;
+        store.replies = { { 200, R"({"rows":[{"table":"op","part":"","key":"a","value":"eHk=","row_version":3}],"has_more":true,"row_version":9,"now_ms":1})" },
+            { 200, R"({"rows":[{"table":"op","part":"","key":"b","value":"","row_version":4}],"has_more":false,"row_version":5,"now_ms":1})" } };
+        store.headers = { { { "Store-Era", "1" } }, { { "Store-Era", second } } };
+        const auto page = read(store, true);
+        REQUIRE_FALSE(page);
+        CHECK(page.error().kind == error_kind::notFound);
+        CHECK(page.error().message.find("restored") != std::string::npos);
+    }
+}
+
 // Guards against a second fleet key, which would overwrite the first if the call did not
 // carry the condition.
 TEST_CASE("a conditional write requires that the row is absent")
