Let the backend stand-in number the changes of its registration

Backend servers of the platform write a sequence into their registrations. The stand-in left it out, so that a test could not tell an earlier registration of one start from a later one.

--- a/tools/standins/platform/BackendService.cpp
+++ b/tools/standins/platform/BackendService.cpp
@@ -106,6 +106,10 @@
     const auto coldLeft = std::chrono::duration_cast<std::chrono::milliseconds>(std::max(m_coldUntil - now, duration::zero()));
     json entry { { "service", m_settings.pool }, { "address", m_settings.advertised }, { "zone", m_settings.dataCentre }, { "version", "1" },
         { "slots", m_settings.slots }, { "state", m_isDraining ? "draining" : "ready" }, { "cold_left_ms", coldLeft.count() }, { "born", m_startedMs } };
+    if (entry != m_registration)
+        ++m_sequence;
+    m_registration = entry;
+    entry["sequence"] = m_sequence;
     json body { { "expect", json::array() }, { "remove", json::array() } };
     body["write"].push_back({ { "table", "servers" }, { "part", "" }, { "key", m_context.name }, { "value", encodeBase64(entry.dump()) } });
     tools::client_request request { m_settings.store, "POST", "/v1/rows-tx", body.dump() };
--- a/tools/standins/platform/BackendService.h
+++ b/tools/standins/platform/BackendService.h
@@ -81,6 +81,8 @@
     std::map<run_number, run> m_runs;
     std::size_t m_unaryRuns = 0;
     std::uint64_t m_lastUnary = 0;
+    nlohmann::json m_registration; ///< As last written, without its sequence.
+    std::uint64_t m_sequence = 0; ///< Rises with each change of the registration.
     bool m_isStepScheduled = false;
     bool m_isDraining = false;
 };
