Write a router's own row again after the store was restored

After a restoration from a copy, the store lacks the row of each router that started since. The registration compared its row with the replica, which keeps what is in force, so that no router wrote its row again.

The registration now compares with what the store holds in its current era. On an era change each router writes its row at its own turn, 5 ms after the one before it in the order of names, so that 91 routers do not write at once and none waits for a period. A row whose write was acknowledged is not written again for 5 s, since readers read the members every 3 s; it is read again by the writer only if the outcome of the write is not known, so that a restoration costs no whole read of the table by each router.

--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -188,17 +188,20 @@
 
 void fleet_follower::registerSelf()
 {
-    m_registrationTimer.arm(registrationInterval);
-    const auto write = m_registration.next(m_driver.loop().now(), m_relay.replica(followed_table::members));
+    const time_point now = m_driver.loop().now();
+    const auto write = m_registration.next(now, m_relay.replica(followed_table::members));
+    const duration untilTurn = m_registration.nextWriteAt() - now;
+    m_registrationTimer.arm(untilTurn > duration::zero() ? std::min(untilTurn, registrationInterval) : registrationInterval);
     if (!write)
         return;
     m_parts.store.write(memberTable, write->key, write->value, write->mustBeAbsent, [this, key = write->key](const result<void>& ended) {
         m_parts.log.write(log_level::info, "member_row_written",
             { { "key", std::string_view(key) }, { "outcome", ended ? std::string_view("written") : errorKindName(ended.error().kind) } });
-        m_registration.onWritten();
-        m_driver.post([](row_relay& relay, time_point now) {
-            relay.refreshMembers();
-            return relay.onTick(now);
+        const bool mustRead = m_registration.onWritten(m_driver.loop().now(), ended);
+        m_driver.post([mustRead](row_relay& relay, time_point at) {
+            if (mustRead)
+                relay.refreshMembers();
+            return relay.onTick(at);
         });
     });
 }
