--- a/unittests/PlatformAdapter/RouterFixture.h
+++ b/unittests/PlatformAdapter/RouterFixture.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -109,21 +110,24 @@
     }
 
     /// Publishes a configuration with a stream, an idempotent and an at-most-once
-    /// route to the pool `model`, and one workspace that holds \p keys.
-    void writeConfiguration(std::uint64_t version, const std::vector<std::string>& keys)
+    /// route to the pool `model`, one workspace that holds \p keys, and an idempotent route
+    /// for each prefix in \p addedRoutes.
+    void writeConfiguration(std::uint64_t version, const std::vector<std::string>& keys, const std::vector<std::string>& addedRoutes = {})
     {
         const auto route = [](const char* prefix, const char* type) {
             return nlohmann::json { { "name", prefix }, { "host", "h" }, { "prefix", prefix }, { "route_type", type }, { "resumable", true },
                 { "service", "model" }, { "max_attempts", 3 }, { "timeout_ms", 3000 }, { "latency_goal_ms", 800 } };
         };
-        const nlohmann::json plan { { "version", version },
+        nlohmann::json plan { { "version", version },
             { "routes", { route("/stream/", "streaming"), route("/read/", "idempotent"), route("/order/", "non_idempotent") } },
             { "services", { { { "name", "model" } } } }, { "tenants", { { { "name", "ws-0" }, { "api_keys", keys } } } },
             { "limits", { { "tokens_per_s", 100000 } } } };
+        for (const std::string& prefix : addedRoutes)
+            plan["routes"].push_back(route(prefix.c_str(), "idempotent"));
         writeRow("op", "config", plan.dump());
     }
 
-    served_backend& addBackend(const std::string& name, std::uint32_t slots = 8)
+    served_backend& addBackend(const std::string& name, std::uint32_t slots = 8, duration heartbeat = std::chrono::milliseconds(200))
     {
         standins::backend_settings wanted;
         wanted.pool = "model";
@@ -131,7 +135,7 @@
         wanted.slots = slots;
         wanted.model.stepTime = std::chrono::milliseconds(2);
         wanted.model.coldSlowdown = 1;
-        wanted.heartbeat = std::chrono::milliseconds(200);
+        wanted.heartbeat = heartbeat;
         wanted.store = { "127.0.0.1", store.server.port() };
         const std::uint16_t port = freePort();
         wanted.advertised = "127.0.0.1:" + std::to_string(port);
@@ -177,6 +181,26 @@
         return **answer;
     }
 
+    /// Lets the store come back, after \p away, from a copy that is \p age old.
+    void restoreStore(duration age, duration away = {})
+    {
+        using std::chrono::milliseconds;
+        const auto inMilliseconds = [](duration each) { return std::chrono::duration_cast<milliseconds>(each).count(); };
+        injectFault(store.server.port(), nlohmann::json { { "kind", "restore" }, { "ageMs", inMilliseconds(age) }, { "durationMs", inMilliseconds(away) } }.dump());
+        runFor(away);
+    }
+
+    /// Returns the rows of a table of the store by key, decoded.
+    std::map<std::string, std::string> rowsOf(const std::string& table)
+    {
+        std::map<std::string, std::string> rows;
+        const tools::client_answer listed = call(store.server.port(), "GET", "/v1/rows-get?table=" + table + "&part=");
+        const nlohmann::json body = nlohmann::json::parse(listed.body);
+        for (const nlohmann::json& row : body.at("rows"))
+            rows[row.at("key").get<std::string>()] = decodeBase64(row.at("value").get<std::string>()).value();
+        return rows;
+    }
+
     void injectFault(std::uint16_t port, const std::string& fault)
     {
         REQUIRE(call(port, "POST", "/fault", fault).status == 200);
