Send nothing new to servers that announce their leaving in a response

A server that leaves says so in its responses. Nothing read that header: a router that had passed such a response on sent the server new requests until its registration changed, and without end while the store was away.

server_selector keeps the incarnations that have announced their leaving. send_window says whether this router may send to a server now, and if not, why and until when; the choice of a server, the Retry-After of a refusal and the last check before the first byte use it in place of three separate conditions. Attempts whose first byte has not been written go to other servers at once. The state ends with the registration of another start, not with a response without the header, and outlives the registration, which may come back from the store. Connections to the server are closed once idle.

Shown by Dispatch: HoldTests; Net: "kept connections to a server that leaves stay open, or a response in progress is cut"; PlatformAdapter: RouterTests and RequestHeadersTests.

--- a/include/pimentoladder/Daemon/DispatchFront.h
+++ b/include/pimentoladder/Daemon/DispatchFront.h
@@ -39,6 +39,7 @@
     void perform(const end_response& ended);
     void perform(const abort_response& broken);
     void perform(const refuse_inbound& refused);
+    void perform(const retire_connections& retired);
 
     std::size_t inProgress() const { return m_exchanges.size(); }
 
--- a/include/pimentoladder/Daemon/DispatchReport.h
+++ b/include/pimentoladder/Daemon/DispatchReport.h
@@ -28,6 +28,7 @@
     void perform(const trait_change& changed);
     void perform(const quarantine_trial& tried);
     void perform(const limit_change& changed);
+    void perform(const hold_change& changed);
 
     /// Counts a caller's connection that the server closes. Writes a line if the caller loses
     /// a request or part of a response by it.
--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -12,6 +12,7 @@
 
 #include "pimentoladder/Base/Ids.h"
 #include "pimentoladder/Base/Time.h"
+#include "pimentoladder/Dispatch/SendWindow.h"
 #include "pimentoladder/Dispatch/ServerCondition.h"
 #include "pimentoladder/Dispatch/ServingPlan.h"
 #include "pimentoladder/Outcome/CrashAttribution.h"
@@ -40,6 +41,8 @@
     bool isAuthentic = false; ///< Carries the server's signature.
     std::optional<reported_load> load;
     named_limit limit;
+    bool isLeaving = false; ///< The server announces that it leaves.
+    std::string unreadableNotice {}; ///< Header of a notice that has no defined meaning, as received.
 };
 
 /// Open an attempt at a backend server.
@@ -133,6 +136,7 @@
     duration total {};
     duration objective {};
     std::optional<request_trait> quarantinedBy; ///< Trait for which the request was refused.
+    hold_reason heldBy = hold_reason::none; ///< Of the server that would have taken it first, if no server took it.
 };
 
 /// Log record of a request that is sent to find out whether a quarantined trait still
@@ -153,8 +157,21 @@
     duration age {}; ///< Of the response.
 };
 
+/// Close the kept connections to a server: idle ones at once, the others after their response.
+struct retire_connections {
+    endpoint location;
+};
+
+/// Log record of a notice in a server's response on whether it takes requests.
+struct hold_change {
+    server_id server;
+    hold_reason reason = hold_reason::none;
+    std::string text {}; ///< As received, if it is unreadable; the reason is then `none`.
+};
+
 using dispatch_action = std::variant<open_dispatch, cancel_dispatch, forward_response_head, forward_response_bytes, end_response,
-    abort_response, refuse_inbound, dispatch_decision, attempt_outcome, request_outcome, trait_change, quarantine_trial, limit_change>;
+    abort_response, refuse_inbound, dispatch_decision, attempt_outcome, request_outcome, trait_change, quarantine_trial, limit_change,
+    retire_connections, hold_change>;
 using dispatch_actions = std::vector<dispatch_action>;
 
 }
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -133,6 +133,8 @@
     std::optional<selected_server> choose(time_point now, tracked_request& request, selection_request& wanted, bool isFirst);
     double shareUtilisation(time_point now, const tracked_request& request);
     bool isAdmissible(tracked_request& request, const selected_server& best);
+    void applyNotices(time_point now, const tracked_request& request, const served_head& head, dispatch_actions& out);
+    void withdrawUnsent(time_point now, const server_id& server, dispatch_actions& out);
     void failAttempt(time_point now, const tracked& request, bool mayHaveRun, std::string_view result, int status, dispatch_actions& out);
     void retryOrFinish(time_point now, const tracked& request, bool mayHaveRun, dispatch_actions& out);
     bool canRetry(time_point now, const tracked_request& request, bool mayHaveRun) const;
--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -12,6 +12,7 @@
 
 #include "pimentoladder/Base/Random.h"
 #include "pimentoladder/Dispatch/FleetView.h"
+#include "pimentoladder/Dispatch/SendWindow.h"
 #include "pimentoladder/Dispatch/ServerCondition.h"
 
 namespace pimentoladder {
@@ -71,6 +72,14 @@
     /// Discards the state of a server that is new or has restarted.
     void reset(const server_id& server);
 
+    /// Records that an incarnation of a server has announced in a response that it leaves. It gets
+    /// no new request until another incarnation is registered. Returns whether this was unknown.
+    bool setLeaving(const server_id& server, incarnation start);
+
+    /// Returns whether the last check before the first byte allows an attempt at the server
+    /// to be sent. Its rates were checked when the server was selected.
+    send_window sendWindow(const server_id& server) const;
+
     /// Sets the routers of the fleet, among which the cold servers are divided.
     void setRouters(std::vector<vm_id> routers) { m_routers = std::move(routers); }
 
@@ -100,9 +109,10 @@
     /// limits. \p nominal: without limits; \p tokensPerRequest: mean of a request.
     double usableThroughput(time_point now, double nominal, double tokensPerRequest) const;
 
-    /// Returns the time until a server that the request may use takes another request of
-    /// this router, or zero if none is limited. Call it when `select` returns nothing.
-    duration timeToNextStart(time_point now, const selection_request& wanted);
+    /// Returns the earliest window among the servers that the request may use: the reason why
+    /// the server that takes a request of this router first does not take one now, and
+    /// its time. Call it when `select` returns nothing.
+    send_window earliestWindow(time_point now, const selection_request& wanted);
 
 private:
     /// Data of a server that each selection uses, by its position in the access index.
@@ -123,12 +133,16 @@
     std::vector<candidate> candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored);
     selected_server assess(time_point now, const candidate& assessed, const selection_request& wanted, const std::vector<std::uint64_t>& hashes) const;
     std::optional<fleet_rate> coldRate(const pool_id& pool) const;
-    std::optional<time_point> nextStart(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold, const selection_request& wanted) const;
+    bool isLeaving(const server_id& server) const;
+    send_window startWindow(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold, const selection_request& wanted) const;
 
     const fleet_view& m_fleet;
     selection_limits m_limits;
     random_source m_random;
     std::map<server_id, server_condition> m_conditions;
+    /// Incarnations that have announced that they leave. They are kept beyond their
+    /// registration, which may come back from the store.
+    std::map<server_id, incarnation> m_leaving;
     std::vector<known_server> m_known; ///< Points into m_conditions.
     std::optional<std::uint64_t> m_knownVersion; ///< Version of the access index that m_known was built from.
     std::vector<vm_id> m_routers;
--- a/include/pimentoladder/Net/HttpClient.h
+++ b/include/pimentoladder/Net/HttpClient.h
@@ -84,6 +84,10 @@
 
     std::unique_ptr<http_client_attempt> send(http_client_request request, http_client_callbacks callbacks);
 
+    /// Closes the idle connections to \p server soon, and each other one to it after its
+    /// response. Connections opened later are not affected. May be called from a callback of an attempt.
+    void retire(const endpoint& server);
+
     /// Returns the number of idle connections in the pool.
     std::size_t idleConnectionCount() const;
 
--- a/lib/Daemon/DispatchFront.cpp
+++ b/lib/Daemon/DispatchFront.cpp
@@ -190,6 +190,11 @@
     finish(refused.request);
 }
 
+void dispatch_front::perform(const retire_connections& retired)
+{
+    m_client.retire(retired.location);
+}
+
 void dispatch_front::receiveHead(const exchange_ref& target, attempt_number attempt, const http_response_head& head)
 {
     if (isEventStream(head))
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -163,6 +163,8 @@
         void operator()(const trait_change& step) const { to.report.perform(step); }
         void operator()(const quarantine_trial& step) const { to.report.perform(step); }
         void operator()(const limit_change& step) const { to.report.perform(step); }
+        void operator()(const hold_change& step) const { to.report.perform(step); }
+        void operator()(const retire_connections& step) const { to.front.perform(step); }
         void operator()(const open_dispatch& step) const { to.front.perform(step); }
         void operator()(const cancel_dispatch& step) const { to.front.perform(step); }
         void operator()(const forward_response_head& step) const { to.front.perform(step); }
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -105,7 +105,8 @@
             { "workspace", std::string_view(ended.workspace.value()) }, { "result", ended.result }, { "reason", ended.reason },
             { "runs", std::uint64_t { ended.attempts } }, { "tokens", static_cast<std::int64_t>(ended.tokens) }, { "share_fill", roundToHundredths(ended.shareUtilisation) }, { "expected_ms", milliseconds(ended.expectedFirstEvent) },
             { "first_event_ms", ended.firstEvent ? milliseconds(*ended.firstEvent) : -1 }, { "longest_pause_ms", milliseconds(ended.longestPause) },
-            { "total_ms", milliseconds(ended.total) }, { "objective_ms", milliseconds(ended.objective) }, { "quarantined_by", std::string_view(quarantinedBy) } });
+            { "total_ms", milliseconds(ended.total) }, { "objective_ms", milliseconds(ended.objective) }, { "quarantined_by", std::string_view(quarantinedBy) },
+            { "held_by", holdReasonName(ended.heldBy) } });
 }
 
 void dispatch_report::perform(const trait_change& changed)
@@ -144,6 +145,17 @@
             { "text", std::string_view(changed.text) }, { "source", changed.isOwn ? "response" : "router" }, { "age_ms", milliseconds(changed.age) } });
 }
 
+void dispatch_report::perform(const hold_change& changed)
+{
+    const bool isUnreadable = !changed.text.empty();
+    const std::string_view reason = isUnreadable ? std::string_view("unreadable") : holdReasonName(changed.reason);
+    m_metrics.count("pimentoladder_server_hold_changes_total", { { "reason", std::string(reason) } });
+    if (!mayWrite())
+        return;
+    m_log.write(isUnreadable ? log_level::warning : log_level::info, "server_hold_changed",
+        { { "server", std::string_view(changed.server.value()) }, { "reason", reason }, { "text", std::string_view(changed.text) } });
+}
+
 void dispatch_report::recordClose(const server_close& closing)
 {
     const std::string_view reason = serverCloseReasonName(closing.reason);
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -249,10 +249,12 @@
     selection_request wanted { request->workspace, request->pool, prompt, request->triedServers };
     const auto best = choose(now, *request, wanted, isFirst);
     if (!best) {
+        const send_window earliest = m_selector.earliestWindow(now, wanted);
+        request->heldBy = earliest.reason;
         if (request->hasHead)
             abortResponse(now, request, out);
         else
-            refuse(now, request, request->runs == 0 ? refusal_kind::noEligibleServer : refusal_kind::serverFailed, m_selector.timeToNextStart(now, wanted), out);
+            refuse(now, request, request->runs == 0 ? refusal_kind::noEligibleServer : refusal_kind::serverFailed, earliest.opensAt.value_or(now) - now, out);
         return;
     }
     if (isFirst && !isAdmissible(*request, *best)) {
@@ -262,7 +264,10 @@
     if (isFirst && prompt)
         m_share.recordAdmitted(now, request->workspace, request->tokens);
     request->attempt = attempt_number(++m_nextAttempt);
+    const registered_server& server = *m_fleet.findServer(best->server);
     request->server = best->server;
+    request->serverStart = server.start;
+    request->serverLocation = server.location;
     request->openedAt = now;
     request->progressAt = now;
     request->isSent = false;
@@ -279,7 +284,7 @@
         request->shareUtilisation, best->isCold, m_fleet.plan().version, m_fleet.basisAge(now).value_or(duration::zero()) });
     const workspace_id forwardedWorkspace = request->hasKey ? request->workspace : workspace_id();
     out.push_back(open_dispatch { request->number, request->attempt, best->server,
-        m_fleet.findServer(best->server)->location, forwardedWorkspace, request->deadline - now, request->lastEvent });
+        server.location, forwardedWorkspace, request->deadline - now, request->lastEvent });
     schedule(request, nextCheck(*request));
 }
 
@@ -290,7 +295,7 @@
         return false;
     request->hasCallerClosed = hasCallerClosed;
     const bool isCurrent = !request->hasKey || m_fleet.mayUseKeys(now);
-    if (hasCallerClosed || !isCurrent || !m_fleet.access().isInService(request->server) || now >= request->deadline) {
+    if (hasCallerClosed || !isCurrent || !m_selector.sendWindow(request->server).isOpen() || now >= request->deadline) {
         request->isDenied = true;
         return false;
     }
@@ -311,6 +316,8 @@
     const bool isFromServer = head.isFromExpectedAttempt && !head.isMisdirected;
     if (isFromServer && condition.setLimit(now, head.limit, request->openedAt))
         out.push_back(limit_change { request->server, head.limit.notice, head.limit.perSecond, head.limit.text, true, {} });
+    if (isFromServer)
+        applyNotices(now, *request, head, out);
     request->status = head.status;
     const auto drop = [&](bool mayHaveRun, std::string_view result) {
         out.push_back(cancel_dispatch { request->number, attempt });
@@ -357,6 +364,33 @@
     return out;
 }
 
+void dispatcher::applyNotices(time_point now, const tracked_request& request, const served_head& head, dispatch_actions& out)
+{
+    if (!head.unreadableNotice.empty())
+        out.push_back(hold_change { request.server, hold_reason::none, head.unreadableNotice });
+    if (!head.isLeaving || !m_selector.setLeaving(request.server, request.serverStart))
+        return;
+    out.push_back(hold_change { request.server, hold_reason::leaving });
+    out.push_back(retire_connections { request.serverLocation });
+    withdrawUnsent(now, request.server, out);
+}
+
+/// Ends the attempts at a server whose first byte has not been written; their requests go to
+/// other servers.
+void dispatcher::withdrawUnsent(time_point now, const server_id& server, dispatch_actions& out)
+{
+    std::vector<tracked> unsent;
+    for (const auto& [number, request] : m_requests) {
+        if (request->attempt != attempt_number() && !request->isSent && request->server == server)
+            unsent.push_back(request);
+    }
+    for (const tracked& request : unsent) {
+        request->isDenied = true;
+        out.push_back(cancel_dispatch { request->number, request->attempt });
+        failAttempt(now, request, false, "withheld", 0, out);
+    }
+}
+
 dispatch_actions dispatcher::onBytes(time_point now, attempt_number attempt, std::string_view bytes, std::optional<std::uint64_t> lastEvent)
 {
     dispatch_actions out;
@@ -561,7 +595,7 @@
     m_requests.erase(request->number);
     out.push_back(request_outcome { request->number, request->received.callerId, request->target.name, request->workspace,
         result, reason, request->runs, request->tokens, request->shareUtilisation, request->expectedFirstEvent, request->firstEvent, request->longestPause,
-        now - request->receivedAt, request->target.objective, request->quarantinedBy });
+        now - request->receivedAt, request->target.objective, request->quarantinedBy, request->heldBy });
 }
 
 dispatch_actions dispatcher::onCallerDisconnected(time_point now, request_number number)
--- /dev/null
+++ b/lib/Dispatch/SendWindow.cpp
@@ -0,0 +1,24 @@
+#include "pimentoladder/Dispatch/SendWindow.h"
+
+namespace pimentoladder {
+
+std::string_view holdReasonName(hold_reason reason)
+{
+    switch (reason) {
+    case hold_reason::none:
+        return "none";
+    case hold_reason::outOfService:
+        return "out_of_service";
+    case hold_reason::leaving:
+        return "leaving";
+    case hold_reason::otherSenders:
+        return "other_senders";
+    case hold_reason::limited:
+        return "limited";
+    case hold_reason::cold:
+        return "cold";
+    }
+    return "none";
+}
+
+}
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -1,6 +1,8 @@
 #include "pimentoladder/Dispatch/ServerSelector.h"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace pimentoladder {
 
@@ -17,6 +19,9 @@
     // Expected delay that each request in progress adds at a service without prompts.
     constexpr duration serviceTimePerRequest = 15ms;
 
+    // Leaving servers that are remembered while they are not registered; each takes about 100 bytes.
+    constexpr std::size_t maxUnregisteredLeaving = 4096;
+
     constexpr std::uint64_t fnvOffset = 0xcbf29ce484222325;
     constexpr std::uint64_t fnvPrime = 0x100000001b3;
 
@@ -48,7 +53,10 @@
 
 void server_selector::retain(const std::map<server_id, registered_server>& registered)
 {
-    std::erase_if(m_conditions, [&](const auto& entry) { return !registered.contains(entry.first); });
+    const auto isGone = [&](const auto& entry) { return !registered.contains(entry.first); };
+    std::erase_if(m_conditions, isGone);
+    if (m_leaving.size() > registered.size() + maxUnregisteredLeaving)
+        std::erase_if(m_leaving, isGone);
     m_knownVersion.reset();
 }
 
@@ -58,6 +66,33 @@
     m_knownVersion.reset();
 }
 
+bool server_selector::setLeaving(const server_id& server, incarnation start)
+{
+    const registered_server* registered = m_fleet.findServer(server);
+    if (registered && registered->start != start)
+        return false;
+    const auto [known, isNew] = m_leaving.try_emplace(server, start);
+    return std::exchange(known->second, start) != start || isNew;
+}
+
+bool server_selector::isLeaving(const server_id& server) const
+{
+    const auto found = m_leaving.find(server);
+    if (found == m_leaving.end())
+        return false;
+    const registered_server* registered = m_fleet.findServer(server);
+    return !registered || registered->start == found->second;
+}
+
+send_window server_selector::sendWindow(const server_id& server) const
+{
+    if (!m_fleet.access().isInService(server))
+        return { hold_reason::outOfService };
+    if (isLeaving(server))
+        return { hold_reason::leaving };
+    return {};
+}
+
 void server_selector::refreshKnown()
 {
     const access_index& access = m_fleet.access();
@@ -115,22 +150,25 @@
     return fleet_rate { profile->coldRequestsPerSecond, m_limits.coldSenders, static_cast<double>(m_limits.coldShares), 0 };
 }
 
-/// Returns when this router may send the server a request, or nothing if other routers
-/// are its senders.
-std::optional<time_point> server_selector::nextStart(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold, const selection_request& wanted) const
+/// Returns whether this router may start an attempt at a server in service.
+send_window server_selector::startWindow(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold, const selection_request& wanted) const
 {
-    time_point next = now;
+    if (isLeaving(server))
+        return { hold_reason::leaving };
+    send_window window;
     auto limit = known.limitRate(now, m_routers.size());
     if (limit && wanted.limited == limited_servers::only)
         limit->tolerance = wanted.limitTolerance;
-    for (const std::optional<fleet_rate>& rate : { known.isCold(now) ? cold : std::nullopt, limit }) {
+    const std::array<std::pair<std::optional<fleet_rate>, hold_reason>, 2> rates { { { known.isCold(now) ? cold : std::nullopt, hold_reason::cold }, { limit, hold_reason::limited } } };
+    for (const auto& [rate, reason] : rates) {
         if (!rate)
             continue;
         if (!isAmongOwners(hashName(server.value()), rate->senders))
-            return std::nullopt;
-        next = std::max(next, known.nextStart(*rate));
+            return { hold_reason::otherSenders };
+        if (const time_point next = known.nextStart(*rate); next > window.opensAt.value_or(now))
+            window = { reason, next };
     }
-    return next;
+    return window;
 }
 
 double server_selector::usableThroughput(time_point now, double nominal, double tokensPerRequest) const
@@ -159,16 +197,20 @@
     return usable;
 }
 
-duration server_selector::timeToNextStart(time_point now, const selection_request& wanted)
+send_window server_selector::earliestWindow(time_point now, const selection_request& wanted)
 {
     const auto cold = coldRate(wanted.pool);
-    std::optional<time_point> first;
+    send_window first { hold_reason::outOfService };
     refreshKnown();
     m_fleet.access().forEachReachableServer(wanted.workspace, wanted.pool, [&](const backend_server& server, std::size_t position) {
-        if (const auto next = nextStart(now, server.id, *m_known[position].condition, cold, wanted))
-            first = std::min(first.value_or(*next), *next);
+        const send_window window = startWindow(now, server.id, *m_known[position].condition, cold, wanted);
+        const bool isTimeKnown = window.isOpen() || window.opensAt;
+        const time_point opensAt = window.opensAt.value_or(now);
+        const bool isEarlier = isTimeKnown && !first.isOpen() && (!first.opensAt || opensAt < *first.opensAt);
+        if (isEarlier || (!isTimeKnown && first.reason == hold_reason::outOfService))
+            first = window;
     });
-    return first ? *first - now : duration::zero();
+    return first;
 }
 
 bool server_selector::isAmongOwners(std::uint64_t key, std::size_t count) const
@@ -191,8 +233,7 @@
         server_condition& known = *m_known[position].condition;
         if (known.isLimited(now) != (wanted.limited == limited_servers::only))
             return;
-        const auto next = nextStart(now, server.id, known, cold, wanted);
-        if (!next || *next > now)
+        if (!startWindow(now, server.id, known, cold, wanted).isOpen())
             return;
         if (known.isEjected(now) && !isEjectionIgnored)
             return;
--- a/lib/Dispatch/TrackedRequest.h
+++ b/lib/Dispatch/TrackedRequest.h
@@ -28,6 +28,8 @@
 
     attempt_number attempt; ///< Zero: no attempt is open.
     server_id server;
+    incarnation serverStart; ///< Registered when the attempt was opened.
+    endpoint serverLocation;
     time_point openedAt;
     time_point progressAt; ///< Time at which the request was sent, or of the last event.
     bool isSent = false;
@@ -46,6 +48,7 @@
     std::optional<duration> firstEvent;
     duration longestPause {};
     duration expectedFirstEvent {};
+    hold_reason heldBy = hold_reason::none; ///< Why no server took it.
     double uncachedTokens = 0;
     double shareUtilisation = 0; ///< Fraction of the workspace's share that is used; above 1, the share is exceeded.
     std::optional<time_point> wakeAt;
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "pimentoladder/Net/HttpClient.h"
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <utility>
 #include <vector>
@@ -55,11 +57,13 @@
     implementation(event_loop& loop, http_client_limits limits)
         : m_loop(loop)
         , m_limits(limits)
+        , m_discardRetired(loop, [this] { discardRetired(); })
     {
     }
 
     std::unique_ptr<http_client_attempt> send(http_client_request request, http_client_callbacks callbacks);
     std::size_t idleConnectionCount() const;
+    void retire(const endpoint& server);
 
     const http_client_limits& limits() const override { return m_limits; }
     void keep(http_client_connection& unused) override;
@@ -68,11 +72,13 @@
 private:
     void start(const std::shared_ptr<http_attempt_state>& attempt);
     http_client_connection* takeIdle(const endpoint& server);
+    void discardRetired();
 
     event_loop& m_loop;
     http_client_limits m_limits;
     std::map<http_client_connection*, std::unique_ptr<http_client_connection>> m_connections;
     std::map<endpoint, std::vector<http_client_connection*>> m_idle;
+    deferred_call m_discardRetired;
 };
 
 std::unique_ptr<http_client_attempt> http_client::implementation::send(
@@ -131,7 +137,7 @@
 void http_client::implementation::keep(http_client_connection& unused)
 {
     std::vector<http_client_connection*>& idle = m_idle[unused.server()];
-    if (idle.size() >= m_limits.idleConnectionsPerEndpoint) {
+    if (unused.isRetired() || idle.size() >= m_limits.idleConnectionsPerEndpoint) {
         discard(unused);
         return;
     }
@@ -150,6 +156,24 @@
     m_connections.erase(&dead);
 }
 
+void http_client::implementation::retire(const endpoint& server)
+{
+    for (const auto& [connection, owner] : m_connections) {
+        if (connection->server() == server)
+            connection->retire();
+    }
+    m_discardRetired.schedule();
+}
+
+void http_client::implementation::discardRetired()
+{
+    std::vector<http_client_connection*> retired;
+    for (const auto& [server, connections] : m_idle)
+        std::copy_if(connections.begin(), connections.end(), std::back_inserter(retired), [](const http_client_connection* each) { return each->isRetired(); });
+    for (http_client_connection* each : retired)
+        discard(*each);
+}
+
 std::size_t http_client::implementation::idleConnectionCount() const
 {
     std::size_t count = 0;
@@ -170,6 +194,11 @@
     return m_implementation->send(std::move(request), std::move(callbacks));
 }
 
+void http_client::retire(const endpoint& server)
+{
+    m_implementation->retire(server);
+}
+
 std::size_t http_client::idleConnectionCount() const
 {
     return m_implementation->idleConnectionCount();
--- a/lib/Net/HttpClientConnection.h
+++ b/lib/Net/HttpClientConnection.h
@@ -56,12 +56,15 @@
     http_client_connection& operator=(const http_client_connection&) = delete;
 
     const endpoint& server() const { return m_server; }
-    bool isUsable() const { return !m_isClosed && !m_isEnding && !isUnusable(bufferevent_getfd(m_channel)); }
+    bool isUsable() const { return !m_isClosed && !m_isEnding && !m_isRetired && !isUnusable(bufferevent_getfd(m_channel)); }
 
     void begin(std::shared_ptr<http_attempt_state> attempt);
     void pause();
     void resume();
     void cancel();
+    /// Keeps the connection from being used for another attempt.
+    void retire() { m_isRetired = true; }
+    bool isRetired() const { return m_isRetired; }
     /// Starts the timer that closes the idle connection.
     void becomeIdle();
 
@@ -107,6 +110,7 @@
     bool m_isEnding = false;
     bool m_isPaused = false;
     bool m_isClosed = false;
+    bool m_isRetired = false;
     bool m_hasUnexpectedInput = false; ///< Whether bytes arrived that belong to no response.
     bool m_isRewriting = false;
 };
--- a/tools/standins/FaultPlan.h
+++ b/tools/standins/FaultPlan.h
@@ -34,6 +34,7 @@
     resetAll, ///< The relay resets every open connection at once.
     requestLimit, ///< The backend server names a request limit in its responses.
     endless, ///< A stream sends bytes without end that complete no event.
+    announceLeaving, ///< The backend server announces in its responses that it leaves; its registration stays as it is.
 };
 
 /// Returns the kind of the given snake-case name, or nothing. Thread-safe.
--- a/tools/standins/platform/BackendService.cpp
+++ b/tools/standins/platform/BackendService.cpp
@@ -143,7 +143,19 @@
 {
     const std::string attempt = exchange->header(attemptHeader);
     m_context.history.write(bootTime(), "execution_refused", { { "server", m_context.name }, { "id", attempt }, { "reason", reason } });
-    exchange->reply(status, "{}", { { attemptHeader, attempt }, { "X-Not-Executed", "1" } });
+    std::vector<tools::http_header> headers { { attemptHeader, attempt }, { "X-Not-Executed", "1" } };
+    if (status != statusMisdirected)
+        announceLeaving(attempt, headers);
+    exchange->reply(status, "{}", headers);
+}
+
+/// Adds the announcement that the server leaves, if a fault asks for it.
+void backend_service::announceLeaving(const std::string& attempt, std::vector<tools::http_header>& headers)
+{
+    if (!m_faults.take(fault_kind::announceLeaving, {}, bootTime()))
+        return;
+    m_context.history.write(bootTime(), "leaving_announced", { { "server", m_context.name }, { "id", attempt } });
+    headers.push_back({ "Server-Leaving", "1" });
 }
 
 void backend_service::startUnary(const exchange_ptr& exchange)
@@ -285,6 +297,7 @@
         m_context.history.write(bootTime(), "limit_named", { { "server", m_context.name }, { "id", attempt }, { "per_second", limited->perSecond } });
         headers.push_back({ "Server-Limit", std::to_string(limited->perSecond) });
     }
+    announceLeaving(attempt, headers);
     return headers;
 }
 
--- a/tools/standins/platform/BackendService.h
+++ b/tools/standins/platform/BackendService.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "standins/EngineModel.h"
 #include "standins/Service.h"
@@ -63,6 +64,7 @@
     void sendWithoutEnd(run_number number);
     void end(run_number number, const char* result);
     void refuse(const exchange_ptr& exchange, int status, const char* reason);
+    void announceLeaving(const std::string& attempt, std::vector<tools::http_header>& headers);
     void sendHeartbeat();
     void writeRegistration();
     void recordStart(const exchange_ptr& exchange, const std::string& execution);
--- /dev/null
+++ b/unittests/Dispatch/HoldTests.cpp
@@ -0,0 +1,235 @@
+#include <doctest/doctest.h>
+
+#include "Fixture.h"
+
+using namespace pimentoladder;
+using namespace pimentoladder::dispatch_test;
+
+namespace {
+
+// Dispatcher with two portal servers whose responses a test gives.
+struct notice_fleet : small_fleet {
+    attempt_number openSent(const std::string& path, server_id& server)
+    {
+        request_number number;
+        const dispatch_actions actions = send(path, number);
+        const auto* opened = find<open_dispatch>(actions);
+        REQUIRE(opened);
+        server = opened->server;
+        REQUIRE(core.mayStartSending(now, opened->attempt));
+        return opened->attempt;
+    }
+
+    /// Sends a request that \p server answers with \p head. Other servers answer with success.
+    dispatch_actions answer(const std::string& path, const server_id& server, const served_head& head)
+    {
+        for (int i = 0; i < 100; ++i) {
+            server_id chosen;
+            const attempt_number attempt = openSent(path, chosen);
+            dispatch_actions actions = core.onHead(now, attempt, chosen == server ? head : success());
+            if (!find<cancel_dispatch>(actions))
+                core.onAttemptEnded(now, attempt, { attempt_end_kind::complete, true });
+            if (chosen == server)
+                return actions;
+        }
+        FAIL("the server got no request");
+        return {};
+    }
+
+    /// Returns how many of \p count requests are sent to \p server.
+    int sentTo(const std::string& path, const server_id& server, int count = 50)
+    {
+        int sent = 0;
+        for (int i = 0; i < count; ++i) {
+            request_number number;
+            const dispatch_actions actions = send(path, number);
+            const auto* opened = find<open_dispatch>(actions);
+            if (opened && opened->server == server)
+                ++sent;
+            core.onCallerDisconnected(now, number);
+        }
+        return sent;
+    }
+
+    static served_head success()
+    {
+        served_head head;
+        head.status = 200;
+        head.isAuthentic = true;
+        return head;
+    }
+
+    static served_head leaving(int status = 200)
+    {
+        served_head head = success();
+        head.status = status;
+        head.isLeaving = true;
+        return head;
+    }
+};
+
+const server_id p1("p1");
+const server_id p2("p2");
+
+}
+
+TEST_CASE("a server that announced its leaving in a response gets new requests, since its registration is still ready")
+{
+    for (const int status : { 200, 404, 500, 503 }) {
+        notice_fleet fleet;
+        const dispatch_actions actions = fleet.answer("/read/1", p1, notice_fleet::leaving(status));
+        CHECK(find<hold_change>(actions)->reason == hold_reason::leaving);
+        CHECK(find<retire_connections>(actions));
+        CHECK(fleet.sentTo("/read/1", p1) == 0);
+        CHECK(fleet.sentTo("/order/1", p1) == 0);
+        CHECK(fleet.sentTo("/read/1", p2) == 50);
+    }
+}
+
+TEST_CASE("a refusal without a run that announces the leaving of its server is not taken as such")
+{
+    notice_fleet fleet;
+    served_head head = notice_fleet::leaving(503);
+    head.isNotExecuted = true;
+    const dispatch_actions actions = fleet.answer("/order/1", p1, head);
+    REQUIRE(find<open_dispatch>(actions));
+    CHECK(find<open_dispatch>(actions)->server == p2);
+    CHECK(fleet.sentTo("/read/1", p1) == 0);
+}
+
+TEST_CASE("the response of another instance, or of another attempt, takes a server out of use")
+{
+    notice_fleet fleet;
+    served_head misdirected = notice_fleet::leaving(421);
+    misdirected.isMisdirected = true;
+    served_head foreign = notice_fleet::leaving();
+    foreign.isFromExpectedAttempt = false;
+    for (const served_head& head : { misdirected, foreign }) {
+        fleet.answer("/read/1", p1, head);
+        fleet.now += 5s;
+        fleet.core.confirm(fleet.now);
+        CHECK(fleet.sentTo("/read/1", p1) > 0);
+    }
+}
+
+TEST_CASE("a response without the notice, a new registration or a removal makes a leaving server usable again")
+{
+    notice_fleet fleet;
+    server_id server;
+    const attempt_number earlier = [&] {
+        for (;;) {
+            const attempt_number attempt = fleet.openSent("/read/1", server);
+            if (server == p1)
+                return attempt;
+        }
+    }();
+    fleet.answer("/read/1", p1, notice_fleet::leaving());
+    // The request in progress goes on.
+    const dispatch_actions ended = fleet.core.onHead(fleet.now, earlier, notice_fleet::success());
+    CHECK(find<forward_response_head>(ended));
+    CHECK(fleet.sentTo("/read/1", p1) == 0);
+    fleet.core.putServer(fleet.now, makeServer("p1", "portal"));
+    CHECK(fleet.sentTo("/read/1", p1) == 0);
+    fleet.core.removeServer(fleet.now, p1);
+    fleet.core.putServer(fleet.now, makeServer("p1", "portal"));
+    fleet.now += 10s;
+    fleet.core.confirm(fleet.now);
+    CHECK(fleet.sentTo("/read/1", p1) == 0);
+}
+
+TEST_CASE("a restarted server stays out of use because its former incarnation left")
+{
+    notice_fleet fleet;
+    fleet.answer("/read/1", p1, notice_fleet::leaving());
+    server_id server;
+    registered_server restarted = makeServer("p1", "portal");
+    restarted.start = incarnation(2);
+    fleet.core.putServer(fleet.now, restarted);
+    fleet.now += 10s;
+    fleet.core.confirm(fleet.now);
+    CHECK(fleet.sentTo("/read/1", p1) > 0);
+}
+
+TEST_CASE("a late response of a former incarnation takes its successor out of use")
+{
+    notice_fleet fleet;
+    server_id server;
+    attempt_number former;
+    do {
+        former = fleet.openSent("/read/1", server);
+    } while (server != p1);
+    registered_server restarted = makeServer("p1", "portal");
+    restarted.start = incarnation(2);
+    fleet.core.putServer(fleet.now, restarted);
+    CHECK_FALSE(find<hold_change>(fleet.core.onHead(fleet.now, former, notice_fleet::leaving())));
+    fleet.now += 10s;
+    fleet.core.confirm(fleet.now);
+    CHECK(fleet.sentTo("/read/1", p1) > 0);
+}
+
+TEST_CASE("a request that has not been sent yet reaches a server that has announced its leaving")
+{
+    notice_fleet fleet;
+    // Fills both servers with a request that waits for a connection.
+    std::vector<std::pair<attempt_number, server_id>> unsent;
+    for (int i = 0; i < 20; ++i) {
+        request_number number;
+        const dispatch_actions actions = fleet.send("/order/1", number);
+        const auto* opened = find<open_dispatch>(actions);
+        unsent.emplace_back(opened->attempt, opened->server);
+    }
+    const dispatch_actions actions = fleet.answer("/read/1", p1, notice_fleet::leaving());
+    std::size_t moved = 0;
+    for (const dispatch_action& each : actions) {
+        if (const auto* opened = std::get_if<open_dispatch>(&each)) {
+            CHECK(opened->server == p2);
+            ++moved;
+        }
+    }
+    const auto held = std::count_if(unsent.begin(), unsent.end(), [](const auto& each) { return each.second == p1; });
+    CHECK(held > 0);
+    CHECK(moved == static_cast<std::size_t>(held));
+    for (const auto& [attempt, server] : unsent)
+        CHECK(fleet.core.mayStartSending(fleet.now, attempt) == (server == p2));
+}
+
+TEST_CASE("a stream that breaks off is resumed at a server that has announced its leaving")
+{
+    notice_fleet fleet;
+    server_id server;
+    const attempt_number attempt = fleet.openSent("/stream/1", server);
+    fleet.core.onHead(fleet.now, attempt, notice_fleet::success());
+    fleet.core.onBytes(fleet.now, attempt, "x", 1);
+    std::vector<server_id> others;
+    for (const char* each : { "e1", "e2", "e3" }) {
+        if (server_id(each) != server)
+            others.emplace_back(each);
+    }
+    fleet.answer("/stream/1", others.front(), notice_fleet::leaving());
+    const dispatch_actions resumed = fleet.core.onAttemptEnded(fleet.now, attempt, { attempt_end_kind::truncated, true });
+    REQUIRE(find<open_dispatch>(resumed));
+    CHECK(find<open_dispatch>(resumed)->server == others.back());
+}
+
+TEST_CASE("a request is held although all servers of its pool are leaving")
+{
+    notice_fleet fleet;
+    fleet.answer("/read/1", p1, notice_fleet::leaving());
+    fleet.answer("/read/1", p2, notice_fleet::leaving());
+    request_number number;
+    const dispatch_actions actions = fleet.send("/read/1", number);
+    REQUIRE(find<refuse_inbound>(actions));
+    CHECK(find<refuse_inbound>(actions)->kind == refusal_kind::noEligibleServer);
+    CHECK(find<request_outcome>(actions)->heldBy == hold_reason::leaving);
+}
+
+TEST_CASE("a notice without a defined meaning changes what is known of a server, or goes unseen")
+{
+    notice_fleet fleet;
+    served_head head = notice_fleet::success();
+    head.unreadableNotice = "notice: soon";
+    const dispatch_actions actions = fleet.answer("/read/1", p1, head);
+    REQUIRE(find<hold_change>(actions));
+    CHECK(find<hold_change>(actions)->text == "notice: soon");
+    CHECK(fleet.sentTo("/read/1", p1) > 0);
+}
--- a/unittests/Net/HttpClientTests.cpp
+++ b/unittests/Net/HttpClientTests.cpp
@@ -435,6 +435,34 @@
     CHECK(runUntil(test.loop, [&] { return test.client.idleConnectionCount() == 0; }));
 }
 
+TEST_CASE("kept connections to a server that leaves stay open, or a response in progress is cut")
+{
+    client_fixture test;
+    raw_socket idle = test.openKeptConnection();
+    observed busy;
+    http_client_request fresh = test.request();
+    fresh.mayReuseConnection = false;
+    test.send(busy, fresh);
+    raw_socket used = test.server.accept();
+    REQUIRE(used.waitFor("\r\n\r\n"));
+    REQUIRE(test.client.idleConnectionCount() == 1);
+    test.client.retire({ "127.0.0.1", test.server.port });
+    CHECK(runUntil(test.loop, [&] { return test.client.idleConnectionCount() == 0; }));
+    used.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE(test.waitForEnd(busy));
+    CHECK(busy.ends.front().kind == attempt_end_kind::complete);
+    CHECK(busy.body == "ok");
+    CHECK(test.client.idleConnectionCount() == 0);
+    // The next server at the address gets a connection that is kept as usual.
+    observed next;
+    test.send(next, test.request());
+    raw_socket opened = test.server.accept();
+    REQUIRE(opened.waitFor("\r\n\r\n"));
+    opened.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(test.waitForEnd(next));
+    CHECK(test.client.idleConnectionCount() == 1);
+}
+
 // Guards against bytes that are no response and come without end, in a head or in a body.
 TEST_CASE("a server that sends bytes without end is cut off, and the memory stays bounded")
 {
--- a/unittests/PlatformAdapter/RequestHeadersTests.cpp
+++ b/unittests/PlatformAdapter/RequestHeadersTests.cpp
@@ -105,3 +105,25 @@
     CHECK(decode({ "2.5", "x" }).notice == limit_notice::unreadable);
     CHECK(decode({ std::string(5000, 'x') }).text.size() < 100);
 }
+
+TEST_CASE("a server's announcement that it leaves is missed or misread")
+{
+    const platform::request_headers codec;
+    const auto describe = [&](const std::vector<std::string>& values) {
+        http_response_head head { 200, {} };
+        for (const std::string& value : values)
+            head.headers.push_back({ "server-leaving", value });
+        return codec.describeHead(head, makeRequest());
+    };
+    for (const std::vector<std::string>& values : std::vector<std::vector<std::string>> { { "1" }, { "1", "1" }, { "0", "1" }, { "1", "yes" } })
+        CHECK(describe(values).isLeaving);
+    for (const std::vector<std::string>& values : std::vector<std::vector<std::string>> { {}, { "0" }, { "0", "0" } }) {
+        CHECK_FALSE(describe(values).isLeaving);
+        CHECK(describe(values).unreadableNotice.empty());
+    }
+    for (const char* value : { "", "yes", "true", "1.0", "01", "-1", "1, 1" }) {
+        CHECK_FALSE(describe({ value }).isLeaving);
+        CHECK(describe({ value }).unreadableNotice == std::string("server-leaving: ") + value);
+    }
+    CHECK(describe({ std::string(5000, 'x') }).unreadableNotice.size() < 100);
+}
--- a/unittests/PlatformAdapter/RouterTests.cpp
+++ b/unittests/PlatformAdapter/RouterTests.cpp
@@ -72,6 +72,20 @@
         CHECK(fleet.ask("/read/a").header("X-Response-Seal") == "s-1");
 }
 
+TEST_CASE("a server that announces its leaving while the store is away gets new requests")
+{
+    router_fixture fleet;
+    fleet.serve();
+    fleet.addBackend("s-1");
+    REQUIRE(fleet.runUntil([&] { return fleet.ask("/read/a").header("X-Response-Seal") == "s-1"; }));
+    fleet.injectFault(fleet.store.server.port(), R"({"kind":"outage"})");
+    fleet.injectFault(fleet.backendPorts[0], R"({"kind":"announce_leaving"})");
+    REQUIRE(fleet.runUntil([&] { return fleet.ask("/read/a").header("Server-Leaving") == "1"; }));
+    for (int i = 0; i < 40; ++i)
+        CHECK(fleet.ask("/read/a").header("X-Response-Seal") == "s-1");
+    CHECK(fleet.logged("server_hold_changed") == 1);
+}
+
 // Guards against a stream that ends with its server although another one may resume it.
 TEST_CASE("a truncated stream continues on another server without a gap")
 {
