Leave servers alone for the time that they name when they turn requests away

A server that answers 503 with Retry-After wants nothing from the router for that time. The header was ignored: the server stayed a candidate, and could be chosen again by the next request.

The server is held until the time has passed, at most timeouts.server_rest. Then each router sends one trial at a time until a response ends the state, and the number of routers that may begin doubles each 125 ms, so that neither the requests of one router nor all routers return at once. If all servers of a pool are held, the caller is refused at once, with the soonest return as Retry-After. Routers make no health or load requests, so nothing else reaches the server.

Shown by Dispatch: HoldTests (1 and 91 routers); PlatformAdapter.

--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -42,6 +42,7 @@
     std::optional<reported_load> load;
     named_limit limit;
     bool isLeaving = false; ///< The server announces that it leaves.
+    std::optional<duration> retryAfter {}; ///< Time for which a refusal asks for no further request.
     std::string unreadableNotice {}; ///< Header of a notice that has no defined meaning, as received.
 };
 
@@ -165,8 +166,9 @@
 /// Log record of a notice in a server's response on whether it takes requests.
 struct hold_change {
     server_id server;
-    hold_reason reason = hold_reason::none;
-    std::string text {}; ///< As received, if it is unreadable; the reason is then `none`.
+    hold_reason reason = hold_reason::none; ///< None: it takes requests again, or the notice is unreadable.
+    duration length {}; ///< For which the server is left alone, if it rests.
+    std::string text {}; ///< As received, if it is unreadable.
 };
 
 using dispatch_action = std::variant<open_dispatch, cancel_dispatch, forward_response_head, forward_response_bytes, end_response,
--- a/include/pimentoladder/Dispatch/SendWindow.h
+++ b/include/pimentoladder/Dispatch/SendWindow.h
@@ -15,6 +15,8 @@
     none,
     outOfService, ///< Its registration or its data centre is out of service.
     leaving, ///< It has announced in a response that it leaves.
+    resting, ///< It has turned this router away for a time.
+    returning, ///< That time has ended, and the result of a trial request is not known yet.
     otherSenders, ///< Its rate is low, and other routers are its senders.
     limited, ///< This router has used its part of the server's request limit.
     cold, ///< This router has used its part of the cold server's rate.
--- a/include/pimentoladder/Dispatch/ServerCondition.h
+++ b/include/pimentoladder/Dispatch/ServerCondition.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -16,6 +17,7 @@
 #include "pimentoladder/Base/Ids.h"
 #include "pimentoladder/Base/Time.h"
 #include "pimentoladder/Dispatch/FleetRate.h"
+#include "pimentoladder/Dispatch/SendWindow.h"
 #include "pimentoladder/Protocol/Messages.h"
 
 namespace pimentoladder {
@@ -121,6 +123,25 @@
     /// Returns whether the server is ejected as an outlier.
     bool isEjected(time_point now) const { return now < m_ejectedUntil; }
 
+    /// Leaves the server alone until \p until, because it has turned a request away. A time that has
+    /// been set before is not shortened.
+    void rest(time_point until) { m_restUntil = std::max(m_restUntil.value_or(until), until); }
+
+    /// Ends the rest after a response, other than a server error, to an attempt that was
+    /// opened at \p openedAt. Returns whether it ended; attempts from before its end say nothing.
+    bool endRest(time_point openedAt);
+
+    /// Returns whether this router may send to the server: not while it rests, and then one
+    /// trial at a time until a response ends the rest. \p returnDelay: how long
+    /// after the rest this router may send its first trial.
+    send_window restWindow(time_point now, duration returnDelay) const;
+
+    /// Returns whether an attempt that was opened at \p openedAt may be sent.
+    bool isResting(time_point now, time_point openedAt) const { return m_restUntil && (now < *m_restUntil || openedAt < *m_restUntil); }
+
+    /// Returns whether the server rests or has not responded to a trial since.
+    bool hasRest() const { return m_restUntil.has_value(); }
+
     /// Returns when this router may send the next request under \p rate.
     time_point nextStart(const fleet_rate& rate) const;
 
@@ -186,6 +207,7 @@
     bool m_isLimitOwn = false; ///< That response was this router's.
     time_point m_limitEndedAt;
     double m_endedLimit = 0; ///< The limit in force before its end, from which the rate rises.
+    std::optional<time_point> m_restUntil; ///< Set until a response to a later attempt.
     time_point m_coldUntil;
     time_point m_ejectedUntil;
     std::array<std::optional<time_point>, rateHistory> m_lastStarts; ///< The latest one first.
--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -22,6 +22,7 @@
     data_centre_id ownDataCentre;
     vm_id self;
     std::size_t coldSenders = 8; ///< Number of routers that may send to one cold server.
+    duration maxRest = std::chrono::seconds(30); ///< Longest time for which a server that turned a request away is left alone.
     std::size_t coldShares = 12; ///< Number of parts into which a cold server's allowed request rate is split; more than coldSenders because the routers' views of the members may differ.
 };
 
@@ -76,15 +77,23 @@
     /// no new request until another incarnation is registered. Returns whether this was unknown.
     bool setLeaving(const server_id& server, incarnation start);
 
-    /// Returns whether the last check before the first byte allows an attempt at the server
-    /// to be sent. Its rates were checked when the server was selected.
-    send_window sendWindow(const server_id& server) const;
+    /// Leaves a server alone for \p wanted, at most for `maxRest`, because an incarnation of it has
+    /// turned a request away. Returns the time for which it is left alone, or nothing if another
+    /// incarnation is registered.
+    std::optional<duration> setResting(time_point now, const server_id& server, incarnation start, duration wanted);
+
+    /// Returns whether the last check before the first byte allows an attempt at the server, opened
+    /// at \p openedAt, to be sent. Its rates were checked when the server was selected.
+    send_window sendWindow(time_point now, const server_id& server, time_point openedAt) const;
 
     /// Sets the routers of the fleet, among which the cold servers are divided.
     void setRouters(std::vector<vm_id> routers) { m_routers = std::move(routers); }
 
     /// Returns whether this router is among the first \p count in the rendezvous order of the routers for \p key.
-    bool isAmongOwners(std::uint64_t key, std::size_t count) const;
+    bool isAmongOwners(std::uint64_t key, std::size_t count) const { return m_routers.size() <= count || rankAmongRouters(key) < count; }
+
+    /// Returns how many routers come before this one in the rendezvous order of the routers for \p key.
+    std::size_t rankAmongRouters(std::uint64_t key) const;
 
     /// Returns the number of routers, and at least `coldSenders`.
     std::size_t routerCount() const { return std::max(m_routers.size(), m_limits.coldSenders); }
@@ -134,6 +143,7 @@
     selected_server assess(time_point now, const candidate& assessed, const selection_request& wanted, const std::vector<std::uint64_t>& hashes) const;
     std::optional<fleet_rate> coldRate(const pool_id& pool) const;
     bool isLeaving(const server_id& server) const;
+    duration returnDelay(const server_id& server) const;
     send_window startWindow(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold, const selection_request& wanted) const;
 
     const fleet_view& m_fleet;
--- a/include/pimentoladder/Settings/Settings.h
+++ b/include/pimentoladder/Settings/Settings.h
@@ -60,6 +60,7 @@
     std::chrono::nanoseconds connect = std::chrono::seconds(1);
     std::chrono::nanoseconds firstByte = std::chrono::seconds(60);
     std::chrono::nanoseconds idle = std::chrono::seconds(30);
+    std::chrono::nanoseconds serverRest = std::chrono::seconds(30); ///< Longest time for which a server that turned a request away is left alone.
 };
 
 struct shutdown_settings {
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -62,6 +62,7 @@
         dispatch_limits limits;
         limits.selection.ownDataCentre = configured.dataCentre;
         limits.selection.self = configured.vm;
+        limits.selection.maxRest = configured.timeouts.serverRest;
         limits.retryShare = configured.retries.share * retryBudgetFraction;
         limits.fleetRetries = static_cast<std::uint64_t>(static_cast<double>(configured.retries.extra) * retryBudgetFraction);
         limits.freshness.maxKeyBasisAge = configured.freshness.keys - keyFreshnessMargin;
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -153,7 +153,7 @@
     if (!mayWrite())
         return;
     m_log.write(isUnreadable ? log_level::warning : log_level::info, "server_hold_changed",
-        { { "server", std::string_view(changed.server.value()) }, { "reason", reason }, { "text", std::string_view(changed.text) } });
+        { { "server", std::string_view(changed.server.value()) }, { "reason", reason }, { "for_ms", milliseconds(changed.length) }, { "text", std::string_view(changed.text) } });
 }
 
 void dispatch_report::recordClose(const server_close& closing)
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -295,7 +295,7 @@
         return false;
     request->hasCallerClosed = hasCallerClosed;
     const bool isCurrent = !request->hasKey || m_fleet.mayUseKeys(now);
-    if (hasCallerClosed || !isCurrent || !m_selector.sendWindow(request->server).isOpen() || now >= request->deadline) {
+    if (hasCallerClosed || !isCurrent || !m_selector.sendWindow(now, request->server, request->openedAt).isOpen() || now >= request->deadline) {
         request->isDenied = true;
         return false;
     }
@@ -367,12 +367,21 @@
 void dispatcher::applyNotices(time_point now, const tracked_request& request, const served_head& head, dispatch_actions& out)
 {
     if (!head.unreadableNotice.empty())
-        out.push_back(hold_change { request.server, hold_reason::none, head.unreadableNotice });
-    if (!head.isLeaving || !m_selector.setLeaving(request.server, request.serverStart))
-        return;
-    out.push_back(hold_change { request.server, hold_reason::leaving });
-    out.push_back(retire_connections { request.serverLocation });
-    withdrawUnsent(now, request.server, out);
+        out.push_back(hold_change { request.server, hold_reason::none, {}, head.unreadableNotice });
+    const bool isNewlyLeaving = head.isLeaving && m_selector.setLeaving(request.server, request.serverStart);
+    if (isNewlyLeaving) {
+        out.push_back(hold_change { request.server, hold_reason::leaving });
+        out.push_back(retire_connections { request.serverLocation });
+    }
+    std::optional<duration> rest;
+    if (head.retryAfter)
+        rest = m_selector.setResting(now, request.server, request.serverStart, *head.retryAfter);
+    if (rest)
+        out.push_back(hold_change { request.server, hold_reason::resting, *rest });
+    else if (head.status < minServerErrorStatus && !head.isNotExecuted && m_selector.condition(request.server).endRest(request.openedAt))
+        out.push_back(hold_change { request.server });
+    if (isNewlyLeaving || rest)
+        withdrawUnsent(now, request.server, out);
 }
 
 /// Ends the attempts at a server whose first byte has not been written; their requests go to
--- a/lib/Dispatch/SendWindow.cpp
+++ b/lib/Dispatch/SendWindow.cpp
@@ -11,6 +11,10 @@
         return "out_of_service";
     case hold_reason::leaving:
         return "leaving";
+    case hold_reason::resting:
+        return "resting";
+    case hold_reason::returning:
+        return "returning";
     case hold_reason::otherSenders:
         return "other_senders";
     case hold_reason::limited:
--- a/lib/Dispatch/ServerCondition.cpp
+++ b/lib/Dispatch/ServerCondition.cpp
@@ -60,6 +60,10 @@
     constexpr duration limitDoublingTime = 500ms;
     constexpr duration limitRampTime = 3s;
 
+    // Interval between the trials of one router at a server that has rested, and the time
+    // after which a trial without a response is not waited for.
+    constexpr duration trialInterval = 500ms;
+
     duration scaled(duration value, double factor)
     {
         return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
@@ -278,6 +282,26 @@
     return now < m_coldUntil;
 }
 
+bool server_condition::endRest(time_point openedAt)
+{
+    if (!m_restUntil || openedAt < *m_restUntil)
+        return false;
+    m_restUntil.reset();
+    return true;
+}
+
+send_window server_condition::restWindow(time_point now, duration returnDelay) const
+{
+    if (!m_restUntil)
+        return {};
+    if (now < *m_restUntil)
+        return { hold_reason::resting, *m_restUntil };
+    time_point trialAt = *m_restUntil + returnDelay;
+    if (m_lastStarts.front() && *m_lastStarts.front() >= *m_restUntil)
+        trialAt = std::max(trialAt, *m_lastStarts.front() + trialInterval);
+    return trialAt <= now ? send_window {} : send_window { hold_reason::returning, trialAt };
+}
+
 time_point server_condition::nextStart(const fleet_rate& rate) const
 {
     time_point next {};
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <utility>
 
 namespace pimentoladder {
@@ -19,6 +20,10 @@
     // Expected delay that each request in progress adds at a service without prompts.
     constexpr duration serviceTimePerRequest = 15ms;
 
+    // After a server's rest the number of routers that may send to it doubles at this interval,
+    // so that they do not all return at once.
+    constexpr duration returnInterval = 125ms;
+
     // Leaving servers that are remembered while they are not registered; each takes about 100 bytes.
     constexpr std::size_t maxUnregisteredLeaving = 4096;
 
@@ -84,12 +89,30 @@
     return !registered || registered->start == found->second;
 }
 
-send_window server_selector::sendWindow(const server_id& server) const
+std::optional<duration> server_selector::setResting(time_point now, const server_id& server, incarnation start, duration wanted)
+{
+    const registered_server* registered = m_fleet.findServer(server);
+    if (!registered || registered->start != start)
+        return std::nullopt;
+    const duration time = std::min(wanted, m_limits.maxRest);
+    m_conditions[server].rest(now + time);
+    return time;
+}
+
+duration server_selector::returnDelay(const server_id& server) const
+{
+    return returnInterval * std::bit_width(rankAmongRouters(hashName(server.value())));
+}
+
+send_window server_selector::sendWindow(time_point now, const server_id& server, time_point openedAt) const
 {
     if (!m_fleet.access().isInService(server))
         return { hold_reason::outOfService };
     if (isLeaving(server))
         return { hold_reason::leaving };
+    const auto known = m_conditions.find(server);
+    if (known != m_conditions.end() && known->second.isResting(now, openedAt))
+        return { hold_reason::resting };
     return {};
 }
 
@@ -156,6 +179,8 @@
     if (isLeaving(server))
         return { hold_reason::leaving };
     send_window window;
+    if (known.hasRest())
+        window = known.restWindow(now, returnDelay(server));
     auto limit = known.limitRate(now, m_routers.size());
     if (limit && wanted.limited == limited_servers::only)
         limit->tolerance = wanted.limitTolerance;
@@ -213,13 +238,11 @@
     return first;
 }
 
-bool server_selector::isAmongOwners(std::uint64_t key, std::size_t count) const
+std::size_t server_selector::rankAmongRouters(std::uint64_t key) const
 {
-    if (m_routers.size() <= count)
-        return true;
     const std::uint64_t own = rendezvousWeight(hashName(m_limits.self.value()), key);
     const auto before = std::count_if(m_routers.begin(), m_routers.end(), [&](const vm_id& each) { return rendezvousWeight(hashName(each.value()), key) > own; });
-    return static_cast<std::size_t>(before) < count;
+    return static_cast<std::size_t>(before);
 }
 
 std::vector<server_selector::candidate> server_selector::candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored)
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -107,6 +107,7 @@
         assignIfSet(target.connect, reader.time("connect", range));
         assignIfSet(target.firstByte, reader.time("first_byte", range));
         assignIfSet(target.idle, reader.time("idle", range));
+        assignIfSet(target.serverRest, reader.time("server_rest", range));
         reader.finish();
     }
 
--- a/tools/standins/FaultPlan.cpp
+++ b/tools/standins/FaultPlan.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr std::array<std::pair<std::string_view, fault_kind>, 18> kindNames { {
+    constexpr std::array<std::pair<std::string_view, fault_kind>, 19> kindNames { {
         { "outage", fault_kind::outage },
         { "hang", fault_kind::hang },
         { "refuse", fault_kind::refuse },
@@ -26,6 +26,7 @@
         { "reset_all", fault_kind::resetAll },
         { "request_limit", fault_kind::requestLimit },
         { "endless", fault_kind::endless },
+        { "turn_away", fault_kind::turnAway },
         { "announce_leaving", fault_kind::announceLeaving },
     } };
 
--- a/tools/standins/FaultPlan.h
+++ b/tools/standins/FaultPlan.h
@@ -34,6 +34,7 @@
     resetAll, ///< The relay resets every open connection at once.
     requestLimit, ///< The backend server names a request limit in its responses.
     endless, ///< A stream sends bytes without end that complete no event.
+    turnAway, ///< The backend server answers 503 with Retry-After and does not run the request.
     announceLeaving, ///< The backend server announces in its responses that it leaves; its registration stays as it is.
 };
 
@@ -50,7 +51,7 @@
     std::uint32_t afterTokens = 0; ///< Tokens that a stream sends before the fault applies.
     bool isAnnounced = true; ///< Whether load reports show a cold engine as cold.
     double perSecond = 0; ///< For `requestLimit`.
-    duration latency {}; ///< For `latency` and `lateEffect`.
+    duration latency {}; ///< For `latency` and `lateEffect`; for `turnAway`, the value of Retry-After.
     std::optional<time_point> expiresAt;
 };
 
--- a/tools/standins/platform/BackendService.cpp
+++ b/tools/standins/platform/BackendService.cpp
@@ -129,6 +129,10 @@
     }
     if (injectFaultBeforeEffect(m_faults, exchange->path(), exchange, bootTime()))
         return;
+    if (const auto busy = m_faults.take(fault_kind::turnAway, exchange->path(), bootTime())) {
+        turnAway(exchange, busy->latency);
+        return;
+    }
     if (inProgress() >= m_settings.slots) {
         refuse(exchange, statusFull, "full");
         return;
@@ -149,6 +153,15 @@
     exchange->reply(status, "{}", headers);
 }
 
+void backend_service::turnAway(const exchange_ptr& exchange, duration time)
+{
+    const std::string attempt = exchange->header(attemptHeader);
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    m_context.history.write(bootTime(), "turned_away", { { "server", m_context.name }, { "id", attempt }, { "for_ms", milliseconds } });
+    const std::string seconds = std::to_string(std::chrono::duration<double>(time).count());
+    exchange->reply(statusFull, "{}", { { attemptHeader, attempt }, { "X-Not-Executed", "1" }, { "Retry-After", seconds } });
+}
+
 /// Adds the announcement that the server leaves, if a fault asks for it.
 void backend_service::announceLeaving(const std::string& attempt, std::vector<tools::http_header>& headers)
 {
--- a/tools/standins/platform/BackendService.h
+++ b/tools/standins/platform/BackendService.h
@@ -65,6 +65,7 @@
     void end(run_number number, const char* result);
     void refuse(const exchange_ptr& exchange, int status, const char* reason);
     void announceLeaving(const std::string& attempt, std::vector<tools::http_header>& headers);
+    void turnAway(const exchange_ptr& exchange, duration time);
     void sendHeartbeat();
     void writeRegistration();
     void recordStart(const exchange_ptr& exchange, const std::string& execution);
--- a/unittests/Dispatch/HoldTests.cpp
+++ b/unittests/Dispatch/HoldTests.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <memory>
+
 #include <doctest/doctest.h>
 
 #include "Fixture.h"
@@ -9,6 +12,8 @@
 
 // Dispatcher with two portal servers whose responses a test gives.
 struct notice_fleet : small_fleet {
+    using small_fleet::small_fleet;
+
     attempt_number openSent(const std::string& path, server_id& server)
     {
         request_number number;
@@ -68,6 +73,15 @@
     }
 };
 
+served_head turnedAway(duration time, bool isRun = false)
+{
+    served_head head;
+    head.status = 503;
+    head.isNotExecuted = !isRun;
+    head.retryAfter = time;
+    return head;
+}
+
 const server_id p1("p1");
 const server_id p2("p2");
 
@@ -233,3 +247,166 @@
     CHECK(find<hold_change>(actions)->text == "notice: soon");
     CHECK(fleet.sentTo("/read/1", p1) > 0);
 }
+
+TEST_CASE("a server that turned a request away gets further ones before the time that it named")
+{
+    for (const bool isRun : { false, true }) {
+        notice_fleet fleet;
+        const dispatch_actions actions = fleet.answer("/order/1", p1, turnedAway(2s, isRun));
+        REQUIRE(find<hold_change>(actions));
+        CHECK(find<hold_change>(actions)->reason == hold_reason::resting);
+        CHECK(find<hold_change>(actions)->length == 2s);
+        // What was not run goes to another server at once.
+        CHECK((find<open_dispatch>(actions) != nullptr) == !isRun);
+        CHECK(fleet.sentTo("/read/1", p1) == 0);
+        fleet.now += 1999ms;
+        fleet.core.confirm(fleet.now);
+        CHECK(fleet.sentTo("/read/1", p1) == 0);
+        CHECK(fleet.sentTo("/read/1", p2) == 50);
+        fleet.now += 1ms;
+        CHECK(fleet.sentTo("/read/1", p1) == 1);
+    }
+}
+
+TEST_CASE("a shorter time that a server names later ends the longer one")
+{
+    notice_fleet fleet;
+    server_id server;
+    attempt_number earlier;
+    do {
+        earlier = fleet.openSent("/read/1", server);
+    } while (server != p1);
+    fleet.answer("/order/1", p1, turnedAway(3s));
+    fleet.core.onHead(fleet.now, earlier, turnedAway(1s));
+    fleet.now += 2900ms;
+    fleet.core.confirm(fleet.now);
+    CHECK(fleet.sentTo("/read/1", p1) == 0);
+}
+
+TEST_CASE("all requests return at once to a server that has rested")
+{
+    notice_fleet fleet;
+    fleet.answer("/order/1", p1, turnedAway(1s));
+    fleet.now += 1s;
+    fleet.core.confirm(fleet.now);
+    std::vector<attempt_number> trials;
+    for (int i = 0; i < 40; ++i) {
+        server_id server;
+        const attempt_number attempt = fleet.openSent("/read/1", server);
+        if (server == p1)
+            trials.push_back(attempt);
+    }
+    REQUIRE(trials.size() == 1);
+    // A trial without a response is not waited for.
+    fleet.now += 500ms;
+    CHECK(fleet.sentTo("/read/1", p1) == 1);
+    const dispatch_actions ended = fleet.core.onHead(fleet.now, trials.front(), notice_fleet::success());
+    REQUIRE(find<hold_change>(ended));
+    CHECK(find<hold_change>(ended)->reason == hold_reason::none);
+    CHECK(fleet.sentTo("/read/1", p1) > 5);
+}
+
+TEST_CASE("a refused trial, or the response to an older request, ends the rest of a server")
+{
+    notice_fleet fleet;
+    server_id server;
+    attempt_number older;
+    do {
+        older = fleet.openSent("/read/1", server);
+    } while (server != p1);
+    fleet.answer("/order/1", p1, turnedAway(1s));
+    fleet.now += 1s;
+    fleet.core.confirm(fleet.now);
+    fleet.core.onHead(fleet.now, older, notice_fleet::success());
+    CHECK(fleet.sentTo("/read/1", p1) == 1);
+    fleet.now += 500ms;
+    served_head full;
+    full.status = 503;
+    full.isNotExecuted = true;
+    fleet.answer("/read/1", p1, full);
+    CHECK(fleet.sentTo("/read/1", p1) == 0);
+}
+
+TEST_CASE("a request that has not been sent yet reaches a server that turned another one away")
+{
+    notice_fleet fleet;
+    std::vector<std::pair<attempt_number, server_id>> unsent;
+    for (int i = 0; i < 20; ++i) {
+        request_number number;
+        const dispatch_actions actions = fleet.send("/order/1", number);
+        const auto* opened = find<open_dispatch>(actions);
+        unsent.emplace_back(opened->attempt, opened->server);
+    }
+    fleet.answer("/read/1", p1, turnedAway(2s));
+    for (const auto& [attempt, server] : unsent)
+        CHECK(fleet.core.mayStartSending(fleet.now, attempt) == (server == p2));
+}
+
+TEST_CASE("a server that names an enormous time is left alone for ever")
+{
+    dispatch_limits limits;
+    limits.selection.maxRest = 5s;
+    notice_fleet fleet(limits);
+    fleet.answer("/order/1", p1, turnedAway(1h));
+    fleet.now += 4900ms;
+    fleet.core.confirm(fleet.now);
+    CHECK(fleet.sentTo("/read/1", p1) == 0);
+    fleet.now += 100ms;
+    CHECK(fleet.sentTo("/read/1", p1) == 1);
+}
+
+TEST_CASE("a request is held, or refused without the soonest return, while all servers of its pool rest")
+{
+    notice_fleet fleet;
+    fleet.answer("/order/1", p1, turnedAway(2s));
+    fleet.answer("/order/1", p2, turnedAway(1500ms));
+    request_number number;
+    const dispatch_actions actions = fleet.send("/order/1", number);
+    REQUIRE(find<refuse_inbound>(actions));
+    CHECK(find<refuse_inbound>(actions)->kind == refusal_kind::noEligibleServer);
+    CHECK(find<refuse_inbound>(actions)->retryAfter == 1500ms);
+    CHECK(find<request_outcome>(actions)->heldBy == hold_reason::resting);
+}
+
+TEST_CASE("a restarted server rests because its former incarnation turned a request away")
+{
+    notice_fleet fleet;
+    fleet.answer("/order/1", p1, turnedAway(10s));
+    registered_server restarted = makeServer("p1", "portal");
+    restarted.start = incarnation(2);
+    fleet.core.putServer(fleet.now, restarted);
+    fleet.now += 6s;
+    fleet.core.confirm(fleet.now);
+    CHECK(fleet.sentTo("/read/1", p1) > 1);
+}
+
+TEST_CASE("the routers of a fleet return to a server that has rested all at the same moment")
+{
+    const auto start = time_point(100s);
+    for (const std::size_t count : { 1U, 91U }) {
+        fleet_view fleet { freshness_limits {} };
+        fleet.applyPlan(makePlan());
+        fleet.putServer(makeServer("p1", "portal"));
+        std::vector<vm_id> members;
+        for (std::size_t i = 0; i < count; ++i)
+            members.emplace_back("router-" + std::to_string(i));
+        std::vector<std::unique_ptr<server_selector>> routers;
+        for (const vm_id& self : members) {
+            selection_limits limits;
+            limits.self = self;
+            routers.push_back(std::make_unique<server_selector>(fleet, limits, 1));
+            routers.back()->setRouters(members);
+            CHECK(routers.back()->setResting(start, p1, incarnation(1), 1s) == 1s);
+        }
+        std::size_t atOnce = 0;
+        std::size_t withinSecond = 0;
+        for (auto& router : routers) {
+            const selection_request wanted { workspace_id("school"), pool_id("portal"), nullptr, {} };
+            CHECK_FALSE(router->select(start + 999ms, wanted));
+            atOnce += router->select(start + 1s, wanted) ? 1 : 0;
+            withinSecond += router->select(start + 2s, wanted) ? 1 : 0;
+        }
+        CHECK(atOnce == 1);
+        CHECK(withinSecond == count);
+    }
+}
--- a/unittests/PlatformAdapter/RequestHeadersTests.cpp
+++ b/unittests/PlatformAdapter/RequestHeadersTests.cpp
@@ -127,3 +127,32 @@
     }
     CHECK(describe({ std::string(5000, 'x') }).unreadableNotice.size() < 100);
 }
+
+TEST_CASE("the time for which a server turns requests away is missed or misread")
+{
+    const platform::request_headers codec;
+    const auto describe = [&](int status, const std::vector<std::string>& values) {
+        http_response_head head { status, {} };
+        for (const std::string& value : values)
+            head.headers.push_back({ "retry-after", value });
+        return codec.describeHead(head, makeRequest());
+    };
+    CHECK(describe(503, { "2" }).retryAfter == std::optional<duration>(2s));
+    CHECK(describe(503, { "0.25" }).retryAfter == std::optional<duration>(250ms));
+    CHECK(describe(503, { "1", "3", "2" }).retryAfter == std::optional<duration>(3s));
+    CHECK(describe(503, { "1e300" }).retryAfter == std::optional<duration>(1h));
+    CHECK(describe(503, { "99999999999999999999" }).retryAfter == std::optional<duration>(1h));
+    for (const std::vector<std::string>& values : std::vector<std::vector<std::string>> { {}, { "0" }, { "0.0" }, { "-0" } }) {
+        CHECK_FALSE(describe(503, values).retryAfter);
+        CHECK(describe(503, values).unreadableNotice.empty());
+    }
+    for (const char* value : { "", "-1", "soon", "2s", "nan", "inf", "1e999", "1, 2", "Sat, 05 Dec 2026 00:00:00 GMT" }) {
+        CHECK_FALSE(describe(503, { value }).retryAfter);
+        CHECK(describe(503, { value }).unreadableNotice == std::string("retry-after: ") + value);
+    }
+    CHECK(describe(503, { "2", "soon" }).retryAfter == std::optional<duration>(2s));
+    CHECK_FALSE(describe(503, { "2", "soon" }).unreadableNotice.empty());
+    // Only a server that is unavailable asks routers to stay away.
+    for (const int status : { 200, 429, 500, 301 })
+        CHECK_FALSE(describe(status, { "2" }).retryAfter);
+}
--- a/unittests/PlatformAdapter/RouterTests.cpp
+++ b/unittests/PlatformAdapter/RouterTests.cpp
@@ -86,6 +86,20 @@
     CHECK(fleet.logged("server_hold_changed") == 1);
 }
 
+TEST_CASE("a server that turned a request away gets further ones, or is never used again")
+{
+    router_fixture fleet;
+    fleet.serve();
+    fleet.addBackend("s-1");
+    REQUIRE(fleet.runUntil([&] { return fleet.ask("/read/a").header("X-Response-Seal") == "s-1"; }));
+    fleet.injectFault(fleet.backendPorts[0], R"({"kind":"turn_away","count":1,"latencyMs":1500})");
+    REQUIRE(fleet.runUntil([&] { fleet.ask("/order/a"); return fleet.logged("server_hold_changed") == 1; }));
+    const time_point end = tools::bootTime() + 1400ms;
+    while (tools::bootTime() < end)
+        CHECK(fleet.ask("/read/a").header("X-Response-Seal") == "s-1");
+    CHECK(fleet.runUntil([&] { return fleet.ask("/read/a").header("X-Response-Seal") == "s-0"; }));
+}
+
 // Guards against a stream that ends with its server although another one may resume it.
 TEST_CASE("a truncated stream continues on another server without a gap")
 {
