Tell the other routers which servers leave or have turned requests away

Each router of a fleet had to send a server that takes no requests one of its own to learn it. The message of the request limits carries these states too, and readers pass them on to their followers.

A report binds nobody: it makes the server less preferred for the rest of its time, at most 10 s, so that a mistaken or forged one ends by itself and never leaves a pool without servers. Reports carry the start of the server, and those about another start are ignored. Routers that do not know the new list skip it.

--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -169,6 +169,7 @@
     hold_reason reason = hold_reason::none; ///< None: it takes requests again, or the notice is unreadable.
     duration length {}; ///< For which the server is left alone, if it rests.
     std::string text {}; ///< As received, if it is unreadable.
+    bool isOwn = true; ///< Seen in a response to this router; otherwise reported by another one.
 };
 
 using dispatch_action = std::variant<open_dispatch, cancel_dispatch, forward_response_head, forward_response_bytes, end_response,
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -87,11 +87,12 @@
     /// Sets the token usage and the server observations of the whole fleet.
     void setFleetUsage(time_point now, const usage_totals& totals);
 
-    /// Returns what responses to this router say about request limits of servers, to be sent
-    /// to the other routers.
-    server_rate_limits ownServerLimits(time_point now) const { return { m_selector.ownLimits(now) }; }
+    /// Returns what responses to this router say about request limits of servers and about servers
+    /// that take no requests, to be sent to the other routers.
+    server_rate_limits ownServerLimits(time_point now) const { return { m_selector.ownLimits(now), m_selector.ownHolds(now) }; }
 
-    /// Applies what responses to other routers say about request limits.
+    /// Applies what responses to other routers say about request limits, and prefers other servers
+    /// to those that are reported to take no requests.
     dispatch_actions onServerLimits(time_point now, const server_rate_limits& received);
 
     /// Merges the other routers' evidence on lost servers. Ends the attempts whose
--- a/include/pimentoladder/Dispatch/FleetLimits.h
+++ b/include/pimentoladder/Dispatch/FleetLimits.h
@@ -1,9 +1,10 @@
 /// \file
-/// The newest request limit of each server, from the reports of all routers.
+/// The newest request limit and holds of each server, from the reports of all routers.
 
 #pragma once
 
 #include <map>
+#include <utility>
 
 #include "pimentoladder/Base/Ids.h"
 #include "pimentoladder/Base/Time.h"
@@ -11,8 +12,8 @@
 
 namespace pimentoladder {
 
-/// Keeps the limits that a router forwards to its followers. Reports may arrive late,
-/// repeatedly and in any order; the newest response counts.
+/// Keeps the limits and holds that a router forwards to its followers. Reports may arrive late,
+/// repeatedly and in any order; of limits the newest response counts, of holds the longest.
 /// Not thread-safe; call on the loop's thread.
 class fleet_limits {
 public:
@@ -20,7 +21,7 @@
 
     void merge(time_point now, const server_rate_limits& reported);
 
-    /// Returns the newest limit of each server.
+    /// Returns the newest limit of each server and the holds that have not ended.
     server_rate_limits newest(time_point now) const;
 
 private:
@@ -29,7 +30,13 @@
         time_point at; ///< Of the response.
     };
 
+    struct timed_hold {
+        server_hold hold;
+        time_point until;
+    };
+
     std::map<server_id, timed_limit> m_limits;
+    std::map<std::pair<server_id, bool>, timed_hold> m_holds; ///< By server and whether it is leaving.
 };
 
 }
--- a/include/pimentoladder/Dispatch/ServerCondition.h
+++ b/include/pimentoladder/Dispatch/ServerCondition.h
@@ -139,6 +139,16 @@
     /// Returns whether an attempt that was opened at \p openedAt may be sent.
     bool isResting(time_point now, time_point openedAt) const { return m_restUntil && (now < *m_restUntil || openedAt < *m_restUntil); }
 
+    /// Returns how much longer the server rests.
+    duration restLeft(time_point now) const { return m_restUntil ? std::max<duration>(*m_restUntil - now, {}) : duration::zero(); }
+
+    /// Prefers other servers until \p until, because another router reports that this one takes no
+    /// requests. Returns whether they were not preferred already.
+    bool avoid(time_point now, time_point until);
+
+    /// Returns whether other servers are preferred because of the reports of other routers.
+    bool isAvoided(time_point now) const { return now < m_avoidedUntil; }
+
     /// Returns whether the server rests or has not responded to a trial since.
     bool hasRest() const { return m_restUntil.has_value(); }
 
@@ -208,6 +218,7 @@
     time_point m_limitEndedAt;
     double m_endedLimit = 0; ///< The limit in force before its end, from which the rate rises.
     std::optional<time_point> m_restUntil; ///< Set until a response to a later attempt.
+    time_point m_avoidedUntil;
     time_point m_coldUntil;
     time_point m_ejectedUntil;
     std::array<std::optional<time_point>, rateHistory> m_lastStarts; ///< The latest one first.
--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -56,6 +56,9 @@
     bool isLimited = false; ///< Has a request limit, so that it is short of requests rather than of time.
 };
 
+/// Longest time for which the reports of other routers make a server less preferred.
+inline constexpr duration maxReportedHold = std::chrono::seconds(10);
+
 /// Selects a server among those that a request may use. It keeps a
 /// `server_condition` for each registered server. Not thread-safe; call on the loop's thread.
 class server_selector {
@@ -64,7 +67,8 @@
     server_selector(const fleet_view& fleet, selection_limits limits, std::uint64_t seed);
 
     /// Returns the server with the earliest expected response, or nothing if no server may
-    /// be used. Ejected servers are used only if no other one is left.
+    /// be used. Ejected servers, and those that other routers report to take no requests, are
+    /// used only if no other one is left.
     std::optional<selected_server> select(time_point now, const selection_request& wanted);
 
     /// Returns the state of a server, which is created if there is none.
@@ -75,7 +79,7 @@
 
     /// Records that an incarnation of a server has announced in a response that it leaves. It gets
     /// no new request until another incarnation is registered. Returns whether this was unknown.
-    bool setLeaving(const server_id& server, incarnation start);
+    bool setLeaving(time_point now, const server_id& server, incarnation start);
 
     /// Leaves a server alone for \p wanted, at most for `maxRest`, because an incarnation of it has
     /// turned a request away. Returns the time for which it is left alone, or nothing if another
@@ -114,6 +118,13 @@
     /// have changed what was known here.
     std::vector<server_rate_limit> limitsSeenByFleet(time_point now, const std::vector<server_rate_limit>& seen);
 
+    /// Returns what this router's own responses say about servers that take no requests.
+    std::vector<server_hold> ownHolds(time_point now) const;
+
+    /// Prefers other servers to those that other routers report to take no requests, for the
+    /// reported time and at most `maxReportedHold`. Returns the reports that have changed something.
+    std::vector<server_hold> holdsSeenByFleet(time_point now, const std::vector<server_hold>& seen);
+
     /// Returns the tokens per second that the engines can process within their request
     /// limits. \p nominal: without limits; \p tokensPerRequest: mean of a request.
     double usableThroughput(time_point now, double nominal, double tokensPerRequest) const;
@@ -130,6 +141,11 @@
         std::uint64_t nameHash = 0;
     };
 
+    struct departure {
+        incarnation start;
+        time_point announcedAt;
+    };
+
     struct candidate {
         const backend_server* server = nullptr;
         server_condition* condition = nullptr;
@@ -152,7 +168,7 @@
     std::map<server_id, server_condition> m_conditions;
     /// Incarnations that have announced that they leave. They are kept beyond their
     /// registration, which may come back from the store.
-    std::map<server_id, incarnation> m_leaving;
+    std::map<server_id, departure> m_leaving;
     std::vector<known_server> m_known; ///< Points into m_conditions.
     std::optional<std::uint64_t> m_knownVersion; ///< Version of the access index that m_known was built from.
     std::vector<vm_id> m_routers;
--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -298,10 +298,21 @@
     duration age {}; ///< Of the response.
 };
 
-/// What the sender knows of the servers' request limits: from responses to itself, or, sent
-/// by a router that others follow, the newest of each server.
+/// What a response of a backend server says about the time for which it takes no requests.
+struct server_hold {
+    server_id server;
+    incarnation start; ///< Of the server.
+    bool isLeaving = false; ///< False: it has turned a request away for a time.
+    duration left {}; ///< Time for which other routers avoid it.
+};
+
+/// What the sender knows of the servers' request limits and holds: from responses to itself,
+/// or, sent by a router that others follow, the newest of each server.
 struct server_rate_limits {
     std::vector<server_rate_limit> entries;
+    std::vector<server_hold> holds {};
+
+    bool isEmpty() const { return entries.empty() && holds.empty(); }
 };
 
 using message = std::variant<heartbeat, revision_announce, config_request, config_update, suspend, acquire, grant,
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -149,11 +149,13 @@
 {
     const bool isUnreadable = !changed.text.empty();
     const std::string_view reason = isUnreadable ? std::string_view("unreadable") : holdReasonName(changed.reason);
-    m_metrics.count("pimentoladder_server_hold_changes_total", { { "reason", std::string(reason) } });
+    const std::string_view source = changed.isOwn ? "response" : "router";
+    m_metrics.count("pimentoladder_server_hold_changes_total", { { "reason", std::string(reason) }, { "source", std::string(source) } });
     if (!mayWrite())
         return;
     m_log.write(isUnreadable ? log_level::warning : log_level::info, "server_hold_changed",
-        { { "server", std::string_view(changed.server.value()) }, { "reason", reason }, { "for_ms", milliseconds(changed.length) }, { "text", std::string_view(changed.text) } });
+        { { "server", std::string_view(changed.server.value()) }, { "reason", reason }, { "for_ms", milliseconds(changed.length) }, { "text", std::string_view(changed.text) },
+            { "source", source } });
 }
 
 void dispatch_report::recordClose(const server_close& closing)
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -108,7 +108,7 @@
         // Each router gets the totals from the router that it follows.
         if (m_relay.isFollowedBy(from.vm)) {
             m_mesh.send(from.vm, m_usage.totals(now));
-            if (server_rate_limits limits = m_limits.newest(now); !limits.entries.empty())
+            if (server_rate_limits limits = m_limits.newest(now); !limits.isEmpty())
                 m_mesh.send(from.vm, std::move(limits));
         }
         return;
@@ -143,7 +143,7 @@
     m_limits.merge(now, ownLimits);
     for (const fleet_router& each : m_relay.readers()) {
         if (each.vm != m_self.vm) {
-            if (!ownLimits.entries.empty())
+            if (!ownLimits.isEmpty())
                 m_mesh.send(each.vm, ownLimits);
             m_mesh.send(each.vm, own);
             continue;
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -368,7 +368,7 @@
 {
     if (!head.unreadableNotice.empty())
         out.push_back(hold_change { request.server, hold_reason::none, {}, head.unreadableNotice });
-    const bool isNewlyLeaving = head.isLeaving && m_selector.setLeaving(request.server, request.serverStart);
+    const bool isNewlyLeaving = head.isLeaving && m_selector.setLeaving(now, request.server, request.serverStart);
     if (isNewlyLeaving) {
         out.push_back(hold_change { request.server, hold_reason::leaving });
         out.push_back(retire_connections { request.serverLocation });
@@ -747,6 +747,8 @@
         const limit_notice notice = each.isLimited ? limit_notice::limited : limit_notice::none;
         out.push_back(limit_change { each.server, notice, each.perSecond, {}, false, each.age });
     }
+    for (const server_hold& each : m_selector.holdsSeenByFleet(now, received.holds))
+        out.push_back(hold_change { each.server, each.isLeaving ? hold_reason::leaving : hold_reason::resting, each.left, {}, false });
     return out;
 }
 
--- a/lib/Dispatch/ServerCondition.cpp
+++ b/lib/Dispatch/ServerCondition.cpp
@@ -290,6 +290,13 @@
     return true;
 }
 
+bool server_condition::avoid(time_point now, time_point until)
+{
+    const bool isNew = !isAvoided(now);
+    m_avoidedUntil = std::max(m_avoidedUntil, until);
+    return isNew;
+}
+
 send_window server_condition::restWindow(time_point now, duration returnDelay) const
 {
     if (!m_restUntil)
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -71,13 +71,16 @@
     m_knownVersion.reset();
 }
 
-bool server_selector::setLeaving(const server_id& server, incarnation start)
+bool server_selector::setLeaving(time_point now, const server_id& server, incarnation start)
 {
     const registered_server* registered = m_fleet.findServer(server);
     if (registered && registered->start != start)
         return false;
-    const auto [known, isNew] = m_leaving.try_emplace(server, start);
-    return std::exchange(known->second, start) != start || isNew;
+    const auto [known, isNew] = m_leaving.try_emplace(server, departure { start, now });
+    if (!isNew && known->second.start == start)
+        return false;
+    known->second = { start, now };
+    return true;
 }
 
 bool server_selector::isLeaving(const server_id& server) const
@@ -86,7 +89,7 @@
     if (found == m_leaving.end())
         return false;
     const registered_server* registered = m_fleet.findServer(server);
-    return !registered || registered->start == found->second;
+    return !registered || registered->start == found->second.start;
 }
 
 std::optional<duration> server_selector::setResting(time_point now, const server_id& server, incarnation start, duration wanted)
@@ -165,6 +168,37 @@
     return changed;
 }
 
+std::vector<server_hold> server_selector::ownHolds(time_point now) const
+{
+    std::vector<server_hold> own;
+    for (const auto& [id, left] : m_leaving) {
+        if (now - left.announcedAt < maxReportedHold)
+            own.push_back({ id, left.start, true, left.announcedAt + maxReportedHold - now });
+    }
+    for (const auto& [id, condition] : m_conditions) {
+        const registered_server* registered = m_fleet.findServer(id);
+        if (registered && condition.restLeft(now) > duration::zero())
+            own.push_back({ id, registered->start, false, condition.restLeft(now) });
+    }
+    return own;
+}
+
+std::vector<server_hold> server_selector::holdsSeenByFleet(time_point now, const std::vector<server_hold>& seen)
+{
+    std::vector<server_hold> changed;
+    for (const server_hold& each : seen) {
+        const registered_server* registered = m_fleet.findServer(each.server);
+        if (!registered || registered->start != each.start || each.left <= duration::zero())
+            continue;
+        server_hold applied = each;
+        applied.left = std::min(each.left, maxReportedHold);
+        const duration delay = each.isLeaving ? duration::zero() : returnDelay(each.server);
+        if (m_conditions[each.server].avoid(now, now + applied.left + delay))
+            changed.push_back(applied);
+    }
+    return changed;
+}
+
 std::optional<fleet_rate> server_selector::coldRate(const pool_id& pool) const
 {
     const pool_profile* profile = m_fleet.profileOf(pool);
@@ -258,7 +292,7 @@
             return;
         if (!startWindow(now, server.id, known, cold, wanted).isOpen())
             return;
-        if (known.isEjected(now) && !isEjectionIgnored)
+        if ((known.isEjected(now) || known.isAvoided(now)) && !isEjectionIgnored)
             return;
         found.push_back({ &server, &known, known.isCold(now), m_known[position].nameHash });
     });
--- a/lib/Wire/MessageDecoder.cpp
+++ b/lib/Wire/MessageDecoder.cpp
@@ -207,6 +207,11 @@
             fields.nonNegative(source.per_second(), "per_second"), std::chrono::microseconds(source.age()) };
     }
 
+    server_hold read(const wire::ServerHold& source, field_reader& fields)
+    {
+        return { fields.requiredName<server_id>(source.server(), "server"), incarnation(source.start()), source.is_leaving(), std::chrono::microseconds(source.left()) };
+    }
+
     crash_suspect read(const wire::Suspect& source, field_reader& fields)
     {
         crash_suspect decoded;
@@ -340,7 +345,7 @@
 
     message read(const wire::ServerRateLimits& source, field_reader& fields)
     {
-        return server_rate_limits { readList(source.entries(), fields) };
+        return server_rate_limits { readList(source.entries(), fields), readList(source.holds(), fields) };
     }
 
     message read(const wire::FollowRows& source, field_reader& fields)
--- a/lib/Wire/MessageEncoder.cpp
+++ b/lib/Wire/MessageEncoder.cpp
@@ -144,6 +144,11 @@
         return wire::CreateServerRateLimit(builder, writeName(builder, source.server), source.isLimited, source.perSecond, roundedUpMicroseconds(source.age));
     }
 
+    Offset<wire::ServerHold> write(FlatBufferBuilder& builder, const server_hold& source)
+    {
+        return wire::CreateServerHold(builder, writeName(builder, source.server), source.start.value(), source.isLeaving, roundedUpMicroseconds(source.left));
+    }
+
     // Defined below, because they contain a list and so need `writeList`.
     Offset<wire::TableUpdate> write(FlatBufferBuilder& builder, const table_update& source);
     Offset<wire::ServerLoss> write(FlatBufferBuilder& builder, const server_loss& source);
@@ -284,7 +289,8 @@
 
     Offset<wire::ServerRateLimits> write(FlatBufferBuilder& builder, const server_rate_limits& source)
     {
-        return wire::CreateServerRateLimits(builder, writeList(builder, source.entries));
+        const auto entries = writeList(builder, source.entries);
+        return wire::CreateServerRateLimits(builder, entries, writeList(builder, source.holds));
     }
 
     Offset<wire::CrashReport> write(FlatBufferBuilder& builder, const crash_report& source)
--- a/unittests/Dispatch/HoldTests.cpp
+++ b/unittests/Dispatch/HoldTests.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include "Fixture.h"
+#include "pimentoladder/Dispatch/FleetLimits.h"
 
 using namespace pimentoladder;
 using namespace pimentoladder::dispatch_test;
@@ -410,3 +411,90 @@
         CHECK(withinSecond == count);
     }
 }
+
+TEST_CASE("each router of a fleet learns by a request of its own that a server takes none")
+{
+    for (const bool isLeaving : { true, false }) {
+        notice_fleet learner;
+        learner.answer("/order/1", p1, isLeaving ? notice_fleet::leaving() : turnedAway(5s));
+        // All 91 routers may report at once, in any order, also what they know from others.
+        fleet_limits reader;
+        for (int i = 0; i < 91; ++i)
+            reader.merge(learner.now, learner.core.ownServerLimits(learner.now));
+        const server_rate_limits relayed = reader.newest(learner.now + 1s);
+        REQUIRE(relayed.holds.size() == 1);
+        CHECK(relayed.holds.front().isLeaving == isLeaving);
+        CHECK(relayed.holds.front().left == (isLeaving ? 9s : 4s));
+        for (int router = 0; router < 90; ++router) {
+            notice_fleet told;
+            const dispatch_actions actions = told.core.onServerLimits(told.now, relayed);
+            REQUIRE(find<hold_change>(actions));
+            CHECK_FALSE(find<hold_change>(actions)->isOwn);
+            CHECK(told.core.onServerLimits(told.now, relayed).empty());
+            CHECK(told.sentTo("/read/1", p1, 5) == 0);
+            // What it was told is not passed on as its own.
+            CHECK(told.core.ownServerLimits(told.now).holds.empty());
+        }
+    }
+}
+
+TEST_CASE("a mistaken or forged report excludes a server, for ever or at all")
+{
+    for (const bool isLeaving : { true, false }) {
+        notice_fleet told;
+        const server_rate_limits forged { {}, { { p1, incarnation(1), isLeaving, 1h }, { p2, incarnation(1), isLeaving, 1h }, { server_id("unknown"), incarnation(1), isLeaving, 1h } } };
+        told.core.onServerLimits(told.now, forged);
+        // Without another server the reported ones are used.
+        request_number number;
+        CHECK(find<open_dispatch>(told.send("/read/1", number)));
+        told.core.onCallerDisconnected(told.now, number);
+        CHECK(told.sentTo("/read/1", p1) > 0);
+        CHECK(told.sentTo("/read/1", p2) > 0);
+        const server_rate_limits mistaken { {}, { { server_id("e1"), incarnation(1), isLeaving, 1h } } };
+        told.core.onServerLimits(told.now, mistaken);
+        CHECK(told.sentTo("/stream/1", server_id("e1")) == 0);
+        told.now += 10s;
+        told.core.confirm(told.now);
+        CHECK(told.sentTo("/stream/1", server_id("e1")) > 0);
+    }
+}
+
+TEST_CASE("a report about a former incarnation makes a restarted server less preferred")
+{
+    notice_fleet told;
+    told.core.onServerLimits(told.now, { {}, { { p1, incarnation(7), true, 5s }, { p2, incarnation(1), false, 0s } } });
+    CHECK(told.sentTo("/read/1", p1) > 0);
+    CHECK(told.sentTo("/read/1", p2) > 0);
+}
+
+TEST_CASE("a report of another router withdraws a request or shortens what this router knows itself")
+{
+    notice_fleet told;
+    request_number number;
+    const dispatch_actions actions = told.send("/order/1", number);
+    const auto* opened = find<open_dispatch>(actions);
+    told.core.onServerLimits(told.now, { {}, { { opened->server, incarnation(1), true, 5s } } });
+    CHECK(told.core.mayStartSending(told.now, opened->attempt));
+    told.answer("/order/1", opened->server == p1 ? p2 : p1, turnedAway(8s));
+    const server_id resting = opened->server == p1 ? p2 : p1;
+    told.core.onServerLimits(told.now, { {}, { { resting, incarnation(1), false, 1s } } });
+    told.now += 7s;
+    told.core.confirm(told.now);
+    CHECK(told.sentTo("/read/1", resting) == 0);
+}
+
+TEST_CASE("a hold that was reported once is passed on for ever")
+{
+    fleet_limits reader;
+    const time_point start(100s);
+    reader.merge(start, { {}, { { p1, incarnation(1), true, 1h } } });
+    CHECK(reader.newest(start + 9s).holds.size() == 1);
+    CHECK(reader.newest(start + 10s).holds.empty());
+    // The longest of several reports counts, whatever their order.
+    reader.merge(start, { {}, { { p1, incarnation(1), false, 5s } } });
+    reader.merge(start, { {}, { { p1, incarnation(1), false, 2s } } });
+    CHECK(reader.newest(start + 4s).holds.size() == 2);
+    // Those of a new incarnation replace those of the former one.
+    reader.merge(start, { {}, { { p1, incarnation(2), false, 1s } } });
+    CHECK(reader.newest(start + 2s).holds.size() == 1);
+}
