Leave a server alone although its registration lapses for a moment

A server that had turned a request away and whose registration lapsed, as with the store away, was taken for new when it came back: its condition had been discarded with the registration, and it got requests before the time that it had named.

The selector keeps these times by incarnation, as it keeps the servers that leave, and applies them to the new condition. They end by themselves.

Test: "a server that rests is used again because its registration lapsed for a moment".

--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -74,7 +74,8 @@
     /// Returns the state of a server, which is created if there is none.
     server_condition& condition(const server_id& server) { return m_conditions[server]; }
 
-    /// Discards the state of a server that is new or has restarted.
+    /// Discards the state of a server that is new or has restarted, except the rest of one whose
+    /// registration lapsed for a moment.
     void reset(const server_id& server);
 
     /// Records that an incarnation of a server has announced in a response that it leaves. It gets
@@ -146,6 +147,11 @@
         time_point announcedAt;
     };
 
+    struct timed_rest {
+        incarnation start;
+        time_point until;
+    };
+
     struct candidate {
         const backend_server* server = nullptr;
         server_condition* condition = nullptr;
@@ -169,6 +175,7 @@
     /// Incarnations that have announced that they leave. They are kept beyond their
     /// registration, which may come back from the store.
     std::map<server_id, departure> m_leaving;
+    std::map<server_id, timed_rest> m_rests; ///< Kept beyond the registration for the same reason.
     std::vector<known_server> m_known; ///< Points into m_conditions.
     std::optional<std::uint64_t> m_knownVersion; ///< Version of the access index that m_known was built from.
     std::vector<vm_id> m_routers;
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -69,6 +69,10 @@
 {
     m_conditions.erase(server);
     m_knownVersion.reset();
+    const registered_server* registered = m_fleet.findServer(server);
+    const auto rest = m_rests.find(server);
+    if (registered && rest != m_rests.end() && rest->second.start == registered->start)
+        m_conditions[server].rest(rest->second.until);
 }
 
 bool server_selector::setLeaving(time_point now, const server_id& server, incarnation start)
@@ -99,6 +103,9 @@
         return std::nullopt;
     const duration time = std::min(wanted, m_limits.maxRest);
     m_conditions[server].rest(now + time);
+    std::erase_if(m_rests, [now](const auto& each) { return each.second.until <= now; });
+    timed_rest& rest = m_rests[server];
+    rest = { start, rest.start == start ? std::max(rest.until, now + time) : now + time };
     return time;
 }
 
--- a/unittests/Dispatch/HoldTests.cpp
+++ b/unittests/Dispatch/HoldTests.cpp
@@ -369,6 +369,19 @@
     CHECK(find<request_outcome>(actions)->heldBy == hold_reason::resting);
 }
 
+TEST_CASE("a server that rests is used again because its registration lapsed for a moment")
+{
+    notice_fleet fleet;
+    fleet.answer("/order/1", p1, turnedAway(3s));
+    fleet.core.removeServer(fleet.now, p1);
+    fleet.now += 1s;
+    fleet.core.confirm(fleet.now);
+    fleet.core.putServer(fleet.now, makeServer("p1", "portal"));
+    CHECK(fleet.sentTo("/read/1", p1) == 0);
+    fleet.now += 2s;
+    CHECK(fleet.sentTo("/read/1", p1) == 1);
+}
+
 TEST_CASE("a restarted server rests because its former incarnation turned a request away")
 {
     notice_fleet fleet;
