--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -12,6 +12,7 @@
 
 #include "pimentoladder/Base/Ids.h"
 #include "pimentoladder/Base/Time.h"
+#include "pimentoladder/Dispatch/SendWindow.h"
 #include "pimentoladder/Dispatch/ServerCondition.h"
 #include "pimentoladder/Dispatch/ServingPlan.h"
 #include "pimentoladder/Outcome/CrashAttribution.h"
@@ -41,6 +42,9 @@
     bool isEventStream = false; ///< A success whose body is a stream of events.
     std::optional<reported_load> load;
     named_limit limit;
+    bool isLeaving = false; ///< The server announces that it leaves.
+    std::optional<duration> retryAfter {}; ///< Time for which a refusal asks for no further request.
+    std::string unreadableNotice {}; ///< Header of a notice that has no defined meaning, as received.
 
     /// Returns whether the server refused the request without running it.
     bool isRefusal() const { return isNotExecuted || isMisdirected; }
@@ -143,6 +147,7 @@
     duration total {};
     duration objective {};
     std::optional<request_trait> quarantinedBy; ///< Trait for which the request was refused.
+    hold_reason heldBy = hold_reason::none; ///< Of the server that would have taken it first, if no server took it.
 };
 
 /// Log record of a request that is sent to find out whether a quarantined trait still
@@ -163,8 +168,23 @@
     duration age {}; ///< Of the response.
 };
 
+/// Close the kept connections to a server: idle ones at once, the others after their response.
+struct retire_connections {
+    endpoint location;
+};
+
+/// Log record of a notice in a server's response on whether it takes requests.
+struct hold_change {
+    server_id server;
+    hold_reason reason = hold_reason::none; ///< None: it takes requests again, or the notice is unreadable.
+    duration length {}; ///< For which the server is left alone, if it rests.
+    std::string text {}; ///< As received, if it is unreadable.
+    bool isOwn = true; ///< Seen in a response to this router; otherwise reported by another one.
+};
+
 using dispatch_action = std::variant<open_dispatch, cancel_dispatch, forward_response_head, forward_response_bytes, end_response,
-    abort_response, refuse_inbound, dispatch_decision, attempt_outcome, request_outcome, trait_change, quarantine_trial, limit_change>;
+    abort_response, refuse_inbound, dispatch_decision, attempt_outcome, request_outcome, trait_change, quarantine_trial, limit_change,
+    retire_connections, hold_change>;
 using dispatch_actions = std::vector<dispatch_action>;
 
 }
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -87,11 +87,12 @@
     /// Sets the token usage and the server observations of the whole fleet.
     void setFleetUsage(time_point now, const usage_totals& totals);
 
-    /// Returns what responses to this router say about request limits of servers, to be sent
-    /// to the other routers.
-    server_rate_limits ownServerLimits(time_point now) const { return { m_selector.ownLimits(now) }; }
+    /// Returns what responses to this router say about request limits of servers and about servers
+    /// that take no requests, to be sent to the other routers.
+    server_rate_limits ownServerLimits(time_point now) const { return { m_selector.ownLimits(now), m_selector.ownHolds(now) }; }
 
-    /// Applies what responses to other routers say about request limits.
+    /// Applies what responses to other routers say about request limits, and prefers other servers
+    /// to those that are reported to take no requests.
     dispatch_actions onServerLimits(time_point now, const server_rate_limits& received);
 
     /// Merges the other routers' evidence on lost servers. Ends the attempts whose
@@ -133,6 +134,8 @@
     std::optional<selected_server> choose(time_point now, tracked_request& request, selection_request& wanted, bool isFirst);
     double shareUtilisation(time_point now, const tracked_request& request);
     bool isAdmissible(tracked_request& request, const selected_server& best);
+    void applyNotices(time_point now, const tracked_request& request, const served_head& head, dispatch_actions& out);
+    void withdrawUnsent(time_point now, const server_id& server, dispatch_actions& out);
     void failAttempt(time_point now, const tracked& request, bool mayHaveRun, std::string_view result, int status, dispatch_actions& out);
     void retryOrFinish(time_point now, const tracked& request, bool mayHaveRun, dispatch_actions& out);
     bool canRetry(time_point now, const tracked_request& request, bool mayHaveRun) const;
--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -12,6 +12,7 @@
 
 #include "pimentoladder/Base/Random.h"
 #include "pimentoladder/Dispatch/FleetView.h"
+#include "pimentoladder/Dispatch/SendWindow.h"
 #include "pimentoladder/Dispatch/ServerCondition.h"
 
 namespace pimentoladder {
@@ -21,6 +22,7 @@
     data_centre_id ownDataCentre;
     vm_id self;
     std::size_t coldSenders = 8; ///< Number of routers that may send to one cold server.
+    duration maxRest = std::chrono::seconds(30); ///< Longest time for which a server that turned a request away is left alone.
     std::size_t coldShares = 12; ///< Number of parts into which a cold server's allowed request rate is split; more than coldSenders because the routers' views of the members may differ.
 };
 
@@ -54,6 +56,9 @@
     bool isLimited = false; ///< Has a request limit, so that it is short of requests rather than of time.
 };
 
+/// Longest time for which the reports of other routers make a server less preferred.
+inline constexpr duration maxReportedHold = std::chrono::seconds(10);
+
 /// Selects a server among those that a request may use. It keeps a
 /// `server_condition` for each registered server. Not thread-safe; call on the loop's thread.
 class server_selector {
@@ -62,20 +67,38 @@
     server_selector(const fleet_view& fleet, selection_limits limits, std::uint64_t seed);
 
     /// Returns the server with the earliest expected response, or nothing if no server may
-    /// be used. Ejected servers are used only if no other one is left.
+    /// be used. Ejected servers, and those that other routers report to take no requests, are
+    /// used only if no other one is left.
     std::optional<selected_server> select(time_point now, const selection_request& wanted);
 
     /// Returns the state of a server, which is created if there is none.
     server_condition& condition(const server_id& server) { return m_conditions[server]; }
 
-    /// Discards the state of a server that is new or has restarted.
+    /// Discards the state of a server that is new or has restarted, except the rest of one whose
+    /// registration lapsed for a moment.
     void reset(const server_id& server);
 
+    /// Records that an incarnation of a server has announced in a response that it leaves. It gets
+    /// no new request until another incarnation is registered. Returns whether this was unknown.
+    bool setLeaving(time_point now, const server_id& server, incarnation start);
+
+    /// Leaves a server alone for \p wanted, at most for `maxRest`, because an incarnation of it has
+    /// turned a request away. Returns the time for which it is left alone, or nothing if another
+    /// incarnation is registered.
+    std::optional<duration> setResting(time_point now, const server_id& server, incarnation start, duration wanted);
+
+    /// Returns whether the last check before the first byte allows an attempt at the server, opened
+    /// at \p openedAt, to be sent. Its rates were checked when the server was selected.
+    send_window sendWindow(time_point now, const server_id& server, time_point openedAt) const;
+
     /// Sets the routers of the fleet, among which the cold servers are divided.
     void setRouters(std::vector<vm_id> routers) { m_routers = std::move(routers); }
 
     /// Returns whether this router is among the first \p count in the rendezvous order of the routers for \p key.
-    bool isAmongOwners(std::uint64_t key, std::size_t count) const;
+    bool isAmongOwners(std::uint64_t key, std::size_t count) const { return m_routers.size() <= count || rankAmongRouters(key) < count; }
+
+    /// Returns how many routers come before this one in the rendezvous order of the routers for \p key.
+    std::size_t rankAmongRouters(std::uint64_t key) const;
 
     /// Returns the number of routers, and at least `coldSenders`.
     std::size_t routerCount() const { return std::max(m_routers.size(), m_limits.coldSenders); }
@@ -96,13 +119,21 @@
     /// have changed what was known here.
     std::vector<server_rate_limit> limitsSeenByFleet(time_point now, const std::vector<server_rate_limit>& seen);
 
+    /// Returns what this router's own responses say about servers that take no requests.
+    std::vector<server_hold> ownHolds(time_point now) const;
+
+    /// Prefers other servers to those that other routers report to take no requests, for the
+    /// reported time and at most `maxReportedHold`. Returns the reports that have changed something.
+    std::vector<server_hold> holdsSeenByFleet(time_point now, const std::vector<server_hold>& seen);
+
     /// Returns the tokens per second that the engines can process within their request
     /// limits. \p nominal: without limits; \p tokensPerRequest: mean of a request.
     double usableThroughput(time_point now, double nominal, double tokensPerRequest) const;
 
-    /// Returns the time until a server that the request may use takes another request of
-    /// this router, or zero if none is limited. Call it when `select` returns nothing.
-    duration timeToNextStart(time_point now, const selection_request& wanted);
+    /// Returns the earliest window among the servers that the request may use: the reason why
+    /// the server that takes a request of this router first does not take one now, and
+    /// its time. Call it when `select` returns nothing.
+    send_window earliestWindow(time_point now, const selection_request& wanted);
 
 private:
     /// Data of a server that each selection uses, by its position in the access index.
@@ -111,6 +142,16 @@
         std::uint64_t nameHash = 0;
     };
 
+    struct departure {
+        incarnation start;
+        time_point announcedAt;
+    };
+
+    struct timed_rest {
+        incarnation start;
+        time_point until;
+    };
+
     struct candidate {
         const backend_server* server = nullptr;
         server_condition* condition = nullptr;
@@ -123,12 +164,18 @@
     std::vector<candidate> candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored);
     selected_server assess(time_point now, const candidate& assessed, const selection_request& wanted, const std::vector<std::uint64_t>& hashes) const;
     std::optional<fleet_rate> coldRate(const pool_id& pool) const;
-    std::optional<time_point> nextStart(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold, const selection_request& wanted) const;
+    bool isLeaving(const server_id& server) const;
+    duration returnDelay(const server_id& server) const;
+    send_window startWindow(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold, const selection_request& wanted) const;
 
     const fleet_view& m_fleet;
     selection_limits m_limits;
     random_source m_random;
     std::map<server_id, server_condition> m_conditions;
+    /// Incarnations that have announced that they leave. They are kept beyond their
+    /// registration, which may come back from the store.
+    std::map<server_id, departure> m_leaving;
+    std::map<server_id, timed_rest> m_rests; ///< Kept beyond the registration for the same reason.
     std::vector<known_server> m_known; ///< Points into m_conditions.
     std::optional<std::uint64_t> m_knownVersion; ///< Version of the access index that m_known was built from.
     std::vector<vm_id> m_routers;
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -65,6 +65,7 @@
         dispatch_limits limits;
         limits.selection.ownDataCentre = configured.dataCentre;
         limits.selection.self = configured.vm;
+        limits.selection.maxRest = configured.timeouts.serverRest;
         limits.retryShare = configured.retries.share * retryBudgetFraction;
         limits.fleetRetries = static_cast<std::uint64_t>(static_cast<double>(configured.retries.extra) * retryBudgetFraction);
         limits.freshness.maxKeyBasisAge = configured.freshness.keys - keyFreshnessMargin;
@@ -171,6 +172,8 @@
         void operator()(const trait_change& step) const { to.report.perform(step); }
         void operator()(const quarantine_trial& step) const { to.report.perform(step); }
         void operator()(const limit_change& step) const { to.report.perform(step); }
+        void operator()(const hold_change& step) const { to.report.perform(step); }
+        void operator()(const retire_connections& step) const { to.front.perform(step); }
         void operator()(const open_dispatch& step) const { to.front.perform(step); }
         void operator()(const cancel_dispatch& step) const { to.front.perform(step); }
         void operator()(const forward_response_head& step) const { to.front.perform(step); }
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -1,6 +1,9 @@
 #include "pimentoladder/Dispatch/ServerSelector.h"
 
 #include <algorithm>
+#include <array>
+#include <bit>
+#include <utility>
 
 namespace pimentoladder {
 
@@ -17,6 +20,13 @@
     // Expected delay that each request in progress adds at a service without prompts.
     constexpr duration serviceTimePerRequest = 15ms;
 
+    // After a server's rest the number of routers that may send to it doubles at this interval,
+    // so that they do not all return at once.
+    constexpr duration returnInterval = 125ms;
+
+    // Leaving servers that are remembered while they are not registered; each takes about 100 bytes.
+    constexpr std::size_t maxUnregisteredLeaving = 4096;
+
     constexpr std::uint64_t fnvOffset = 0xcbf29ce484222325;
     constexpr std::uint64_t fnvPrime = 0x100000001b3;
 
@@ -48,7 +58,10 @@
 
 void server_selector::retain(const std::map<server_id, registered_server>& registered)
 {
-    std::erase_if(m_conditions, [&](const auto& entry) { return !registered.contains(entry.first); });
+    const auto isGone = [&](const auto& entry) { return !registered.contains(entry.first); };
+    std::erase_if(m_conditions, isGone);
+    if (m_leaving.size() > registered.size() + maxUnregisteredLeaving)
+        std::erase_if(m_leaving, isGone);
     m_knownVersion.reset();
 }
 
@@ -56,6 +69,61 @@
 {
     m_conditions.erase(server);
     m_knownVersion.reset();
+    const registered_server* registered = m_fleet.findServer(server);
+    const auto rest = m_rests.find(server);
+    if (registered && rest != m_rests.end() && rest->second.start == registered->start)
+        m_conditions[server].rest(rest->second.until);
+}
+
+bool server_selector::setLeaving(time_point now, const server_id& server, incarnation start)
+{
+    const registered_server* registered = m_fleet.findServer(server);
+    if (registered && registered->start != start)
+        return false;
+    const auto [known, isNew] = m_leaving.try_emplace(server, departure { start, now });
+    if (!isNew && known->second.start == start)
+        return false;
+    known->second = { start, now };
+    return true;
+}
+
+bool server_selector::isLeaving(const server_id& server) const
+{
+    const auto found = m_leaving.find(server);
+    if (found == m_leaving.end())
+        return false;
+    const registered_server* registered = m_fleet.findServer(server);
+    return !registered || registered->start == found->second.start;
+}
+
+std::optional<duration> server_selector::setResting(time_point now, const server_id& server, incarnation start, duration wanted)
+{
+    const registered_server* registered = m_fleet.findServer(server);
+    if (!registered || registered->start != start)
+        return std::nullopt;
+    const duration time = std::min(wanted, m_limits.maxRest);
+    m_conditions[server].rest(now + time);
+    std::erase_if(m_rests, [now](const auto& each) { return each.second.until <= now; });
+    timed_rest& rest = m_rests[server];
+    rest = { start, rest.start == start ? std::max(rest.until, now + time) : now + time };
+    return time;
+}
+
+duration server_selector::returnDelay(const server_id& server) const
+{
+    return returnInterval * std::bit_width(rankAmongRouters(hashName(server.value())));
+}
+
+send_window server_selector::sendWindow(time_point now, const server_id& server, time_point openedAt) const
+{
+    if (!m_fleet.access().isInService(server))
+        return { hold_reason::outOfService };
+    if (isLeaving(server))
+        return { hold_reason::leaving };
+    const auto known = m_conditions.find(server);
+    if (known != m_conditions.end() && known->second.isResting(now, openedAt))
+        return { hold_reason::resting };
+    return {};
 }
 
 void server_selector::refreshKnown()
@@ -107,6 +175,37 @@
     return changed;
 }
 
+std::vector<server_hold> server_selector::ownHolds(time_point now) const
+{
+    std::vector<server_hold> own;
+    for (const auto& [id, left] : m_leaving) {
+        if (now - left.announcedAt < maxReportedHold)
+            own.push_back({ id, left.start, true, left.announcedAt + maxReportedHold - now });
+    }
+    for (const auto& [id, condition] : m_conditions) {
+        const registered_server* registered = m_fleet.findServer(id);
+        if (registered && condition.restLeft(now) > duration::zero())
+            own.push_back({ id, registered->start, false, condition.restLeft(now) });
+    }
+    return own;
+}
+
+std::vector<server_hold> server_selector::holdsSeenByFleet(time_point now, const std::vector<server_hold>& seen)
+{
+    std::vector<server_hold> changed;
+    for (const server_hold& each : seen) {
+        const registered_server* registered = m_fleet.findServer(each.server);
+        if (!registered || registered->start != each.start || each.left <= duration::zero())
+            continue;
+        server_hold applied = each;
+        applied.left = std::min(each.left, maxReportedHold);
+        const duration delay = each.isLeaving ? duration::zero() : returnDelay(each.server);
+        if (m_conditions[each.server].avoid(now, now + applied.left + delay))
+            changed.push_back(applied);
+    }
+    return changed;
+}
+
 std::optional<fleet_rate> server_selector::coldRate(const pool_id& pool) const
 {
     const pool_profile* profile = m_fleet.profileOf(pool);
@@ -115,22 +214,27 @@
     return fleet_rate { profile->coldRequestsPerSecond, m_limits.coldSenders, static_cast<double>(m_limits.coldShares), 0 };
 }
 
-/// Returns when this router may send the server a request, or nothing if other routers
-/// are its senders.
-std::optional<time_point> server_selector::nextStart(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold, const selection_request& wanted) const
+/// Returns whether this router may start an attempt at a server in service.
+send_window server_selector::startWindow(time_point now, const server_id& server, const server_condition& known, const std::optional<fleet_rate>& cold, const selection_request& wanted) const
 {
-    time_point next = now;
+    if (isLeaving(server))
+        return { hold_reason::leaving };
+    send_window window;
+    if (known.hasRest())
+        window = known.restWindow(now, returnDelay(server));
     auto limit = known.limitRate(now, m_routers.size());
     if (limit && wanted.limited == limited_servers::only)
         limit->tolerance = wanted.limitTolerance;
-    for (const std::optional<fleet_rate>& rate : { known.isCold(now) ? cold : std::nullopt, limit }) {
+    const std::array<std::pair<std::optional<fleet_rate>, hold_reason>, 2> rates { { { known.isCold(now) ? cold : std::nullopt, hold_reason::cold }, { limit, hold_reason::limited } } };
+    for (const auto& [rate, reason] : rates) {
         if (!rate)
             continue;
         if (!isAmongOwners(hashName(server.value()), rate->senders))
-            return std::nullopt;
-        next = std::max(next, known.nextStart(*rate));
+            return { hold_reason::otherSenders };
+        if (const time_point next = known.nextStart(*rate); next > window.opensAt.value_or(now))
+            window = { reason, next };
     }
-    return next;
+    return window;
 }
 
 double server_selector::usableThroughput(time_point now, double nominal, double tokensPerRequest) const
@@ -159,25 +263,27 @@
     return usable;
 }
 
-duration server_selector::timeToNextStart(time_point now, const selection_request& wanted)
+send_window server_selector::earliestWindow(time_point now, const selection_request& wanted)
 {
     const auto cold = coldRate(wanted.pool);
-    std::optional<time_point> first;
+    send_window first { hold_reason::outOfService };
     refreshKnown();
     m_fleet.access().forEachReachableServer(wanted.workspace, wanted.pool, [&](const backend_server& server, std::size_t position) {
-        if (const auto next = nextStart(now, server.id, *m_known[position].condition, cold, wanted))
-            first = std::min(first.value_or(*next), *next);
+        const send_window window = startWindow(now, server.id, *m_known[position].condition, cold, wanted);
+        const bool isTimeKnown = window.isOpen() || window.opensAt;
+        const time_point opensAt = window.opensAt.value_or(now);
+        const bool isEarlier = isTimeKnown && !first.isOpen() && (!first.opensAt || opensAt < *first.opensAt);
+        if (isEarlier || (!isTimeKnown && first.reason == hold_reason::outOfService))
+            first = window;
     });
-    return first ? *first - now : duration::zero();
+    return first;
 }
 
-bool server_selector::isAmongOwners(std::uint64_t key, std::size_t count) const
+std::size_t server_selector::rankAmongRouters(std::uint64_t key) const
 {
-    if (m_routers.size() <= count)
-        return true;
     const std::uint64_t own = rendezvousWeight(hashName(m_limits.self.value()), key);
     const auto before = std::count_if(m_routers.begin(), m_routers.end(), [&](const vm_id& each) { return rendezvousWeight(hashName(each.value()), key) > own; });
-    return static_cast<std::size_t>(before) < count;
+    return static_cast<std::size_t>(before);
 }
 
 std::vector<server_selector::candidate> server_selector::candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored)
@@ -191,10 +297,9 @@
         server_condition& known = *m_known[position].condition;
         if (known.isLimited(now) != (wanted.limited == limited_servers::only))
             return;
-        const auto next = nextStart(now, server.id, known, cold, wanted);
-        if (!next || *next > now)
+        if (!startWindow(now, server.id, known, cold, wanted).isOpen())
             return;
-        if (known.isEjected(now) && !isEjectionIgnored)
+        if ((known.isEjected(now) || known.isAvoided(now)) && !isEjectionIgnored)
             return;
         found.push_back({ &server, &known, known.isCold(now), m_known[position].nameHash });
     });
--- a/lib/Wire/MessageEncoder.cpp
+++ b/lib/Wire/MessageEncoder.cpp
@@ -151,6 +151,11 @@
         return row;
     }
 
+    Offset<wire::ServerHold> write(FlatBufferBuilder& builder, const server_hold& source)
+    {
+        return wire::CreateServerHold(builder, writeName(builder, source.server), source.start.value(), source.isLeaving, roundedUpMicroseconds(source.left));
+    }
+
     // Defined below, because they contain a list and so need `writeList`.
     Offset<wire::RetainedRows> write(FlatBufferBuilder& builder, const retained_rows& source);
     Offset<wire::TableUpdate> write(FlatBufferBuilder& builder, const table_update& source);
@@ -302,7 +307,8 @@
 
     Offset<wire::ServerRateLimits> write(FlatBufferBuilder& builder, const server_rate_limits& source)
     {
-        return wire::CreateServerRateLimits(builder, writeList(builder, source.entries));
+        const auto entries = writeList(builder, source.entries);
+        return wire::CreateServerRateLimits(builder, entries, writeList(builder, source.holds));
     }
 
     Offset<wire::CrashReport> write(FlatBufferBuilder& builder, const crash_report& source)
--- a/tools/standins/FaultPlan.cpp
+++ b/tools/standins/FaultPlan.cpp
@@ -28,6 +28,8 @@
         { "reset_all", fault_kind::resetAll },
         { "request_limit", fault_kind::requestLimit },
         { "endless", fault_kind::endless },
+        { "turn_away", fault_kind::turnAway },
+        { "announce_leaving", fault_kind::announceLeaving },
     } };
 
     constexpr std::size_t probabilitySteps = 1'000'000;
--- a/tools/standins/platform/BackendService.cpp
+++ b/tools/standins/platform/BackendService.cpp
@@ -133,6 +133,10 @@
     }
     if (injectFaultBeforeEffect(m_faults, exchange->path(), exchange, bootTime()))
         return;
+    if (const auto busy = m_faults.take(fault_kind::turnAway, exchange->path(), bootTime())) {
+        turnAway(exchange, busy->latency);
+        return;
+    }
     if (inProgress() >= m_settings.slots) {
         refuse(exchange, statusFull, "full");
         return;
@@ -147,7 +151,28 @@
 {
     const std::string attempt = exchange->header(attemptHeader);
     m_context.history.write(bootTime(), "execution_refused", { { "server", m_context.name }, { "id", attempt }, { "reason", reason } });
-    exchange->reply(status, "{}", { { attemptHeader, attempt }, { "X-Not-Executed", "1" } });
+    std::vector<tools::http_header> headers { { attemptHeader, attempt }, { "X-Not-Executed", "1" } };
+    if (status != statusMisdirected)
+        announceLeaving(attempt, headers);
+    exchange->reply(status, "{}", headers);
+}
+
+void backend_service::turnAway(const exchange_ptr& exchange, duration time)
+{
+    const std::string attempt = exchange->header(attemptHeader);
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    m_context.history.write(bootTime(), "turned_away", { { "server", m_context.name }, { "id", attempt }, { "for_ms", milliseconds } });
+    const std::string seconds = std::to_string(std::chrono::duration<double>(time).count());
+    exchange->reply(statusFull, "{}", { { attemptHeader, attempt }, { "X-Not-Executed", "1" }, { "Retry-After", seconds } });
+}
+
+/// Adds the announcement that the server leaves, if a fault asks for it.
+void backend_service::announceLeaving(const std::string& attempt, std::vector<tools::http_header>& headers)
+{
+    if (!m_faults.take(fault_kind::announceLeaving, {}, bootTime()))
+        return;
+    m_context.history.write(bootTime(), "leaving_announced", { { "server", m_context.name }, { "id", attempt } });
+    headers.push_back({ "Server-Leaving", "1" });
 }
 
 void backend_service::startUnary(const exchange_ptr& exchange)
@@ -289,6 +314,7 @@
         m_context.history.write(bootTime(), "limit_named", { { "server", m_context.name }, { "id", attempt }, { "per_second", limited->perSecond } });
         headers.push_back({ "Server-Limit", std::to_string(limited->perSecond) });
     }
+    announceLeaving(attempt, headers);
     return headers;
 }
 
