--- a/tools/standins/FaultPlan.cpp
+++ b/tools/standins/FaultPlan.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr std::array<std::pair<std::string_view, fault_kind>, 19> kindNames { {
+    constexpr std::array<std::pair<std::string_view, fault_kind>, 21> kindNames { {
         { "outage", fault_kind::outage },
         { "hang", fault_kind::hang },
         { "refuse", fault_kind::refuse },
