Judge the deadlines of requests after the responses that have arrived

A response whose end arrived in the iteration of the loop that reached the request's deadline was cut, or counted as silent and sent to a second server: the HTTP client reports the end of a response by a deferred call, which libevent ran after the expired timer of the dispatcher.

The tick of a core is now deferred too, so that it follows what the input of the iteration has deferred.

--- a/include/pimentoladder/Daemon/CoreDriver.h
+++ b/include/pimentoladder/Daemon/CoreDriver.h
@@ -38,7 +38,8 @@
     basic_core_driver(event_loop& loop, Core& core)
         : m_loop(loop)
         , m_core(core)
-        , m_timer(loop, [this] { tick(); })
+        , m_timer(loop, [this] { m_tick.schedule(); })
+        , m_tick(loop, [this] { tick(); })
         , m_reschedule(loop, [this] { scheduleTick(); })
     {
         m_reschedule.schedule();
@@ -86,6 +87,7 @@
     Core& m_core;
     basic_action_handler<Action>* m_handler = nullptr;
     loop_timer m_timer;
+    deferred_call m_tick; ///< Runs after the calls that input of the same iteration has deferred, so that a deadline is not judged before them.
     deferred_call m_reschedule;
     time_point m_wakeAt;
     duration m_loopLag {};
