Count only the retained rows that are sent against the size of a message

Retained rows that a peer does not need counted against the limit, so that after a restoration a peer could miss rows that it needs. Found in the review; by reading only.

--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -497,10 +497,12 @@
             continue;
         retained_rows part { static_cast<std::uint32_t>(table), each.replica.position(), *each.enteredAt + m_limits.restoredHold - now, {} };
         for (const auto& [key, row] : each.replica.retained()) {
-            size += key.size() + row.value.size();
             const bool isNeeded = !row.isDeleted || each.replica.findStored(key);
-            if (isNeeded && size <= maxRetainedSize)
-                part.rows.push_back(row);
+            const std::size_t added = key.size() + row.value.size();
+            if (!isNeeded || size + added > maxRetainedSize)
+                continue;
+            size += added;
+            part.rows.push_back(row);
         }
         if (!part.rows.empty())
             sent.retained.push_back(std::move(part));
