--- a/unittests/Dispatch/HoldTests.cpp
+++ b/unittests/Dispatch/HoldTests.cpp
@@ -214,7 +214,7 @@
     server_id server;
     const attempt_number attempt = fleet.openSent("/stream/1", server);
     fleet.core.onHead(fleet.now, attempt, notice_fleet::success());
-    fleet.core.onBytes(fleet.now, attempt, "x", 1);
+    fleet.core.onBytes(fleet.now, attempt, "x", { 1, 1 });
     std::vector<server_id> others;
     for (const char* each : { "e1", "e2", "e3" }) {
         if (server_id(each) != server)
