--- a/unittests/Dispatch/HoldTests.cpp
+++ b/unittests/Dispatch/HoldTests.cpp
@@ -33,8 +33,10 @@
             server_id chosen;
             const attempt_number attempt = openSent(path, chosen);
             dispatch_actions actions = core.onHead(now, attempt, chosen == server ? head : success());
-            if (!find<cancel_dispatch>(actions))
-                core.onAttemptEnded(now, attempt, { attempt_end_kind::complete, true });
+            if (!find<cancel_dispatch>(actions)) {
+                const dispatch_actions ended = core.onAttemptEnded(now, attempt, { attempt_end_kind::complete, true });
+                actions.insert(actions.end(), ended.begin(), ended.end());
+            }
             if (chosen == server)
                 return actions;
         }
@@ -213,7 +215,9 @@
     notice_fleet fleet;
     server_id server;
     const attempt_number attempt = fleet.openSent("/stream/1", server);
-    fleet.core.onHead(fleet.now, attempt, notice_fleet::success());
+    served_head stream = notice_fleet::success();
+    stream.isEventStream = true;
+    fleet.core.onHead(fleet.now, attempt, stream);
     fleet.core.onBytes(fleet.now, attempt, "x", { 1, 1 });
     std::vector<server_id> others;
     for (const char* each : { "e1", "e2", "e3" }) {
