Accept fractions in the settings that the platform renders

Change: retries.extra is a decimal number, and times may have a fraction. A figure that cannot be used is reported with its key, line and what was expected, as before.

Result: a test renders deploy/router.yaml with odd but lawful figures; on the code before it reports five of them as faults.

--- a/include/pimentoladder/Settings/Settings.h
+++ b/include/pimentoladder/Settings/Settings.h
@@ -79,7 +79,7 @@
 /// Retry budget that the platform allows all routers together, in 10 s.
 struct retry_bounds {
     double share = 0.1; ///< Retries allowed for each request.
-    std::uint64_t extra = 36; ///< Retries allowed at any request rate.
+    double extra = 36; ///< Retries allowed at any request rate; the platform may derive a fraction.
 };
 
 /// Limits on the placement of models; must be the same on all routers.
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -67,7 +67,7 @@
         limits.selection.self = configured.vm;
         limits.selection.maxRest = configured.timeouts.serverRest;
         limits.retryShare = configured.retries.share * retryBudgetFraction;
-        limits.fleetRetries = static_cast<std::uint64_t>(static_cast<double>(configured.retries.extra) * retryBudgetFraction);
+        limits.fleetRetries = static_cast<std::uint64_t>(configured.retries.extra * retryBudgetFraction);
         limits.freshness.maxKeyBasisAge = configured.freshness.keys - keyFreshnessMargin;
         limits.freshness.maxReadyBasisAge = configured.freshness.configuration + readinessMargin;
         return limits;
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -141,7 +141,7 @@
     void readRetries(mapping_reader reader, retry_bounds& target)
     {
         assignIfSet(target.share, reader.decimal("share", { 0, 1 }));
-        assignIfSet(target.extra, reader.number("extra", { 0, 1'000'000 }));
+        assignIfSet(target.extra, reader.decimal("extra", { 0, 1e6 }));
         reader.finish();
     }
 
--- a/lib/Settings/SettingsReader.cpp
+++ b/lib/Settings/SettingsReader.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 
 #include <arpa/inet.h>
 
@@ -18,11 +19,11 @@
 
     constexpr std::array<unit<std::uint64_t>, 3> byteUnits { { { "MiB", 1024UL * 1024 }, { "KiB", 1024 }, { "B", 1 } } };
 
-    constexpr std::array<unit<std::int64_t>, 4> timeUnits { {
-        { "ms", 1'000'000 },
-        { "us", 1'000 },
-        { "min", 60'000'000'000 },
-        { "s", 1'000'000'000 },
+    constexpr std::array<unit<double>, 4> timeUnits { {
+        { "ms", 1e6 },
+        { "us", 1e3 },
+        { "min", 60e9 },
+        { "s", 1e9 },
     } };
 
     template <typename T>
@@ -50,6 +51,22 @@
         return std::nullopt;
     }
 
+    /// Returns a time given with a fraction, rounded down to whole nanoseconds.
+    std::optional<std::chrono::nanoseconds> parseTime(std::string_view text)
+    {
+        for (const unit<double>& candidate : timeUnits) {
+            if (!text.ends_with(candidate.name))
+                continue;
+            const auto count = parseNumber<double>(text.substr(0, text.size() - candidate.name.size()));
+            const double product = count.value_or(-1) * candidate.factor;
+            const bool isRepresentable = product >= 0 && product < static_cast<double>(std::numeric_limits<std::int64_t>::max());
+            if (!isRepresentable)
+                return std::nullopt;
+            return std::chrono::nanoseconds(static_cast<std::int64_t>(product));
+        }
+        return std::nullopt;
+    }
+
     std::optional<endpoint> parseAddress(std::string_view text)
     {
         const std::size_t colon = text.rfind(':');
@@ -190,10 +207,10 @@
     const auto value = scalar(key, false, "a time with a unit");
     if (!value)
         return std::nullopt;
-    const auto parsed = parseWithUnit<std::int64_t>(*value, timeUnits);
-    if (parsed && std::chrono::nanoseconds(*parsed) >= range.min && std::chrono::nanoseconds(*parsed) <= range.max)
-        return std::chrono::nanoseconds(*parsed);
-    m_diagnostics.add(markOf(key), pathOf(key) + " is \"" + *value + "\"; expected a whole number with unit us, ms, s or min, from " + formatTime(range.min) + " to " + formatTime(range.max));
+    const auto parsed = parseTime(*value);
+    if (parsed && *parsed >= range.min && *parsed <= range.max)
+        return parsed;
+    m_diagnostics.add(markOf(key), pathOf(key) + " is \"" + *value + "\"; expected a number with unit us, ms, s or min, from " + formatTime(range.min) + " to " + formatTime(range.max));
     return std::nullopt;
 }
 
--- a/unittests/Settings/SettingsTests.cpp
+++ b/unittests/Settings/SettingsTests.cpp
@@ -1,6 +1,7 @@
 #include "pimentoladder/Settings/Settings.h"
 
 #include <fstream>
+#include <map>
 #include <random>
 #include <sstream>
 
@@ -11,14 +12,56 @@
 
 namespace {
 
-std::string exampleText()
+std::string textOf(const char* path)
 {
-    std::ifstream file(PIMENTOLADDER_EXAMPLE_FILE);
+    std::ifstream file(path);
     std::ostringstream text;
     text << file.rdbuf();
     return text.str();
 }
 
+std::string exampleText()
+{
+    return textOf(PIMENTOLADDER_EXAMPLE_FILE);
+}
+
+using template_values = std::map<std::string, std::string>;
+
+/// Renders the template of the settings as the platform does: a section is left out if its
+/// field has no value or is false.
+std::string renderTemplate(const template_values& values)
+{
+    std::istringstream lines(textOf(PIMENTOLADDER_TEMPLATE_FILE));
+    std::string rendered;
+    std::string omitted;
+    for (std::string line; std::getline(lines, line);) {
+        const bool opensSection = line.starts_with("{{#");
+        if (opensSection || line.starts_with("{{/")) {
+            const std::string name = line.substr(3, line.find('}') - 3);
+            const auto value = values.find(name);
+            const bool isOmitted = value == values.end() || value->second == "false";
+            omitted = opensSection && isOmitted ? name : "";
+            continue;
+        }
+        if (!omitted.empty())
+            continue;
+        for (std::size_t at = line.find("{{"); at != std::string::npos; at = line.find("{{")) {
+            const std::size_t end = line.find("}}", at);
+            line.replace(at, end + 2 - at, values.at(line.substr(at + 2, end - at - 2)));
+        }
+        rendered += line + '\n';
+    }
+    return rendered;
+}
+
+template_values platformValues()
+{
+    return { { "node_name", "entry-1" }, { "zone", "north" }, { "limits.cpu_share", "0.12" }, { "listen.frontend", "127.0.0.1:8783" },
+        { "listen.ready", "127.0.0.1:8780" }, { "ip", "127.0.0.1" }, { "internal_ports.0", "7400" }, { "platform.address", "127.0.0.1:8781" },
+        { "bounds.revoke_ms", "5000" }, { "bounds.config_apply_ms", "2000" }, { "bounds.drain_ms", "2000" },
+        { "bounds.retry_budget_extra", "56" }, { "bounds.retry_budget_ratio", "0.2" } };
+}
+
 std::string replaced(std::string text, const std::string& from, const std::string& to)
 {
     const std::size_t at = text.find(from);
@@ -108,6 +151,58 @@
     CHECK(diagnosticsOf(text).size() == 3);
 }
 
+// Guards against routers that do not start because the platform scales a figure to a fraction.
+TEST_CASE("the platform's template accepts fractions and absent figures")
+{
+    struct figure_case {
+        const char* field;
+        const char* value;
+    };
+    const figure_case cases[] = {
+        { "bounds.retry_budget_extra", "33.1578947368421" },
+        { "bounds.retry_budget_extra", "1e+03" },
+        { "bounds.retry_budget_extra", "false" },
+        { "bounds.retry_budget_ratio", "0.0526315789473684" },
+        { "bounds.revoke_ms", "5000.0" },
+        { "bounds.revoke_ms", "false" },
+        { "bounds.config_apply_ms", "2666.6666666666665" },
+        { "bounds.drain_ms", "1.5e3" },
+        { "limits.cpu_share", "1" },
+    };
+    for (const figure_case& each : cases) {
+        CAPTURE(each.field);
+        CAPTURE(each.value);
+        template_values values = platformValues();
+        values[each.field] = each.value;
+        for (const setting_diagnostic& diagnostic : diagnosticsOf(renderTemplate(values)))
+            FAIL_CHECK(formatDiagnostic(diagnostic));
+    }
+    template_values values = platformValues();
+    values["bounds.config_apply_ms"] = "2666.6666666666665";
+    values["bounds.retry_budget_extra"] = "33.1578947368421";
+    const auto parsed = parseSettings(renderTemplate(values), "router.yaml", {});
+    REQUIRE(parsed);
+    CHECK(parsed->freshness.configuration == 2'666'666'666ns);
+    CHECK(parsed->retries.extra == doctest::Approx(33.158));
+}
+
+// Guards against a figure that cannot be used and is replaced silently by a default.
+TEST_CASE("a figure of the platform that cannot be used is reported with its key and line")
+{
+    for (const char* value : { "true", "-1", "nan", "1e400", "0x10" }) {
+        CAPTURE(value);
+        template_values values = platformValues();
+        values["bounds.config_apply_ms"] = value;
+        values["bounds.retry_budget_extra"] = value;
+        const auto diagnostics = diagnosticsOf(renderTemplate(values));
+        REQUIRE(diagnostics.size() == 2);
+        CHECK(diagnostics[0].line > 0);
+        CHECK(diagnostics[0].message.find("freshness.configuration is") != std::string::npos);
+        CHECK(diagnostics[1].line > 0);
+        CHECK(diagnostics[1].message.find("retries.extra is") != std::string::npos);
+    }
+}
+
 // Guards against an override that is ignored or overridden by the file.
 TEST_CASE("flags take precedence over the environment, and both over the file")
 {
