Take up no stream without a record while the list of servers is old

Reported by other operators (ORDER): a router that is cut off or stands still for some seconds while servers of a new version join continues streams at the old version that the new one began through other routers.

Cause: "one version only has been in use" was derived from the servers that the router knows, however old its list was. Class: a state that was true when it was read and is used without its age.

A record of a stream at another version counts as its use, since it can arrive before the registration.

Result: both new tests fail on the code before by construction: a list that is 2 s old took the stream up, and a merged record did not show a second version.

--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -26,6 +26,7 @@
 struct dispatch_limits {
     selection_limits selection;
     freshness_limits freshness;
+    duration maxListAge = std::chrono::milliseconds(1200); ///< Age up to which the list of servers proves that one software version only is in use.
     double retryShare = 0.1; ///< Retries that this router may send per request.
     std::uint64_t fleetRetries = 36; ///< Retries that all routers together may send in 10 s, whatever the request rate.
     duration idempotentTimeout = std::chrono::milliseconds(300); ///< Wait for the response head before an idempotent request is sent to another server, and for the end of a refusal.
@@ -76,7 +77,7 @@
 
     /// Marks the initial list of servers as complete: servers added from now on have just started.
     void markServersListed(time_point now);
-    void confirm(time_point sentAt) { m_fleet.confirm(sentAt); }
+    void confirm(time_point sentAt);
     void onStoreRecovered(time_point now) { m_fleet.onStoreRecovered(now); }
 
     // Other routers.
--- a/include/pimentoladder/Dispatch/StreamVersions.h
+++ b/include/pimentoladder/Dispatch/StreamVersions.h
@@ -32,9 +32,16 @@
     /// records and versions are remembered.
     void setLifetime(duration lifetime) { m_lifetime = lifetime; }
 
+    /// Sets the age of the list of servers up to which it proves that no further version is in use.
+    /// Another router may know a new version for that long before this one does.
+    void setMaxListAge(duration age) { m_maxListAge = age; }
+
     /// Starts to know the versions in use: the list of servers is complete.
     void setListed(time_point now);
 
+    /// Records that the list of servers was current at \p listedAt.
+    void confirm(time_point listedAt);
+
     /// Records that a server of the version is registered, or was until now.
     void use(time_point now, const pool_id& pool, const std::string& version);
 
@@ -46,7 +53,8 @@
     std::optional<version_use> findRecord(time_point now, const std::string& id);
 
     /// Returns the version that began every stream of the pool that can still be taken up;
-    /// nothing if there were several, or that is not known.
+    /// nothing if there were several, or that is not known. It is not known while the list of servers
+    /// is older than `setMaxListAge`: meanwhile streams may have begun elsewhere at a new version.
     std::optional<std::string> onlyVersion(time_point now, const pool_id& pool) const;
 
     /// Returns whether more than one version of any pool has been in use within the lifetime.
@@ -91,6 +99,8 @@
     static void append(stream_origins& to, const stream_record& record);
 
     duration m_lifetime = std::chrono::seconds(15);
+    duration m_maxListAge = std::chrono::milliseconds(1200);
+    std::optional<time_point> m_listedAt; ///< When the list of servers was last current.
     std::optional<time_point> m_knownSince; ///< All versions in use since then are known.
     std::map<pool_id, std::map<std::string, time_point>> m_uses; ///< When each version was last in use.
     std::deque<stream_record> m_records; ///< In order of arrival.
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -48,6 +48,10 @@
     // reaches all routers within half the bound.
     constexpr double readIntervalFraction = 0.3;
 
+    // Age of the rows, as a fraction of that bound, that 99 of 100 decisions stay below while
+    // the store and the readers are reached: the interval between reads, and the way of an update.
+    constexpr double usualAgeFraction = 0.6;
+
     relay_limits relayLimits(const settings& configured)
     {
         const auto bound = std::chrono::duration<double>(std::min(configured.freshness.configuration, configured.freshness.drain));
@@ -69,6 +73,7 @@
         limits.retryShare = configured.retries.share * retryBudgetFraction;
         limits.fleetRetries = static_cast<std::uint64_t>(configured.retries.extra * retryBudgetFraction);
         limits.freshness.maxKeyBasisAge = configured.freshness.keys - keyFreshnessMargin;
+        limits.maxListAge = std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::min(configured.freshness.configuration, configured.freshness.drain)) * usualAgeFraction);
         limits.freshness.maxReadyBasisAge = configured.freshness.configuration + readinessMargin;
         return limits;
     }
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -120,6 +120,7 @@
     , m_crashes(m_limits.selection.self)
     , m_random(seed + 1)
 {
+    m_versions.setMaxListAge(m_limits.maxListAge);
 }
 
 dispatcher::~dispatcher() = default;
@@ -860,6 +861,12 @@
     return out;
 }
 
+void dispatcher::confirm(time_point sentAt)
+{
+    m_fleet.confirm(sentAt);
+    m_versions.confirm(sentAt);
+}
+
 void dispatcher::markServersListed(time_point now)
 {
     m_hasListedServers = true;
--- a/lib/Dispatch/StreamVersions.cpp
+++ b/lib/Dispatch/StreamVersions.cpp
@@ -11,6 +11,12 @@
 {
     if (!m_knownSince)
         m_knownSince = now;
+    confirm(now);
+}
+
+void stream_versions::confirm(time_point listedAt)
+{
+    m_listedAt = std::max(m_listedAt.value_or(listedAt), listedAt);
 }
 
 void stream_versions::use(time_point now, const pool_id& pool, const std::string& version)
@@ -77,7 +83,8 @@
 
 std::optional<std::string> stream_versions::onlyVersion(time_point now, const pool_id& pool) const
 {
-    const bool knowsAll = m_knownSince && now - *m_knownSince >= m_lifetime;
+    const bool isCurrent = m_listedAt && now - *m_listedAt <= m_maxListAge;
+    const bool knowsAll = isCurrent && m_knownSince && now - *m_knownSince >= m_lifetime;
     const auto known = m_uses.find(pool);
     if (!knowsAll || known == m_uses.end())
         return std::nullopt;
@@ -118,6 +125,8 @@
 void stream_versions::merge(time_point now, const stream_origins& received)
 {
     for (const stream_group& group : received.groups) {
+        // The registration of a new version may arrive later than the first streams that it began.
+        use(now, group.pool, group.version);
         for (const fingerprint stream : group.streams) {
             const auto known = m_byStream.find(stream);
             const bool isKnown = known != m_byStream.end() && m_records[known->second - m_firstRecord].version == group.version;
--- a/unittests/Dispatch/VersionTests.cpp
+++ b/unittests/Dispatch/VersionTests.cpp
@@ -162,14 +162,17 @@
     CHECK_FALSE(versions.onlyVersion(now, pool));
     versions.setListed(now);
     now += 14s;
+    versions.confirm(now);
     versions.use(now, pool, "1");
     CHECK_FALSE(versions.onlyVersion(now, pool));
     now += 1s;
+    versions.confirm(now);
     versions.use(now, pool, "1");
     CHECK(versions.onlyVersion(now, pool) == std::optional<std::string>("1"));
     versions.use(now, pool, "2");
     CHECK_FALSE(versions.onlyVersion(now, pool));
     now += 15s;
+    versions.confirm(now);
     versions.use(now, pool, "2");
     CHECK_FALSE(versions.onlyVersion(now, pool));
     now += 1ms;
@@ -227,3 +230,60 @@
         CHECK(each->findRecord(now, "stream")->version == "2");
     CHECK_FALSE(follower.findRecord(now + 16s, "stream"));
 }
+
+// Guards against a router that was frozen or cut off while a new version joined, and that
+// continues at the old version what the new one has begun through other routers (ORDER).
+TEST_CASE("a router whose list of servers is old takes up no stream without a record")
+{
+    small_fleet fleet;
+    const auto follow = [&](duration span) {
+        for (const time_point end = fleet.now + span; fleet.now < end;) {
+            fleet.now += 300ms;
+            fleet.core.confirm(fleet.now - 500ms);
+            fleet.core.takeUsage(fleet.now);
+        }
+    };
+    inbound_request request;
+    request.callerId = "take-up";
+    request.host = "host";
+    request.path = "/stream/1";
+    request.keyDigest = keyDigest;
+    request.timeLeft = 10s;
+    request.resumeAfter = 4;
+    request.resumedId = "begun-elsewhere";
+    request_number number;
+    const auto isTakenUp = [&] { return find<open_dispatch>(fleet.core.onRequest(fleet.now, request, number)) != nullptr; };
+    follow(20s);
+    CHECK(isTakenUp());
+    // The servers of the old version remain in the list that the router has.
+    fleet.now += 2s;
+    CHECK_FALSE(isTakenUp());
+    fleet.core.takeUsage(fleet.now);
+    CHECK_FALSE(isTakenUp());
+    // The router reads the list again, with the new version in it, and gets the record.
+    registered_server joined = makeServer("e4", "llm");
+    joined.softwareVersion = "2";
+    fleet.core.putServer(fleet.now, joined);
+    fleet.core.confirm(fleet.now);
+    CHECK_FALSE(isTakenUp());
+    fleet.core.streamVersions().merge(fleet.now, { { { pool_id("llm"), "2", { fingerprint(hashName("begun-elsewhere")) } } }, {}, {} });
+    const auto takenUp = fleet.core.onRequest(fleet.now, request, number);
+    // A server that has just joined is cold and may be left to other routers.
+    if (const auto* opened = find<open_dispatch>(takenUp))
+        CHECK(opened->server == server_id("e4"));
+}
+
+// Guards against a reader that has the streams of a new version, but not yet its servers.
+TEST_CASE("a record of another version shows that there are several")
+{
+    const time_point now { 100s };
+    const pool_id pool("llm");
+    stream_versions versions;
+    versions.setListed(now - 20s);
+    versions.confirm(now);
+    versions.use(now, pool, "1");
+    CHECK(versions.onlyVersion(now, pool));
+    versions.merge(now, { { { pool, "2", { fingerprint(1) } } }, {}, {} });
+    CHECK_FALSE(versions.onlyVersion(now, pool));
+    CHECK(versions.hasSeveralVersions(now));
+}
