Refuse at once what a router's loop cannot carry, and bound new requests in an iteration

Callers of a large workspace gather at one small router. There a refusal took seconds, closes and leaving servers were noticed up to 3.5 s late (GONE, DRAIN), and the load went back and forth between two routers every seven seconds.

Change: - New requests are read from a queue, which in an iteration takes as much time as everything else, 5 to 50 ms. Closes, responses and news of the fleet are handled in between. The wait in the queue counts as lag. - load_shedder limits the requests that are accepted a second by the lag, in max-min shares of the workspaces. What exceeds it is answered before it reaches evhttp and the dispatcher: 503, not run, with a Retry-After after which the load balancer has noticed that the router is unready. - A router that refuses for that reason is unready and keeps its connections, so that callers spread over several routers. It closes them only if the lag stays high all the same. - The guard weights its samples by time. A lag in which the process did not run does not count.

The tests of the early check and of the bound on an iteration cover new interfaces; the bound was not run against the code before.

--- a/include/pimentoladder/Daemon/DispatchFront.h
+++ b/include/pimentoladder/Daemon/DispatchFront.h
@@ -29,6 +29,10 @@
     dispatch_front(const dispatch_front&) = delete;
     dispatch_front& operator=(const dispatch_front&) = delete;
 
+    /// Returns the response of a request that is refused because this router is overloaded, or an
+    /// empty text if it is to be handled. \p closes: the connection closes after it.
+    std::string_view checkEarly(const http_headers& headers, bool closes);
+
     /// Accepts a request that passed the protocol checks.
     void onRequest(http_request received, std::shared_ptr<http_response_writer> answer);
 
@@ -44,6 +48,12 @@
     std::size_t inProgress() const { return m_exchanges.size(); }
 
 private:
+    /// Response to a request that is refused because this router is overloaded.
+    struct shed_response {
+        std::string keeping; ///< Leaves the connection open.
+        std::string closing;
+    };
+
     struct exchange;
     using exchange_ref = std::shared_ptr<exchange>;
 
@@ -59,6 +69,8 @@
     http_client& m_client;
     ingress_codec& m_codec;
     std::size_t m_bufferBytes;
+    std::vector<shed_response> m_shedResponses;
+    std::size_t m_nextShedResponse = 0;
     std::unordered_map<request_number, exchange_ref> m_exchanges;
 };
 
--- a/include/pimentoladder/Daemon/DispatchReport.h
+++ b/include/pimentoladder/Daemon/DispatchReport.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "pimentoladder/Daemon/CoreDriver.h"
+#include "pimentoladder/Dispatch/OverloadGuard.h"
 #include "pimentoladder/Net/HttpServer.h"
 #include "pimentoladder/Telemetry/LineAllowance.h"
 #include "pimentoladder/Telemetry/Log.h"
@@ -36,7 +37,10 @@
 
     /// Writes a line if the loop handled an event \p lag late by `stallThreshold` or more.
     /// \p processorTime: used by this process in the time up to that event.
-    void recordLag(duration lag, duration processorTime);
+    void recordLag(const loop_sample& sample);
+
+    /// Records how many requests of each workspace were refused because this router is overloaded.
+    void recordShed(const std::map<workspace_id, std::uint64_t>& refused);
 
     /// Returns the suspected and quarantined traits with their evidence, as JSON.
     std::string quarantineText() const;
--- a/include/pimentoladder/Daemon/IngressCodec.h
+++ b/include/pimentoladder/Daemon/IngressCodec.h
@@ -14,6 +14,9 @@
 public:
     virtual ~ingress_codec() = default;
 
+    /// Returns the digest of the key in a request's headers, or null. It is valid until the next call.
+    virtual const std::string* keyDigest(const http_headers& headers) = 0;
+
     /// Decodes a caller's request.
     virtual inbound_request describe(const http_request& received) = 0;
 
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -13,6 +13,7 @@
 
 #include "pimentoladder/Dispatch/DispatchActions.h"
 #include "pimentoladder/Dispatch/FleetView.h"
+#include "pimentoladder/Dispatch/LoadShedder.h"
 #include "pimentoladder/Dispatch/ServerSelector.h"
 #include "pimentoladder/Dispatch/StreamVersions.h"
 #include "pimentoladder/Dispatch/WorkspaceShare.h"
@@ -51,6 +52,16 @@
 
     // Callers and backend servers.
 
+    /// Returns whether to refuse a new request because this router is overloaded, before
+    /// `onRequest`. \p keyDigest: of the request's key, or null.
+    bool shouldShed(time_point now, const std::string* keyDigest);
+
+    /// Returns whether requests were refused lately because this router is overloaded.
+    bool isShedding(time_point now) const { return m_shedder.isRefusing(now); }
+
+    /// Takes the numbers of requests that were refused because of overload since the last call.
+    std::map<workspace_id, std::uint64_t> takeShed() { return m_shedder.takeRefused(); }
+
     /// Starts a request and stores its number in \p number.
     dispatch_actions onRequest(time_point now, const inbound_request& received, request_number& number);
     dispatch_actions onCallerDisconnected(time_point now, request_number request);
@@ -112,8 +123,9 @@
 
     void setRouters(std::vector<vm_id> routers);
 
-    /// Sets the lag of this router's event loop, which delays each request several times.
-    void setLoopLag(duration lag) { m_loopLag = lag; }
+    /// Sets the smoothed lag of this router's event loop, which delays each request several
+    /// times. If it is large, a part of the new requests is refused at once.
+    void setLoopLag(time_point now, duration lag);
 
     /// Plans a shutdown: from \p drainAt on, new requests are refused, and shortly before
     /// \p endAt no request is sent to a further server.
@@ -168,6 +180,7 @@
     retry_budget m_budget;
     crash_attribution m_crashes;
     stream_versions m_versions;
+    load_shedder m_shedder;
     std::map<request_trait, time_point> m_trialsAt; ///< This router's last trial of each quarantined trait.
     random_source m_random;
     std::unordered_map<request_number, tracked> m_requests;
--- a/include/pimentoladder/Net/HttpMessageParser.h
+++ b/include/pimentoladder/Net/HttpMessageParser.h
@@ -91,6 +91,8 @@
     /// responses `Content-Length` or `Transfer-Encoding: chunked`. The head of a
     /// request declares no body, because evhttp does not read it. Valid once the
     /// head is complete.
+    /// Returns the headers of the complete head, without those that concern one connection only.
+    const http_headers& headers() const { return m_headers; }
     const std::string& head() const { return m_head; }
 
 private:
--- a/include/pimentoladder/Net/HttpServer.h
+++ b/include/pimentoladder/Net/HttpServer.h
@@ -38,6 +38,7 @@
     drain,
     connectionLimit,
     abortedResponse,
+    refusedEarly,
 };
 
 /// Returns the name of \p reason. Thread-safe.
@@ -96,12 +97,18 @@
     virtual void whenCallerDisconnects(std::function<void()> callback) = 0;
 };
 
+/// Decides by the headers of a request whether to refuse it before it is handled. Returns the
+/// complete response, with its framing, or an empty text. The response outlives the server, and has
+/// the header `Connection: close` if the connection \p closes after it.
+using http_early_check = std::function<std::string_view(const http_headers& headers, bool closes)>;
+
 /// Called once for each request that passes the checks.
 using http_request_handler = std::function<void(http_request request, std::shared_ptr<http_response_writer> answer)>;
 
 /// Listens, validates requests and passes them to a handler. Requests that
 /// violate the protocol or a limit are refused before they reach the handler. Pipelined
-/// requests are handled one after the other.
+/// requests are handled one after the other. In each iteration of the loop, new requests take
+/// as much time as everything else at most, so that neither delays the other without bound.
 /// Not thread-safe; call on the loop's thread. Answers may outlive the server.
 class http_server {
 public:
@@ -121,10 +128,18 @@
     /// Sets whether connections stay open after a response.
     void setKeepAlive(bool isKept);
 
+    /// Sets a check that runs before the handler and costs a small part of it. It is skipped for
+    /// requests after which the connection closes, and for HEAD. A connection whose first request it
+    /// refuses closes, so that callers that come again on new ones do not fill the limit.
+    void setEarlyCheck(http_early_check check);
+
     /// Sets a function that is called before the server closes a connection. Connections
     /// that callers close, and those that close after their response, are not reported.
     void setCloseObserver(std::function<void(const server_close&)> observer);
 
+    /// Returns how long the first of the requests that wait to be read has waited.
+    duration readDelay() const;
+
     /// Closes the connections without a request, and the others after their requests that
     /// have arrived, which run to completion. Stops listening once the connections that
     /// wait for it are accepted.
--- a/include/pimentoladder/Outcome/Refusal.h
+++ b/include/pimentoladder/Outcome/Refusal.h
@@ -30,6 +30,7 @@
     invalidModel,
     // The request was not sent to a backend server.
     queueFull,
+    routerOverloaded,
     queueTimeout,
     connectionLimit,
     notFresh,
--- a/lib/Daemon/DispatchFront.cpp
+++ b/lib/Daemon/DispatchFront.cpp
@@ -1,5 +1,6 @@
 #include "pimentoladder/Daemon/DispatchFront.h"
 
+#include <array>
 #include <cstdio>
 #include <optional>
 #include <utility>
@@ -29,6 +30,15 @@
         return XXH3_64bits_withSeed(request.body.data(), request.body.size(), head);
     }
 
+    // Retry-After if only this router is overloaded: until the load balancer has noticed that it is
+    // unready, the request would come here again. The times differ, so that the requests come spread.
+    constexpr std::array<duration, 4> shedRetryAfter { std::chrono::milliseconds(1600), std::chrono::milliseconds(2000), std::chrono::milliseconds(2400), std::chrono::milliseconds(2800) };
+
+    std::string refusalBody(const refusal& row)
+    {
+        return nlohmann::json { { "kind", row.name }, { "message", row.message }, { "retry", retryAdviceName(row.retry) } }.dump() + "\n";
+    }
+
     std::string secondsText(duration wait)
     {
         std::string text(32, '\0');
@@ -37,6 +47,14 @@
         return text;
     }
 
+    /// Returns a complete response with a header about its connection.
+    std::string responseText(const refusal& row, duration retryAfter, std::string_view connectionHeader)
+    {
+        const std::string body = refusalBody(row);
+        return "HTTP/1.1 " + std::to_string(row.status) + " Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\nRetry-After: " + secondsText(retryAfter) + "\r\n" + std::string(connectionHeader) + "\r\n" + body;
+    }
+
 }
 
 /// One caller's request with its current attempt.
@@ -58,6 +76,10 @@
     , m_codec(codec)
     , m_bufferBytes(bufferBytes)
 {
+    for (const duration wait : shedRetryAfter) {
+        const refusal& row = refusalOf(refusal_kind::routerOverloaded);
+        m_shedResponses.push_back({ responseText(row, wait, ""), responseText(row, wait, "Connection: close\r\n") });
+    }
 }
 
 dispatch_front::~dispatch_front() = default;
@@ -68,6 +90,16 @@
     return found == m_exchanges.end() ? nullptr : found->second;
 }
 
+std::string_view dispatch_front::checkEarly(const http_headers& headers, bool closes)
+{
+    const bool isShed = m_driver.core().shouldShed(m_driver.loop().now(), m_codec.keyDigest(headers));
+    if (!isShed)
+        return {};
+    m_nextShedResponse = (m_nextShedResponse + 1) % m_shedResponses.size();
+    const shed_response& next = m_shedResponses[m_nextShedResponse];
+    return closes ? next.closing : next.keeping;
+}
+
 void dispatch_front::onRequest(http_request received, std::shared_ptr<http_response_writer> answer)
 {
     // When the loop lags, the close event of a caller that left may still be
@@ -185,8 +217,7 @@
     http_response_head head { row.status, { { "Content-Type", "application/json" } } };
     if (refused.retryAfter > duration::zero())
         head.headers.push_back({ "Retry-After", secondsText(refused.retryAfter) });
-    const nlohmann::json body { { "kind", row.name }, { "message", row.message }, { "retry", retryAdviceName(row.retry) } };
-    target->answer->reply(head, body.dump() + "\n");
+    target->answer->reply(head, refusalBody(row));
     finish(refused.request);
 }
 
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -24,6 +24,7 @@
     constexpr int statusUnavailable = 503;
     constexpr int statusNotFound = 404;
     constexpr duration lagInterval = 50ms;
+    constexpr duration shedReportInterval = 1s;
     // Interval at which a shutdown checks for requests in progress.
     constexpr duration checkInterval = 20ms;
     // How long the process goes on after the deadline, to write what responses are pending.
@@ -134,6 +135,7 @@
     overload_guard guard;
     loop_timer lagTimer;
     time_point lagDue; ///< When the lag timer should fire.
+    time_point shedReportedAt; ///< When the requests refused because of overload were last reported.
     duration processorTimeBefore {}; ///< Processor time used when the lag timer last fired.
     loop_timer graceTimer;
     loop_timer deadlineTimer;
@@ -156,6 +158,7 @@
     , follower({ driver, ports.rows, ports.fleet, log, values, relayLimits(configured), configured.listen.peers, [this](const serving_plan& plan) { applyCallerLimits(plan); } }, selfOf(configured, start), generateFleetKey(), seed + 1)
     , callerServer(loop, callerLimits(configured), [this](http_request request, std::shared_ptr<http_response_writer> answer) { front.onRequest(std::move(request), std::move(answer)); })
     , adminServer(loop, {}, [this](const http_request& request, const std::shared_ptr<http_response_writer>& answer) { answerAdmin(request, *answer); })
+    , guard(configured.cores)
     , lagTimer(loop, [this] { measureLag(); })
     , graceTimer(loop, [this] { refuseNewWork(); })
     , deadlineTimer(loop, [this] { cutRequests(); })
@@ -163,6 +166,7 @@
     , flushTimer(loop, [this] { end(endReason); })
 {
     driver.setHandler(*this);
+    callerServer.setEarlyCheck([this](const http_headers& headers, bool closes) { return front.checkEarly(headers, closes); });
     callerServer.setCloseObserver([this](const server_close& closing) { report.recordClose(closing); });
 }
 
@@ -225,15 +229,20 @@
     const bool wasOverloaded = guard.isOverloaded();
     const duration processorTime = loop.processorTime();
     if (lagDue != time_point()) {
-        guard.onLag(now, now - lagDue);
-        report.recordLag(now - lagDue, processorTime - processorTimeBefore);
+        const loop_sample sample { now - lagDue, processorTime - processorTimeBefore, callerServer.readDelay(), core.isShedding(now) };
+        guard.onSample(now, sample);
+        report.recordLag(sample);
     }
     processorTimeBefore = processorTime;
     if (guard.isOverloaded() != wasOverloaded) {
         values.count("pimentoladder_overload_changes_total", { { "state", wasOverloaded ? "left" : "entered" } });
         log.write(log_level::warning, wasOverloaded ? "overload_left" : "overload_entered", { { "requests", std::uint64_t { front.inProgress() } } });
     }
-    core.setLoopLag(guard.lag());
+    core.setLoopLag(now, guard.lag());
+    if (now - shedReportedAt >= shedReportInterval) {
+        shedReportedAt = now;
+        report.recordShed(core.takeShed());
+    }
     callerServer.setKeepAlive(!isLeaving && !guard.shouldShedConnections(now));
     lagDue = now + lagInterval;
     lagTimer.arm(lagInterval);
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -170,12 +170,20 @@
             { "loop_lag_ms", milliseconds(m_driver.loopLag()) } });
 }
 
-void dispatch_report::recordLag(duration lag, duration processorTime)
+void dispatch_report::recordLag(const loop_sample& sample)
 {
-    if (lag < stallThreshold)
+    if (sample.timerLag + sample.readDelay < stallThreshold)
         return;
     m_metrics.count("pimentoladder_loop_stalls_total", {});
-    m_log.write(log_level::warning, "loop_stalled", { { "lag_ms", milliseconds(lag) }, { "processor_ms", milliseconds(processorTime) }, { "requests", std::uint64_t { m_driver.core().figures().inProgress } } });
+    m_log.write(log_level::warning, "loop_stalled", { { "lag_ms", milliseconds(sample.timerLag) }, { "read_delay_ms", milliseconds(sample.readDelay) }, { "processor_ms", milliseconds(sample.processorTime) }, { "requests", std::uint64_t { m_driver.core().figures().inProgress } } });
+}
+
+void dispatch_report::recordShed(const std::map<workspace_id, std::uint64_t>& refused)
+{
+    for (const auto& [workspace, requests] : refused) {
+        m_metrics.count("pimentoladder_shed_requests_total", { { "workspace", workspace.value() } }, static_cast<double>(requests));
+        m_log.write(log_level::warning, "requests_shed", { { "workspace", std::string_view(workspace.value()) }, { "requests", requests } });
+    }
 }
 
 std::string dispatch_report::quarantineText() const
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -167,6 +167,15 @@
     }
 }
 
+bool dispatcher::shouldShed(time_point now, const std::string* keyDigest)
+{
+    const workspace_keys* holder = keyDigest ? m_fleet.workspaceByKey(*keyDigest) : nullptr;
+    // Requests with unknown keys share an allowance of their own.
+    const workspace_id unknown;
+    return m_shedder.shouldRefuse(now, holder ? holder->workspace : keyDigest ? unknown
+                                                                              : fleet_view::anonymous());
+}
+
 dispatch_actions dispatcher::onRequest(time_point now, const inbound_request& received, request_number& number)
 {
     dispatch_actions out;
@@ -827,6 +836,12 @@
     return found == m_byAttempt.end() ? nullptr : m_requests.at(found->second);
 }
 
+void dispatcher::setLoopLag(time_point now, duration lag)
+{
+    m_loopLag = lag;
+    m_shedder.onLag(now, lag);
+}
+
 void dispatcher::setRouters(std::vector<vm_id> routers)
 {
     m_budget.setLimits(retryLimits(m_limits, routers.size()));
--- a/lib/Net/HttpMessageParser.cpp
+++ b/lib/Net/HttpMessageParser.cpp
@@ -387,7 +387,9 @@
 void http_message_parser::startBody()
 {
     m_raw.clear();
-    m_headers.clear();
+    // The early check reads the headers of requests.
+    if (!m_readsRequests)
+        m_headers.clear();
     m_progress = http_progress::body;
     m_part = m_framing == http_framing::chunked ? body_part::chunkSize : body_part::data;
     if (m_framing == http_framing::length)
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "pimentoladder/Net/HttpServer.h"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <string>
 #include <utility>
@@ -21,6 +22,10 @@
 namespace {
 
     constexpr int listenBacklog = 1024;
+    // Bounds of the time for new requests in one iteration of the loop. Between them it is the
+    // time that everything else has taken.
+    constexpr duration minReadTime = std::chrono::milliseconds(5);
+    constexpr duration maxReadTime = std::chrono::milliseconds(50);
     constexpr duration acceptRetryDelay = std::chrono::milliseconds(100);
     // Interval at which a drain checks whether all waiting connections have been accepted.
     constexpr duration stopListeningInterval = std::chrono::milliseconds(1);
@@ -42,6 +47,8 @@
         return "connection_limit";
     case server_close_reason::abortedResponse:
         return "aborted_response";
+    case server_close_reason::refusedEarly:
+        return "refused_early";
     }
     return "unknown";
 }
@@ -54,6 +61,8 @@
         , m_handler(std::move(handler))
         , m_http(evhttp_new(loop.base()))
         , m_destroyClosed(loop, [this] { m_closed.clear(); })
+        , m_readSoon(loop, [this] { readQueued(); })
+        , m_readNext(loop, [this] { readQueued(); })
         , m_acceptAgain(loop, [this] { acceptAgain(); })
         , m_stopListening(loop, [this] { stopListening(); })
     {
@@ -83,6 +92,8 @@
     bool keepsConnections() const override { return m_isKeepAlive && !m_isDraining; }
     void setKeepAlive(bool isKept) { m_isKeepAlive = isKept; }
     void setCloseObserver(std::function<void(const server_close&)> observer) { m_closeObserver = std::move(observer); }
+    void setEarlyCheck(http_early_check check) { m_earlyCheck = std::move(check); }
+    std::string_view earlyAnswer(const http_headers& headers, bool closes) override { return m_earlyCheck ? m_earlyCheck(headers, closes) : std::string_view(); }
     void connectionClosing(const server_close& closing) override
     {
         if (m_closeObserver)
@@ -93,8 +104,19 @@
         m_handler(std::move(request), std::move(answer));
     }
     void connectionClosed(bufferevent* channel) override;
+    void enqueueRead(http_server_connection& readable) override;
+    void dequeueRead(http_server_connection& readable) override;
+    duration readDelay() const { return m_readQueue.empty() ? duration::zero() : m_loop.now() - m_readQueue.front().since; }
 
 private:
+    /// A connection with input that has not been parsed.
+    struct queued_read {
+        http_server_connection* connection;
+        time_point since;
+    };
+
+    void readQueued();
+
     static bufferevent* onConnection(event_base* base, void* context);
     static void onRequest(evhttp_request* request, void* context);
 
@@ -107,12 +129,17 @@
     event_loop& m_loop;
     http_server_limits m_limits;
     http_request_handler m_handler;
+    http_early_check m_earlyCheck;
     std::function<void(const server_close&)> m_closeObserver;
     evhttp* m_http;
     std::vector<evhttp_bound_socket*> m_sockets;
     std::map<bufferevent*, std::unique_ptr<http_server_connection>> m_connections;
     std::vector<std::unique_ptr<http_server_connection>> m_closed; ///< Destroyed once none of their callbacks can be on the stack.
     deferred_call m_destroyClosed;
+    std::deque<queued_read> m_readQueue;
+    deferred_call m_readSoon; ///< Reads in this iteration of the loop.
+    loop_timer m_readNext; ///< Reads in the next iteration, after its input and output.
+    time_point m_readEndedAt; ///< When the last part of the queue had been read.
     loop_timer m_acceptAgain;
     loop_timer m_stopListening;
     bool m_isDraining = false;
@@ -181,6 +208,34 @@
     m_destroyClosed.schedule();
 }
 
+void http_server::implementation::enqueueRead(http_server_connection& readable)
+{
+    m_readQueue.push_back({ &readable, m_loop.now() });
+    if (!m_readNext.isArmed())
+        m_readSoon.schedule();
+}
+
+void http_server::implementation::dequeueRead(http_server_connection& readable)
+{
+    std::erase_if(m_readQueue, [&](const queued_read& each) { return each.connection == &readable; });
+}
+
+void http_server::implementation::readQueued()
+{
+    const time_point begin = m_loop.now();
+    const duration limit = std::clamp(begin - m_readEndedAt, minReadTime, maxReadTime);
+    time_point now = begin;
+    while (!m_readQueue.empty() && now - begin < limit) {
+        http_server_connection* next = m_readQueue.front().connection;
+        m_readQueue.pop_front();
+        next->readQueued();
+        now = m_loop.now();
+    }
+    m_readEndedAt = now;
+    if (!m_readQueue.empty())
+        m_readNext.arm(duration::zero());
+}
+
 bufferevent* http_server::implementation::onConnection(event_base* base, void* context)
 {
     auto* self = static_cast<implementation*>(context);
@@ -248,11 +303,21 @@
     m_implementation->setCloseObserver(std::move(observer));
 }
 
+void http_server::setEarlyCheck(http_early_check check)
+{
+    m_implementation->setEarlyCheck(std::move(check));
+}
+
 void http_server::drain()
 {
     m_implementation->drain();
 }
 
+duration http_server::readDelay() const
+{
+    return m_implementation->readDelay();
+}
+
 std::size_t http_server::connectionCount() const
 {
     return m_implementation->connectionCount();
--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -173,7 +173,10 @@
         self->takeRawInput();
     if (self->m_phase == phase::refusing)
         evbuffer_drain(self->m_raw, evbuffer_get_length(self->m_raw));
-    self->m_proceed.schedule();
+    if (self->m_phase == phase::reading)
+        self->readSoon();
+    else
+        self->m_proceed.schedule();
 }
 
 void http_server_connection::onOutput(evbuffer*, const evbuffer_cb_info* info, void* context)
@@ -219,14 +222,32 @@
 {
     if (m_phase == phase::adopting)
         adopt();
-    else if (m_phase == phase::reading)
-        read();
+    else if (m_phase == phase::reading && hasInput())
+        readSoon();
     else if (m_phase == phase::aborting && pendingBytes() == 0)
-        close(server_close_reason::abortedResponse);
+        close(m_hasServed ? server_close_reason::abortedResponse : server_close_reason::refusedEarly);
     if (m_owner.isDraining())
         closeIfIdle();
 }
 
+void http_server_connection::readSoon()
+{
+    if (!std::exchange(m_isQueued, true))
+        m_owner.enqueueRead(*this);
+}
+
+void http_server_connection::readQueued()
+{
+    m_isQueued = false;
+    if (m_phase == phase::reading)
+        read();
+}
+
+bool http_server_connection::hasInput() const
+{
+    return evbuffer_get_length(m_raw) > 0 || evbuffer_get_length(bufferevent_get_input(m_channel)) > 0;
+}
+
 void http_server_connection::adopt()
 {
     bufferevent_event_cb onEvent = nullptr;
@@ -247,6 +268,8 @@
     bufferevent_set_timeouts(m_channel, nullptr, nullptr);
     setNoDelay(bufferevent_getfd(m_channel));
     m_deadline.arm(m_owner.limits().idleTimeout);
+    if (hasInput())
+        readSoon();
     const std::size_t limit = m_owner.limits().connections;
     if (m_owner.connectionCount() > limit + maxRefusedConnections)
         close(server_close_reason::connectionLimit);
@@ -296,7 +319,8 @@
             sendContinue();
         return;
     case http_progress::complete:
-        dispatch();
+        if (!refuseEarly())
+            dispatch();
         return;
     case http_progress::violated:
         refuse(m_parser.violation().kind, m_parser.violation().message);
@@ -313,6 +337,26 @@
             MSG_NOSIGNAL | MSG_DONTWAIT));
 }
 
+bool http_server_connection::refuseEarly()
+{
+    const bool isPlain = m_parser.isPersistent() && m_owner.keepsConnections() && !m_parser.head().starts_with("HEAD ");
+    const std::string_view answer = isPlain ? m_owner.earlyAnswer(m_parser.headers(), !m_hasServed) : std::string_view();
+    if (answer.empty())
+        return false;
+    m_parser.reset();
+    m_body.clear();
+    m_deadline.arm(m_owner.limits().idleTimeout);
+    if (!m_hasServed) {
+        m_phase = phase::aborting;
+        m_proceed.schedule();
+    }
+    std::size_t sent = 0;
+    if (pendingBytes() == 0)
+        sent = static_cast<std::size_t>(std::max<ssize_t>(::send(socket(), answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT), 0));
+    bufferevent_write(m_channel, answer.data() + sent, answer.size() - sent);
+    return true;
+}
+
 void http_server_connection::inject(std::string_view head)
 {
     evbuffer* input = bufferevent_get_input(m_channel);
@@ -328,6 +372,7 @@
 void http_server_connection::dispatch()
 {
     m_phase = phase::answering;
+    m_hasServed = true;
     m_deadline.cancel();
     inject(m_parser.head());
 }
@@ -444,6 +489,8 @@
 void http_server_connection::closed()
 {
     detachChannel();
+    if (m_isQueued)
+        m_owner.dequeueRead(*this);
     if (m_request) {
         evhttp_request_set_on_complete_cb(m_request, nullptr, nullptr);
         // evhttp does not free a request whose response has not ended; its user must.
--- a/lib/Net/HttpServerConnection.h
+++ b/lib/Net/HttpServerConnection.h
@@ -81,6 +81,11 @@
     virtual bool isDraining() const = 0; ///< Whether connections close once no request is left on them.
     virtual bool keepsConnections() const = 0; ///< Whether responses keep their connection open.
     virtual std::size_t connectionCount() const = 0;
+    /// Calls `readQueued` of the connection in its turn. Precondition: it is not in the queue.
+    virtual void enqueueRead(http_server_connection& readable) = 0;
+    virtual void dequeueRead(http_server_connection& readable) = 0;
+    /// Returns the response of a request that is refused early, or an empty text.
+    virtual std::string_view earlyAnswer(const http_headers& headers, bool closes) = 0;
     virtual void requestArrived(http_request request, std::shared_ptr<http_response_writer> answer) = 0;
     virtual void connectionClosing(const server_close& closing) = 0;
     /// Takes over a closed connection, to destroy it later.
@@ -99,6 +104,9 @@
     /// Continues in evhttp's request callback for the head that was injected.
     void requestParsed(evhttp_request* request);
 
+    /// Handles the input that has arrived. Called by the owner, in the order of its queue.
+    void readQueued();
+
     /// Refuses the connection before any request.
     void refuse(refusal_kind kind, std::string message);
     /// Closes at once. Must not be called from within an evhttp callback.
@@ -133,6 +141,9 @@
     /// Sets the time limit of the output after it has grown, or \p hasWritten to the socket.
     void limitWriting(bool isEmpty, bool hasWritten);
     void proceed();
+    /// Puts the connection into the owner's queue, unless it is there.
+    void readSoon();
+    bool hasInput() const;
     void adopt();
     void detachChannel();
     void read();
@@ -141,6 +152,9 @@
     void takeRawInput();
     void progressed(bool wasHead);
     void sendContinue();
+    /// Answers the request at once if the early check refuses it, and closes a connection on which no
+    /// request has been handled. Returns whether it did.
+    bool refuseEarly();
     void inject(std::string_view head);
     void dispatch();
     void sendRefusal();
@@ -160,6 +174,8 @@
     std::string m_body;
     std::weak_ptr<http_server_answer> m_answer;
     deferred_call m_proceed;
+    bool m_hasServed = false; ///< A request has been passed to the handler.
+    bool m_isQueued = false; ///< The owner's queue holds this connection.
     loop_timer m_deadline;
     phase m_phase = phase::adopting;
     http_violation m_refusal;
--- a/lib/Outcome/Refusal.cpp
+++ b/lib/Outcome/Refusal.cpp
@@ -33,6 +33,7 @@
         { invalidCostHint, "invalid_cost_hint", 400, notRun, no, "send X-Cost-Hint as a positive number" },
         { invalidModel, "invalid_model", 400, notRun, no, "send X-Model as 1 to 128 printable characters without spaces" },
         { queueFull, "queue_full", 429, notRun, later, "too many requests of this workspace wait; send it later" },
+        { routerOverloaded, "router_overloaded", 503, notRun, later, "this router is overloaded; send the request again, on a new connection" },
         { queueTimeout, "queue_timeout", 503, notRun, later, "no backend server was free in time; send it again" },
         { connectionLimit, "connection_limit", 429, notRun, later,
             "too many requests of this workspace are in progress; send it later" },
--- a/unittests/Dispatch/DispatcherTests.cpp
+++ b/unittests/Dispatch/DispatcherTests.cpp
@@ -369,7 +369,7 @@
         serving_plan plan = makePlan(2);
         plan.tokensPerSecond = 1000;
         fleet.core.applyPlan(plan);
-        fleet.core.setLoopLag(150ms);
+        fleet.core.setLoopLag(fleet.now, 150ms);
         fleet.core.setFleetUsage(fleet.now, { 1, { { workspace_id("school"), 50'000, served }, { workspace_id("office"), 50'000, 1'500 } }, {} });
         inbound_request request;
         request.callerId = "id";
--- a/unittests/Dispatch/FairFleet.cpp
+++ b/unittests/Dispatch/FairFleet.cpp
@@ -63,7 +63,7 @@
         each->core.setRouters(names);
     }
     for (const std::size_t late : m_conditions.lateRouters)
-        m_routers[late]->core.setLoopLag(150ms);
+        m_routers[late]->core.setLoopLag(m_now, 150ms);
     for (std::size_t i = 0; i < readerCount; ++i)
         m_readers.try_emplace(i);
 }
--- a/unittests/Dispatch/SelectionTests.cpp
+++ b/unittests/Dispatch/SelectionTests.cpp
@@ -173,17 +173,17 @@
 TEST_CASE("a persistent lag is an overload, a single late event is not")
 {
     time_point now { 100s };
-    overload_guard guard;
-    guard.onLag(now, 5s);
+    overload_guard guard(1);
+    guard.onSample(now, { 5s, 5s, {} });
     CHECK_FALSE(guard.isOverloaded());
     for (int i = 0; i < 40; ++i)
-        guard.onLag(now += 50ms, 300ms);
+        guard.onSample(now += 50ms, { 300ms, 300ms, {} });
     CHECK(guard.isOverloaded());
     CHECK_FALSE(guard.shouldShedConnections(now));
     CHECK(guard.shouldShedConnections(now + 3s));
-    // An overload lasts at least four seconds, of which two have passed.
-    for (int i = 0; i < 60; ++i)
-        guard.onLag(now += 50ms, 1ms);
+    // An overload begins after a second of lag and lasts at least four, of which one has passed.
+    for (int i = 0; i < 80; ++i)
+        guard.onSample(now += 50ms, { 1ms, 1ms, {} });
     CHECK_FALSE(guard.isOverloaded());
 }
 
@@ -191,15 +191,38 @@
 TEST_CASE("an overload lasts at least four seconds")
 {
     time_point now { 100s };
-    overload_guard guard;
+    overload_guard guard(1);
     while (!guard.isOverloaded())
-        guard.onLag(now += 50ms, 200ms);
+        guard.onSample(now += 50ms, { 200ms, 200ms, {} });
     const time_point entered = now;
     while (now < entered + 3900ms) {
-        guard.onLag(now += 50ms, 0ms);
+        guard.onSample(now += 50ms, { 0ms, 0ms, {} });
         CHECK(guard.isOverloaded());
     }
     for (int i = 0; i < 4; ++i)
-        guard.onLag(now += 50ms, 0ms);
+        guard.onSample(now += 50ms, { 0ms, 0ms, {} });
     CHECK_FALSE(guard.isOverloaded());
 }
+
+// Guards against a router that does not notice its overload because the samples of a
+// lagging loop are rare.
+TEST_CASE("rare samples of a large lag are an overload within two seconds")
+{
+    time_point now { 100s };
+    overload_guard guard(1);
+    guard.onSample(now, { 0ms, 0ms, {} });
+    for (int i = 0; i < 5; ++i)
+        guard.onSample(now += 400ms, { 350ms, 400ms, {} });
+    CHECK(guard.isOverloaded());
+}
+
+// Guards against a VM that was suspended or frozen again and again and takes that for its own load.
+TEST_CASE("a lag without processor time is no overload")
+{
+    time_point now { 100s };
+    overload_guard guard(0.12);
+    for (int i = 0; i < 20; ++i)
+        guard.onSample(now += 1s, { 950ms, 1ms, {} });
+    CHECK_FALSE(guard.isOverloaded());
+    CHECK(guard.lag() < load_shedder::targetLag);
+}
--- a/unittests/Net/HttpServerTests.cpp
+++ b/unittests/Net/HttpServerTests.cpp
@@ -315,6 +315,82 @@
     }
 }
 
+// Guards against a refusal of an overloaded server that costs as much as handling the request,
+// and against one that disturbs the next request of its connection.
+TEST_CASE("a request that is refused early does not reach the handler")
+{
+    server_fixture test;
+    bool isRefusing = false;
+    std::vector<bool> closing;
+    test.server.setEarlyCheck([&](const http_headers& headers, bool closes) {
+        CHECK(findHeader(headers, "X-K") == "v");
+        if (isRefusing)
+            closing.push_back(closes);
+        return isRefusing ? std::string_view("HTTP/1.1 503 Busy\r\nContent-Length: 5\r\n\r\nbusy\n") : std::string_view();
+    });
+    test.onRequest = [&] { test.answers.back()->reply({}, "served " + test.requests.back().body); };
+    const auto post = [](const std::string& body) { return "POST /index HTTP/1.1\r\nHost: a\r\nX-K: v\r\nContent-Length: 1\r\n\r\n" + body; };
+    raw_socket caller = test.connect();
+    caller.send(post("1"));
+    REQUIRE(caller.waitFor("served 1"));
+    isRefusing = true;
+    caller.send(post("2") + post("3"));
+    REQUIRE(caller.waitFor("busy\nHTTP/1.1 503 Busy\r\nContent-Length: 5\r\n\r\nbusy\n"));
+    isRefusing = false;
+    caller.send(post("4"));
+    CHECK(caller.waitFor("served 4"));
+    CHECK(test.requests.size() == 2);
+    CHECK(closing == std::vector<bool> { false, false });
+}
+
+// Guards against refused callers that come again on new connections until none is left.
+TEST_CASE("a connection whose first request is refused early closes after the response")
+{
+    server_fixture test;
+    bool isClosing = false;
+    test.server.setEarlyCheck([&](const http_headers&, bool closes) {
+        isClosing = closes;
+        return std::string_view("HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 5\r\n\r\nbusy\n");
+    });
+    raw_socket caller = test.connect();
+    caller.send(get);
+    CHECK(caller.waitFor("busy\n"));
+    CHECK(isClosing);
+    CHECK(runUntil(test.loop, [&] { return test.server.connectionCount() == 0; }));
+    CHECK(test.requests.empty());
+}
+
+// Guards against closes, cancellations and news of the fleet that wait until all requests that
+// have arrived have been handled.
+TEST_CASE("requests that arrive together leave room for other events")
+{
+    constexpr int callerCount = 300;
+    server_fixture test;
+    test.onRequest = [&] {
+        const time_point end = test.loop.now() + 1ms;
+        while (test.loop.now() < end)
+            continue;
+        test.answers.back()->reply({}, "answer");
+    };
+    std::vector<raw_socket> callers;
+    for (int i = 0; i < callerCount; ++i)
+        callers.push_back(test.connect());
+    REQUIRE(runUntil(test.loop, [&] { return test.server.connectionCount() == callerCount; }));
+    for (raw_socket& each : callers)
+        each.send(get);
+    duration longestDelay {};
+    time_point due = test.loop.now();
+    loop_timer timer(test.loop, [&] {
+        longestDelay = std::max(longestDelay, test.loop.now() - due);
+        due = test.loop.now() + 1ms;
+        timer.arm(1ms);
+    });
+    timer.arm(0ms);
+    REQUIRE(test.waitForRequests(callerCount));
+    CHECK(longestDelay < 150ms);
+    CHECK(test.server.readDelay() == duration::zero());
+}
+
 // Guards against an unbounded number of connections, and against closing a
 // connection over the limit without an error response.
 TEST_CASE("connections over the limit are refused")
