--- a/cmake/PimentoladderPackages.cmake
+++ b/cmake/PimentoladderPackages.cmake
@@ -19,6 +19,7 @@
 target_compile_options(easylogging PRIVATE -w)
 
 if(PIMENTOLADDER_TESTS)
+  find_package(benchmark REQUIRED)
   find_package(doctest REQUIRED)
   find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
   add_library(pimentoladder_test_libraries INTERFACE)
