Write the events of a stream to the caller's socket at once

Cause: libevent writes output in the next iteration of the loop. Each event of a stream took two changes of what the loop waits for, another wake-up, and one more wait for a late loop.

Change: a response without a known length is flushed when bytes are passed on. Responses of known length stay as they are, since evhttp ends them within the call if its output is empty.

--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -55,6 +55,9 @@
     if (m_remainingBytes)
         *m_remainingBytes -= bytes.size();
     m_connection->sendBody(bytes);
+    // evhttp ends a response of known length within the call if its output is empty.
+    if (!m_remainingBytes)
+        m_connection->flushOutput();
 }
 
 void http_server_answer::end()
@@ -454,6 +457,19 @@
     evbuffer_drain(m_chunkBuffer, evbuffer_get_length(m_chunkBuffer));
 }
 
+void http_server_connection::flushOutput()
+{
+    if (m_phase != phase::answering || pendingBytes() == 0)
+        return;
+    evbuffer* output = bufferevent_get_output(m_channel);
+    evbuffer_unfreeze(output, 1);
+    evbuffer_write(output, socket());
+    evbuffer_freeze(output, 1);
+    // evhttp enables it again with its next output.
+    if (pendingBytes() == 0)
+        bufferevent_disable(m_channel, EV_WRITE);
+}
+
 void http_server_connection::endAnswer()
 {
     evhttp_send_reply_end(m_request);
--- a/lib/Net/HttpServerConnection.h
+++ b/lib/Net/HttpServerConnection.h
@@ -117,6 +117,9 @@
 
     void sendHead(const http_response_head& head, bool isLengthKnown);
     void sendBody(std::string_view bytes);
+    /// Writes pending output to the socket. libevent would write it in the next iteration of the loop,
+    /// which costs two changes of what the loop waits for and another wake-up.
+    void flushOutput();
     void endAnswer();
     void abortAnswer();
     std::size_t pendingBytes() const { return evbuffer_get_length(bufferevent_get_output(m_channel)); }
