--- a/unittests/PlatformAdapter/RequestCostBenchmark.cpp
+++ b/unittests/PlatformAdapter/RequestCostBenchmark.cpp
@@ -18,7 +18,7 @@
 constexpr int serverCount = 140;
 constexpr duration loopTime = std::chrono::milliseconds(1); ///< Part of the router's time between those of the callers and the servers.
 constexpr int batchSize = 32; ///< Requests that arrive together, as in a flood.
-constexpr int eventCount = 30; ///< Of a long stream.
+constexpr int floodSize = 1500; ///< Requests that arrive together and are more than the loop handles without lag.
 constexpr int warmUpBatches = 8; ///< Enough for one request at each server.
 constexpr std::chrono::milliseconds coldTime = std::chrono::hours(1);
 constexpr int statusOk = 200;
@@ -39,20 +39,6 @@
         + std::to_string(events.size()) + "\r\n\r\n" + events } };
 }
 
-/// Answers with events that are sent one by one.
-raw_reply longStreamOf(const std::string&)
-{
-    raw_reply reply { { "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" } };
-    for (int i = 1; i <= eventCount; ++i) {
-        const std::string event = "id: " + std::to_string(i) + "\ndata: " + std::string(60, 'x') + "\n\n";
-        char size[16];
-        std::snprintf(size, sizeof size, "%zx\r\n", event.size());
-        reply.parts.push_back(size + event + "\r\n");
-    }
-    reply.parts.back() += "0\r\n\r\n";
-    return reply;
-}
-
 int connectTo(std::uint16_t port)
 {
     const int made = socket(AF_INET, SOCK_STREAM, 0);
@@ -87,8 +73,8 @@
 class cost_fixture {
 public:
     /// If \p areCold, each server takes one request and further ones are refused.
-    explicit cost_fixture(bool areCold, raw_backend::script answers = streamOf)
-        : m_server(std::move(answers))
+    explicit cost_fixture(bool areCold)
+        : m_server(streamOf)
     {
         const nlohmann::json stream { { "name", "stream" }, { "host", "h" }, { "prefix", "/stream/" }, { "route_type", "streaming" }, { "resumable", false },
             { "service", "model" }, { "max_attempts", 3 }, { "timeout_ms", 3000 }, { "latency_goal_ms", 60000 } };
@@ -120,21 +106,12 @@
         duration used {};
         while (m_callers.size() < batchSize)
             m_callers.push_back(connectTo(m_fleet.configured.listen.callers.port));
-        for (const int each : m_callers) {
-            const std::string id = std::to_string(++m_lastAttempt);
-            const std::string request = "POST /stream/a HTTP/1.1\r\nHost: h\r\nApi-Key: key\r\nX-Attempt-Id: b" + id
-                + "\r\nX-Deadline-Ms: 3000\r\nX-Token-Counts: 1460,80\r\nX-Length-Hint: 60\r\nX-Prompt-Prefix: 5c1e07a2:800,a" + id + ":410,b" + id + ":250\r\nContent-Length: 4\r\n\r\nbody";
-            send(each, request.data(), request.size(), MSG_NOSIGNAL);
-        }
+        for (const int each : m_callers)
+            sendRequest(each);
         std::vector<std::string> answers(m_callers.size());
         const time_point end = tools::bootTime() + answerLimit;
         for (std::size_t answered = 0; answered < answers.size();) {
-            const duration before = processorTime();
-            m_router->loop.runFor(loopTime);
-            used += processorTime() - before;
-            // The store's stand-in answers the router's reads.
-            m_fleet.events.runFor(std::chrono::microseconds(100));
-            m_server.poll();
+            used += runRouter();
             answered = 0;
             for (std::size_t i = 0; i < answers.size(); ++i) {
                 receive(m_callers[i], answers[i]);
@@ -150,7 +127,55 @@
         return used;
     }
 
+    /// Sends a request on each of many kept connections and returns the router's processor time until
+    /// all have been answered.
+    duration runFlood()
+    {
+        duration used {};
+        while (m_callers.size() < floodSize) {
+            m_callers.push_back(connectTo(m_fleet.configured.listen.callers.port));
+            runRouter();
+        }
+        for (const int each : m_callers)
+            sendRequest(each);
+        const time_point end = tools::bootTime() + answerLimit;
+        for (int answered = 0; answered < floodSize;) {
+            used += runRouter();
+            for (const int each : m_callers) {
+                std::string received;
+                receive(each, received);
+                answered += received.empty() ? 0 : 1;
+                shed += received.find("router_overloaded") == std::string::npos ? 0 : 1;
+            }
+            if (tools::bootTime() > end)
+                throw std::runtime_error("a request was not answered");
+        }
+        return used;
+    }
+
+    std::uint64_t shed = 0; ///< Requests of floods that were refused because of overload.
+
 private:
+    /// Runs the router for a short time and returns the processor time that it uses.
+    duration runRouter()
+    {
+        const duration before = processorTime();
+        m_router->loop.runFor(loopTime);
+        const duration used = processorTime() - before;
+        // The store's stand-in answers the router's reads.
+        m_fleet.events.runFor(std::chrono::microseconds(100));
+        m_server.poll();
+        return used;
+    }
+
+    void sendRequest(int to)
+    {
+        const std::string id = std::to_string(++m_lastAttempt);
+        const std::string request = "POST /stream/a HTTP/1.1\r\nHost: h\r\nApi-Key: key\r\nX-Attempt-Id: b" + id
+            + "\r\nX-Deadline-Ms: 3000\r\nX-Token-Counts: 1460,80\r\nX-Length-Hint: 60\r\nX-Prompt-Prefix: 5c1e07a2:800,a" + id + ":410,b" + id + ":250\r\nContent-Length: 4\r\n\r\nbody";
+        send(to, request.data(), request.size(), MSG_NOSIGNAL);
+    }
+
     /// Returns the status of the router's administration path.
     int call(const std::string& path)
     {
@@ -172,8 +197,6 @@
 
     static bool isComplete(const std::string& answer)
     {
-        if (answer.find("chunked\r\n") != std::string::npos)
-            return answer.ends_with("\r\n0\r\n\r\n");
         const std::size_t body = answer.find("\r\n\r\n");
         const std::string length = headerOf(answer, "Content-Length");
         return body != std::string::npos && !length.empty() && answer.size() >= body + 4 + std::stoul(length);
@@ -207,20 +230,23 @@
 
 }
 
-void measureStreams(benchmark::State& state)
+void measureFlood(benchmark::State& state)
 {
-    cost_fixture fixture(false, longStreamOf);
-    fixture.runBatch({}, false);
+    cost_fixture fixture(true);
+    for (int i = 0; i < warmUpBatches; ++i)
+        fixture.runFlood();
+    fixture.shed = 0;
     for (auto _ : state)
-        state.SetIterationTime(std::chrono::duration<double>(fixture.runBatch(statusOk, false)).count());
-    state.SetItemsProcessed(state.iterations() * batchSize);
+        state.SetIterationTime(std::chrono::duration<double>(fixture.runFlood()).count());
+    state.SetItemsProcessed(state.iterations() * floodSize);
+    state.counters["shed"] = static_cast<double>(fixture.shed) / static_cast<double>(state.iterations() * floodSize);
 }
 
 BENCHMARK_CAPTURE(measure, refusal_on_kept_connection, true, statusUnavailable, false)->UseManualTime()->Unit(benchmark::kMicrosecond);
 BENCHMARK_CAPTURE(measure, refusal_on_new_connection, true, statusUnavailable, true)->UseManualTime()->Unit(benchmark::kMicrosecond);
 BENCHMARK_CAPTURE(measure, dispatch_on_kept_connection, false, statusOk, false)->UseManualTime()->Unit(benchmark::kMicrosecond);
 BENCHMARK_CAPTURE(measure, dispatch_on_new_connection, false, statusOk, true)->UseManualTime()->Unit(benchmark::kMicrosecond);
-BENCHMARK(measureStreams)->Name("stream_of_30_events")->UseManualTime()->Unit(benchmark::kMicrosecond);
+BENCHMARK(measureFlood)->Name("refusal_in_a_flood")->UseManualTime()->Unit(benchmark::kMicrosecond);
 
 int main(int argc, char** argv)
 {
