--- a/unittests/PlatformAdapter/RouterFixture.h
+++ b/unittests/PlatformAdapter/RouterFixture.h
@@ -43,11 +43,12 @@
 
 /// A router process with its platform adapters and its log.
 struct tested_router {
-    tested_router(const settings& configured, std::vector<nlohmann::json>& lines)
+    /// \p codec replaces the platform's codec of requests if it is not null.
+    tested_router(const settings& configured, std::vector<nlohmann::json>& lines, ingress_codec* codec = nullptr)
         : log(
             log_level::info, [&lines](std::string_view line) { lines.push_back(nlohmann::json::parse(line)); return true; }, [this] { return loop.now(); })
         , rows(loop, configured.platform.rows)
-        , process(loop, log, configured, { rows, fleet, ingress }, incarnation(1), 1)
+        , process(loop, log, configured, { rows, fleet, codec ? *codec : ingress }, incarnation(1), 1)
     {
     }
 
