Close a connection whose caller does not read its early refusals

Cause, found by reading: what the socket did not take of an early refusal was left to evhttp's bufferevent, whose writing is off between two responses, and whose callback would take the end of that output for the end of a response that does not exist. Class: bad input that takes a process down.

Change: such a connection closes. A caller that leaves no room for 300 bytes does not read.

--- a/lib/Daemon/DispatchFront.cpp
+++ b/lib/Daemon/DispatchFront.cpp
@@ -47,9 +47,10 @@
         return text;
     }
 
-    /// Returns a complete response with a header about its connection.
-    std::string responseText(const refusal& row, duration retryAfter, std::string_view connectionHeader)
+    /// Returns the complete response to a request that is shed, with \p connectionHeader.
+    std::string shedResponseText(duration retryAfter, std::string_view connectionHeader)
     {
+        const refusal& row = refusalOf(refusal_kind::routerOverloaded);
         const std::string body = refusalBody(row);
         return "HTTP/1.1 " + std::to_string(row.status) + " Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: "
             + std::to_string(body.size()) + "\r\nRetry-After: " + secondsText(retryAfter) + "\r\n" + std::string(connectionHeader) + "\r\n" + body;
@@ -76,10 +77,8 @@
     , m_codec(codec)
     , m_bufferBytes(bufferBytes)
 {
-    for (const duration wait : shedRetryAfter) {
-        const refusal& row = refusalOf(refusal_kind::routerOverloaded);
-        m_shedResponses.push_back({ responseText(row, wait, ""), responseText(row, wait, "Connection: close\r\n") });
-    }
+    for (const duration wait : shedRetryAfter)
+        m_shedResponses.push_back({ shedResponseText(wait, ""), shedResponseText(wait, "Connection: close\r\n") });
 }
 
 dispatch_front::~dispatch_front() = default;
--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -349,14 +349,14 @@
     m_parser.reset();
     m_body.clear();
     m_deadline.arm(m_owner.limits().idleTimeout);
-    if (!m_hasServed) {
+    // Output of a connection without a request must not pass through evhttp, which would take its
+    // end for that of a response. A caller that leaves no room for a short refusal does not read.
+    const ssize_t sent = ::send(socket(), answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    const bool isSent = sent == static_cast<ssize_t>(answer.size());
+    if (!isSent || !m_hasServed) {
         m_phase = phase::aborting;
         m_proceed.schedule();
     }
-    std::size_t sent = 0;
-    if (pendingBytes() == 0)
-        sent = static_cast<std::size_t>(std::max<ssize_t>(::send(socket(), answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT), 0));
-    bufferevent_write(m_channel, answer.data() + sent, answer.size() - sent);
     return true;
 }
 
--- a/unittests/Net/HttpServerTests.cpp
+++ b/unittests/Net/HttpServerTests.cpp
@@ -360,6 +360,32 @@
     CHECK(test.requests.empty());
 }
 
+// Guards against a caller that sends requests without reading and so corrupts the connection's
+// state or stops the server.
+TEST_CASE("a caller that does not read its early refusals loses its connection")
+{
+    server_fixture test;
+    bool isRefusing = false;
+    test.server.setEarlyCheck([&](const http_headers&, bool) { return isRefusing ? std::string_view("HTTP/1.1 503 Busy\r\nContent-Length: 5\r\n\r\nbusy\n") : std::string_view(); });
+    test.onRequest = [&] { test.answers.back()->reply({}, "served"); };
+    raw_socket caller = test.connect(2048);
+    caller.send(get);
+    REQUIRE(runUntil(test.loop, [&] { return test.requests.size() == 1; }));
+    isRefusing = true;
+    std::string many;
+    for (int i = 0; i < 500; ++i)
+        many += get;
+    const bool isClosed = runUntil(test.loop, [&] {
+        caller.send(many);
+        return test.server.connectionCount() == 0;
+    });
+    CHECK(isClosed);
+    isRefusing = false;
+    raw_socket other = test.connect();
+    other.send(get);
+    CHECK(other.waitFor("served"));
+}
+
 // Guards against closes, cancellations and news of the fleet that wait until all requests that
 // have arrived have been handled.
 TEST_CASE("requests that arrive together leave room for other events")
