Restore the bounds of the flood test and the loop of a guard test

Bounds come from the stated target, so they are back. The guard's test had a longer loop than its 0.5 s of delay needs; it has the old one again.

--- a/unittests/Dispatch/SelectionTests.cpp
+++ b/unittests/Dispatch/SelectionTests.cpp
@@ -181,8 +181,8 @@
     CHECK(guard.isOverloaded());
     CHECK_FALSE(guard.shouldShedConnections(now));
     CHECK(guard.shouldShedConnections(now + 3s));
-    // An overload begins after a second of lag and lasts at least four, of which one has passed.
-    for (int i = 0; i < 80; ++i)
+    // An overload lasts at least four seconds, of which more than one has passed.
+    for (int i = 0; i < 60; ++i)
         guard.onSample(now += 50ms, { 1ms, 1ms, {} });
     CHECK_FALSE(guard.isOverloaded());
 }
--- a/unittests/PlatformAdapter/FloodTests.cpp
+++ b/unittests/PlatformAdapter/FloodTests.cpp
@@ -44,8 +44,9 @@
 };
 
 constexpr duration requestCost = 5ms;
-/// Callers give up a request that has not been read for this long.
-constexpr duration callerPatience = 1s;
+/// Stated targets: a refusal, and the objective of the other workspace's requests.
+constexpr duration refusalTarget = 100ms;
+constexpr duration objective = 300ms;
 constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
 
@@ -133,11 +134,11 @@
     fleet.run(4s, flood);
     const auto few = fleet.answered("few", statusOk);
     CHECK(few.size() >= 0.95 * 20 * 4);
-    CHECK(percentile(few, 0.95) < callerPatience);
+    CHECK(percentile(few, 0.95) < objective);
     const auto refused = fleet.answered("flood", statusUnavailable);
     CHECK(refused.size() > 100);
-    CHECK(percentile(refused, 0.95) < callerPatience);
+    CHECK(percentile(refused, 0.95) < refusalTarget);
     CHECK(std::all_of(refused.begin(), refused.end(), [](const flood_request& each) { return each.hasRetryAfter; }));
-    CHECK(fleet.answered("flood", statusOk).size() > few.size());
+    CHECK(fleet.answered("flood", statusOk).size() * requestCost > 0.4 * 4s);
     CHECK(fleet.logged("requests_shed") > 0);
 }
