--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -368,6 +368,9 @@
     """Runs `case(record, temporary folder)`, which returns the broken rules as texts, and exits with 0, 1 or 2."""
 
     async def whole():
+        # A script that is told to end still ends its routers.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         record = Record(folder)
         machines = []
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
@@ -386,7 +389,7 @@
 
     try:
         code = asyncio.run(whole())
-    except (CannotRun, asyncio.TimeoutError, OSError) as fault:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as fault:
         print(f"the case couldn't run: {fault!r}")
         code = 2
     sys.exit(code)
