Rows are never older than their bound, however many readers are silent

Cause: a router with a source never read the store itself, and each silent source cost 1.2 s before the next one was tried.

Change: the age of the last confirmation decides. At 0.8 of the bound a router reads the store, whatever its source does, and the store does not hold that read. Another reader is asked while the first is late, which keeps these reads few. The choice of readers moves to row_sources, and all waits are derived from the one bound. A router that no reader answers reads again within 2.4 s after an outage (9.6 s before).

The tests of the relay are as before, with a field renamed and a seed for each router; a read of the fixture's store can take time.

--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -3,7 +3,6 @@
 
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -19,43 +18,12 @@
 #include "pimentoladder/Base/Time.h"
 #include "pimentoladder/Protocol/Messages.h"
 #include "pimentoladder/Replica/FleetRouter.h"
+#include "pimentoladder/Replica/RelayLimits.h"
 #include "pimentoladder/Replica/RowReplica.h"
+#include "pimentoladder/Replica/RowSources.h"
 
 namespace pimentoladder {
 
-/// Tables that routers replicate. The values are the tables' indexes on the wire.
-enum class followed_table : std::uint32_t {
-    operators,
-    servers,
-    members,
-};
-inline constexpr std::size_t followedTableCount = 3;
-
-/// Exponential backoff with jitter after failed reads: each further failure in a row
-/// doubles the pause.
-struct retry_pauses {
-    duration first {};
-    duration longest {};
-};
-
-/// Configuration of the relay.
-struct relay_limits {
-    std::size_t minReaders = 3; ///< Minimum number of routers that read the store for the others; there is at least one in each data centre.
-    std::array<duration, followedTableCount> wait { std::chrono::milliseconds(400), {}, {} }; ///< How long the store may hold each read until a row changes.
-    std::array<duration, followedTableCount> pause { std::chrono::milliseconds(600), std::chrono::milliseconds(600), std::chrono::seconds(3) }; ///< Minimum time between the starts of two reads.
-    duration followInterval = std::chrono::milliseconds(400); ///< Interval between two messages to the source.
-    duration sourceTimeout = std::chrono::milliseconds(1200); ///< Time without a message after which a source or a follower counts as lost; leaves time to read the store within the limit for noticing leaving servers (2 s).
-    duration maxBasisAge = std::chrono::milliseconds(1600); ///< Age of the last confirmation above which a reader has lost the store; a configuration must be in force within 2 s.
-    duration sourceCooldown = std::chrono::seconds(4); ///< How long a lost source is not followed again.
-    duration startGrace = std::chrono::milliseconds(500); ///< Time at the start to connect to a reader before this router reads the store itself.
-    duration recoveryNoticePeriod = std::chrono::seconds(3); ///< How long followers are told that the store has recovered from an outage.
-    duration sourceCooldownWithoutStore = std::chrono::milliseconds(500); ///< How long a source that reports that it has lost the store is not followed again.
-    duration restoredHold = std::chrono::seconds(60); ///< How long rows that were in force stay in force after the store was restored from a copy, unless they are written again.
-    duration absentServerHold = std::chrono::milliseconds(1900); ///< The same for servers that the copy lacks; live ones have registered again by then.
-    retry_pauses readerRetry { std::chrono::milliseconds(200), std::chrono::milliseconds(400) }; ///< Backoff of readers and of routers with followers.
-    retry_pauses otherRetry { std::chrono::milliseconds(1600), std::chrono::milliseconds(6400) }; ///< Backoff of any other router; longer, since hundreds of them would call a store that is down.
-};
-
 /// Read a table of the store, either completely or only the changes after a position.
 struct read_table {
     followed_table table {};
@@ -124,6 +92,13 @@
     std::string_view reason;
 };
 
+/// The rows have become older than `relay_limits::maxBasisAge` although a source is followed.
+/// This router reads the store itself.
+struct rows_overdue {
+    vm_id source;
+    duration age {};
+};
+
 /// The store responded again at this time after an outage, to this router or to its
 /// source.
 struct store_recovered {
@@ -131,7 +106,7 @@
 };
 
 using relay_action = std::variant<read_table, send_to_router, row_changed, table_listed, basis_confirmed,
-    store_lost, table_reads_recovered, source_changed, store_recovered, store_era_changed, restored_rows_accepted>;
+    store_lost, table_reads_recovered, source_changed, store_recovered, store_era_changed, restored_rows_accepted, rows_overdue>;
 using relay_actions = std::vector<relay_action>;
 
 /// Keeps this router's replicas of the tables current, from the store or from another
@@ -140,10 +115,11 @@
 /// In each data centre the router with the most CPU cores, and among equals the one with
 /// the highest hash of its name, reads the store; if these are fewer than `minReaders`,
 /// the next routers in this order read it too. Every other router follows one of these
-/// readers and reads the store itself while no reader responds. A router that has followers reads
-/// the store whether or not it ranks as a reader, so the routers need not agree on the
-/// readers. A reader that has lost the store follows another one until its own reads
-/// succeed again. While no reader has the store, the other routers read only one table,
+/// readers (see `row_sources`) and reads the store itself while no reader responds, or once
+/// its rows are older than `relay_limits::maxBasisAge`, whatever the reason. A router that has
+/// followers reads the store whether or not it ranks as a reader, so the routers need not
+/// agree on the readers. A reader that has lost the store follows another one until its own
+/// reads succeed again. While no reader has the store, the other routers read only one table,
 /// at growing intervals.
 ///
 /// A store that was restored from a copy is in a later era. A router that learns of it,
@@ -165,7 +141,7 @@
     /// Returns the rows that the peer needs if it has been restarted since the store was
     /// restored.
     relay_actions onLinkOpened(time_point now, const vm_id& peer);
-    void onLinkClosed(const vm_id& peer) { m_linked.erase(peer); }
+    void onLinkClosed(const vm_id& peer) { m_sources.onLinkClosed(peer); }
 
     /// Makes this router read the table of members from the store as soon as possible.
     void refreshMembers();
@@ -177,10 +153,10 @@
     bool isFollowedBy(const vm_id& router) const { return m_followers.contains(router); }
 
     /// Returns the routers that read the store for the others, possibly including this one.
-    const std::vector<fleet_router>& readers() const { return m_readers; }
+    const std::vector<fleet_router>& readers() const { return m_sources.readers(); }
     const std::vector<fleet_router>& members() const { return m_members; }
     const row_replica& replica(followed_table table) const { return m_tables[static_cast<std::size_t>(table)].replica; }
-    const vm_id& source() const { return m_source; }
+    const vm_id& source() const { return m_sources.source(); }
 
 private:
     struct table_state {
@@ -210,12 +186,13 @@
     table_state& state(followed_table table) { return m_tables[static_cast<std::size_t>(table)]; }
     bool readsStore(time_point now) const;
     bool isWanted(followed_table table, time_point now) const;
-    void chooseSource(time_point now, relay_actions& out);
-    std::optional<vm_id> bestSource(time_point now) const;
-    void switchSource(vm_id next, std::string_view reason, relay_actions& out);
-    void follow(time_point now, relay_actions& out);
+    void reportSource(std::optional<std::string_view> reasonOfChange, relay_actions& out) const;
+    void askReaders(time_point now, relay_actions& out);
+    void reportOverdue(time_point now, relay_actions& out);
+    duration readWait(followed_table table, time_point now) const;
     void answerFollower(time_point now, const member_ref& from, const follow_rows& asked, relay_actions& out);
     void applyUpdate(time_point now, const member_ref& from, const rows_update& received, relay_actions& out);
+    void onAnswer(time_point now, const vm_id& from, const rows_update& received, bool hasGap, relay_actions& out);
     void publish(time_point now, table_update update, relay_actions& out);
     static void report(followed_table table, const std::vector<published_row>& changed, bool mayBeOlder, relay_actions& out);
     void onReadFailed(time_point now, followed_table table, error reason, relay_actions& out);
@@ -231,7 +208,6 @@
     void endRetention(time_point now, relay_actions& out);
     time_point nextRetentionEnd() const;
     void confirm(relay_actions& out);
-    bool isReader(const vm_id& router) const;
     bool mustReadStore(time_point now) const;
     bool hasRead(const table_state& table, time_point now) const;
     duration retryPause(const table_state& failed, time_point now);
@@ -241,26 +217,17 @@
     std::optional<duration> returnedAge(time_point now) const;
 
     vm_id m_self;
-    data_centre_id m_ownDataCentre;
     relay_limits m_limits;
+    row_sources m_sources;
     random_source m_random;
     std::vector<table_state> m_tables;
     store_era m_era; ///< Latest era of the store that this router knows of.
     std::vector<fleet_router> m_members;
-    std::vector<fleet_router> m_readers;
-    std::set<vm_id> m_linked;
     std::map<vm_id, time_point> m_followers; ///< Time of each follower's last message.
-    std::map<vm_id, time_point> m_cooldownUntil;
-    vm_id m_source; ///< Empty: no source is followed.
-    time_point m_heardAt; ///< Time of the source's last response, or at which it was chosen.
-    time_point m_followAt;
-    time_point m_chosenAt;
-    bool m_hasSourceBasis = false; ///< The source has confirmed the tables at least once.
-    std::uint64_t m_sequence = 0;
-    std::map<std::uint64_t, time_point> m_unanswered; ///< Send times of the unanswered messages to the source, by sequence number.
     std::optional<time_point> m_basis; ///< Time at which the tables `operators` and `servers` were both current.
     std::optional<time_point> m_returnedAt; ///< Time at which the store recovered from its last outage.
     std::optional<time_point> m_startedAt; ///< Time of the first tick.
+    bool m_isOverdue = false; ///< `rows_overdue` was reported since the last confirmation.
 };
 
 }
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -39,28 +39,19 @@
     // Fraction of the platform's retry limit that the routers use. Each router
     // counts its own requests only, and its window differs from the platform's.
     constexpr double retryBudgetFraction = 0.75;
-    // Fractions of the shorter freshness bound (configuration or drain) after which
-    // a router abandons a reader that is silent, or whose data is stale because it
-    // cannot reach the store. The remainder is left for the router's own read.
-    constexpr double silenceFraction = 0.6;
-    constexpr double stalenessFraction = 0.8;
-    // Interval between reads of the configuration, or of the servers, as a fraction
-    // of that bound. Store calls cost money; at this interval a change still
-    // reaches all routers within half the bound.
-    constexpr double readIntervalFraction = 0.3;
-
-    // Age of the rows, as a fraction of that bound, that 99 of 100 decisions stay below while
+    // Age of the rows, as a fraction of the bound on it, that 99 of 100 decisions stay below while
     // the store and the readers are reached: the interval between reads, and the way of an update.
     constexpr double usualAgeFraction = 0.6;
 
+    /// Returns how old the rows of this router may be: the shorter bound on changes.
+    duration maxRowAge(const settings& configured)
+    {
+        return std::min(configured.freshness.configuration, configured.freshness.drain);
+    }
+
     relay_limits relayLimits(const settings& configured)
     {
-        const auto bound = std::chrono::duration<double>(std::min(configured.freshness.configuration, configured.freshness.drain));
-        relay_limits limits;
-        limits.sourceTimeout = std::chrono::duration_cast<duration>(bound * silenceFraction);
-        limits.maxBasisAge = std::chrono::duration_cast<duration>(bound * stalenessFraction);
-        for (const followed_table table : { followed_table::operators, followed_table::servers })
-            limits.pause[static_cast<std::size_t>(table)] = std::chrono::duration_cast<duration>(bound * readIntervalFraction);
+        relay_limits limits = relayLimitsFor(maxRowAge(configured));
         limits.restoredHold = configured.freshness.restoredHold;
         return limits;
     }
@@ -74,7 +65,7 @@
         limits.retryShare = configured.retries.share * retryBudgetFraction;
         limits.fleetRetries = static_cast<std::uint64_t>(configured.retries.extra * retryBudgetFraction);
         limits.freshness.maxKeyBasisAge = configured.freshness.keys - keyFreshnessMargin;
-        limits.maxListAge = std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::min(configured.freshness.configuration, configured.freshness.drain)) * usualAgeFraction);
+        limits.maxListAge = std::chrono::duration_cast<duration>(maxRowAge(configured) * usualAgeFraction);
         limits.freshness.maxReadyBasisAge = configured.freshness.configuration + readinessMargin;
         return limits;
     }
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -369,6 +369,13 @@
     m_parts.log.write(log_level::warning, "restored_rows_accepted", { { "table", std::string_view(table) }, { "rows", std::uint64_t { step.rows } } });
 }
 
+void fleet_follower::perform(const rows_overdue& step)
+{
+    m_parts.values.count("pimentoladder_rows_overdue_total", {});
+    m_parts.log.write(log_level::warning, "rows_overdue",
+        { { "source", std::string_view(step.source.value()) }, { "age_ms", std::int64_t { std::chrono::duration_cast<std::chrono::milliseconds>(step.age).count() } } });
+}
+
 void fleet_follower::perform(const store_lost& step)
 {
     const std::string table = nameOf(step.table);
--- /dev/null
+++ b/lib/Replica/RelayLimits.cpp
@@ -0,0 +1,44 @@
+#include "pimentoladder/Replica/RelayLimits.h"
+
+#include <cassert>
+
+namespace pimentoladder {
+
+namespace {
+
+    // Fractions of the bound on the age of rows.
+    constexpr double readInterval = 0.3;
+    constexpr double heldRead = 0.2;
+    constexpr double followInterval = 0.2;
+    // Several round trips between data centres.
+    constexpr double hedgeDelay = 0.075;
+    constexpr double silence = 0.6;
+    constexpr double ownRead = 0.8;
+    constexpr double shortRetry = 0.1;
+    constexpr double readerRetry = 0.2;
+    // With jitter 1.2 of the bound, so that a router without readers is current again within
+    // the time that the store needs to count as stable (1.5 of the bound).
+    constexpr double loneRetry = 0.8;
+    constexpr double longRetry = 3.2;
+
+}
+
+relay_limits relayLimitsFor(duration maxRowAge)
+{
+    assert(maxRowAge > duration::zero() && "the bound on the age of rows must be positive");
+    const auto part = [maxRowAge](double fraction) { return std::chrono::duration_cast<duration>(maxRowAge * fraction); };
+    relay_limits limits;
+    limits.wait[static_cast<std::size_t>(followed_table::operators)] = part(heldRead);
+    for (const followed_table table : { followed_table::operators, followed_table::servers })
+        limits.pause[static_cast<std::size_t>(table)] = part(readInterval);
+    limits.followInterval = part(followInterval);
+    limits.hedgeDelay = part(hedgeDelay);
+    limits.sourceTimeout = part(silence);
+    limits.maxBasisAge = part(ownRead);
+    limits.readerRetry = { part(shortRetry), part(readerRetry) };
+    limits.loneRetry = { part(shortRetry), part(loneRetry) };
+    limits.otherRetry = { part(ownRead), part(longRetry) };
+    return limits;
+}
+
+}
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -10,10 +10,8 @@
     using namespace std::chrono_literals;
 
     constexpr double retryJitter = 0.5;
-    // Maximum number of messages to the source that wait for a response.
-    constexpr std::size_t maxUnanswered = 16;
-    // Interval between two checks for a better source.
-    constexpr duration sourceCheckInterval = 100ms;
+    // Minimum time to the next tick of a router whose rows are too old.
+    constexpr duration staleInterval = 100ms;
     // Maximum time to the next tick.
     constexpr duration idleInterval = 1s;
 
@@ -43,8 +41,8 @@
 
 row_relay::row_relay(vm_id self, data_centre_id ownDataCentre, const row_rules& rules, relay_limits limits, std::uint64_t seed)
     : m_self(std::move(self))
-    , m_ownDataCentre(std::move(ownDataCentre))
     , m_limits(limits)
+    , m_sources(m_self, std::move(ownDataCentre), limits)
     , m_random(seed)
 {
     for (const followed_table table : allTables)
@@ -59,13 +57,14 @@
         return std::pair(left.cores, hashOf(left.vm)) > std::pair(right.cores, hashOf(right.vm));
     });
     m_members = std::move(members);
-    m_readers.clear();
+    std::vector<fleet_router> readers;
     std::set<data_centre_id> covered;
     std::vector<fleet_router> others;
     for (const fleet_router& each : m_members)
-        (covered.insert(each.dataCentre).second ? m_readers : others).push_back(each);
-    for (std::size_t i = 0; i < others.size() && m_readers.size() < m_limits.minReaders; ++i)
-        m_readers.push_back(others[i]);
+        (covered.insert(each.dataCentre).second ? readers : others).push_back(each);
+    for (std::size_t i = 0; i < others.size() && readers.size() < m_limits.minReaders; ++i)
+        readers.push_back(others[i]);
+    m_sources.setReaders(std::move(readers));
 }
 
 void row_relay::refreshMembers()
@@ -75,14 +74,9 @@
     members.nextReadAt = {};
 }
 
-bool row_relay::isReader(const vm_id& router) const
-{
-    return std::any_of(m_readers.begin(), m_readers.end(), [&](const fleet_router& each) { return each.vm == router; });
-}
-
 bool row_relay::mustReadStore(time_point now) const
 {
-    return isReader(m_self) || std::any_of(m_followers.begin(), m_followers.end(), [&](const auto& each) { return now - each.second <= m_limits.sourceTimeout; });
+    return m_sources.isReader(m_self) || std::any_of(m_followers.begin(), m_followers.end(), [&](const auto& each) { return now - each.second <= m_limits.sourceTimeout; });
 }
 
 bool row_relay::hasRead(const table_state& table, time_point now) const
@@ -97,7 +91,7 @@
 
 bool row_relay::isStoreFailing() const
 {
-    return m_source.isEmpty() && std::any_of(m_tables.begin(), m_tables.begin() + basisTables, [](const table_state& each) { return each.isFailing; });
+    return m_sources.source().isEmpty() && std::any_of(m_tables.begin(), m_tables.begin() + basisTables, [](const table_state& each) { return each.isFailing; });
 }
 
 bool row_relay::isStale(time_point now) const
@@ -109,7 +103,7 @@
 bool row_relay::readsStore(time_point now) const
 {
     const bool isStarting = !m_startedAt || now < *m_startedAt + m_limits.startGrace;
-    return mustReadStore(now) || (m_source.isEmpty() && !isStarting);
+    return mustReadStore(now) || (!isStarting && (m_sources.source().isEmpty() || isStale(now)));
 }
 
 bool row_relay::isWanted(followed_table table, time_point now) const
@@ -125,76 +119,44 @@
 
 duration row_relay::retryPause(const table_state& failed, time_point now)
 {
-    const retry_pauses& pauses = mustReadStore(now) ? m_limits.readerRetry : m_limits.otherRetry;
+    const retry_pauses& others = m_sources.hasAnswered(now) ? m_limits.otherRetry : m_limits.loneRetry;
+    const retry_pauses& pauses = mustReadStore(now) ? m_limits.readerRetry : others;
     duration pause = pauses.first;
     for (std::uint32_t i = 1; i < failed.failures && pause < pauses.longest; ++i)
         pause *= 2;
     return m_random.jittered(std::min(pause, pauses.longest), retryJitter);
 }
 
-std::optional<vm_id> row_relay::bestSource(time_point now) const
+void row_relay::reportSource(std::optional<std::string_view> reasonOfChange, relay_actions& out) const
 {
-    std::optional<vm_id> best;
-    bool isBestLocal = false;
-    for (const fleet_router& each : m_readers) {
-        const auto avoided = m_cooldownUntil.find(each.vm);
-        const bool isUsable = each.vm != m_self && m_linked.contains(each.vm) && (avoided == m_cooldownUntil.end() || now >= avoided->second);
-        const bool isLocal = each.dataCentre == m_ownDataCentre;
-        if (!isUsable || (best && (isBestLocal || !isLocal)))
-            continue;
-        best = each.vm;
-        isBestLocal = isLocal;
-    }
-    return best;
+    // A source is reported by name once it has confirmed the rows.
+    if (reasonOfChange)
+        out.push_back(source_changed { {}, *reasonOfChange });
 }
 
-void row_relay::chooseSource(time_point now, relay_actions& out)
+void row_relay::askReaders(time_point now, relay_actions& out)
 {
-    const bool isSilent = now - m_heardAt > m_limits.sourceTimeout;
-    const bool isDisconnected = !m_linked.contains(m_source);
-    // The source's data cannot be newer than its own reads, so if this router is stale
-    // although it follows the source, the source is stale too.
-    const bool isSourceStale = isStale(now) && now - m_chosenAt > m_limits.sourceTimeout;
-    const bool needsSource = !isReader(m_self) || (isStale(now) && !isStoreReachable(now)) || (!m_source.isEmpty() && !isStoreReachable(now));
-    const bool isLost = !m_source.isEmpty() && (isSilent || isDisconnected || isSourceStale);
-    // A source that is no reader relays rows, but receives no reports of usage from the others.
-    const bool isDemoted = !m_source.isEmpty() && !isReader(m_source) && bestSource(now);
-    if (!m_source.isEmpty() && needsSource && !isLost && !isDemoted)
-        return;
-    if (isLost)
-        m_cooldownUntil[m_source] = now + m_limits.sourceCooldown;
-    const vm_id next = needsSource ? bestSource(now).value_or(vm_id()) : vm_id();
-    if (next == m_source)
-        return;
-    m_chosenAt = now;
-    m_heardAt = now;
-    m_followAt = now;
-    m_unanswered.clear();
-    const std::string_view lost = isDisconnected ? "link_closed" : (isSilent ? "silent" : "stale");
-    const std::string_view left = needsSource ? "not_reader" : "store_in_reach";
-    switchSource(next, isLost ? lost : left, out);
+    for (const source_question& each : m_sources.takeQuestions(now)) {
+        follow_rows asked;
+        asked.sequence = each.sequence;
+        for (const followed_table table : allTables)
+            asked.have.push_back({ static_cast<std::uint32_t>(table), state(table).replica.position() });
+        out.push_back(send_to_router { each.reader, std::move(asked) });
+    }
 }
 
-void row_relay::switchSource(vm_id next, std::string_view reason, relay_actions& out)
+void row_relay::reportOverdue(time_point now, relay_actions& out)
 {
-    m_source = std::move(next);
-    if (std::exchange(m_hasSourceBasis, false))
-        out.push_back(source_changed { {}, reason });
+    const bool isOverdue = m_basis && !m_sources.source().isEmpty() && !mustReadStore(now) && isStale(now);
+    if (isOverdue && !std::exchange(m_isOverdue, true))
+        out.push_back(rows_overdue { m_sources.source(), now - *m_basis });
 }
 
-void row_relay::follow(time_point now, relay_actions& out)
+/// The store may hold a read only for the time that is left until the rows are too old.
+duration row_relay::readWait(followed_table table, time_point now) const
 {
-    if (m_source.isEmpty() || now < m_followAt)
-        return;
-    m_followAt = now + m_limits.followInterval;
-    follow_rows asked;
-    asked.sequence = ++m_sequence;
-    for (const followed_table table : allTables)
-        asked.have.push_back({ static_cast<std::uint32_t>(table), state(table).replica.position() });
-    m_unanswered[asked.sequence] = now;
-    if (m_unanswered.size() > maxUnanswered)
-        m_unanswered.erase(m_unanswered.begin());
-    out.push_back(send_to_router { m_source, std::move(asked) });
+    const duration left = m_basis ? *m_basis + m_limits.maxBasisAge - now : duration::zero();
+    return std::clamp(left, duration::zero(), m_limits.wait[static_cast<std::size_t>(table)]);
 }
 
 relay_actions row_relay::onTick(time_point now)
@@ -203,19 +165,20 @@
     if (!m_startedAt)
         m_startedAt = now;
     endRetention(now, out);
-    chooseSource(now, out);
-    follow(now, out);
+    std::erase_if(m_followers, [&](const auto& each) { return now - each.second > m_limits.sourceTimeout; });
+    reportSource(m_sources.choose(now, { isStale(now), isStoreReachable(now) }), out);
+    askReaders(now, out);
+    reportOverdue(now, out);
     for (const followed_table table : allTables) {
         table_state& each = state(table);
         if (!isWanted(table, now) || now < each.nextReadAt)
             continue;
-        const auto index = static_cast<std::size_t>(table);
         each.isReading = true;
         each.isReadingWhole = each.needsWhole;
         each.isReadingOwn = std::exchange(each.needsOwnRead, false);
         each.sentInEra = m_era;
         each.sentAt = now;
-        out.push_back(read_table { table, each.needsWhole, each.replica.position(), m_limits.wait[index] });
+        out.push_back(read_table { table, each.needsWhole, each.replica.position(), readWait(table, now) });
     }
     return out;
 }
@@ -230,13 +193,10 @@
             next = std::min(next, std::max(now, m_tables[static_cast<std::size_t>(table)].nextReadAt));
     }
     next = std::min(next, std::max(now, nextRetentionEnd()));
-    if (m_source.isEmpty() && !isReader(m_self))
-        return std::max(now, std::min(next, now + sourceCheckInterval));
-    if (!m_source.isEmpty())
-        next = std::min({ next, m_followAt, m_heardAt + m_limits.sourceTimeout + 1ms });
+    next = std::min(next, m_sources.nextDeadline(now));
     if (m_basis)
-        next = std::min(next, std::max(*m_basis + m_limits.maxBasisAge + 1ms, now + sourceCheckInterval));
-    return next;
+        next = std::min(next, std::max(*m_basis + m_limits.maxBasisAge + 1ms, now + staleInterval));
+    return std::max(now, next);
 }
 
 void row_relay::report(followed_table table, const std::vector<published_row>& changed, bool mayBeOlder, relay_actions& out)
@@ -256,6 +216,7 @@
     if (m_basis && oldest <= *m_basis)
         return;
     m_basis = oldest;
+    m_isOverdue = false;
     out.push_back(basis_confirmed { oldest });
 }
 
@@ -395,8 +356,8 @@
     const auto& retained = held.replica.retained();
     if (std::none_of(retained.begin(), retained.end(), isUnknown))
         return;
-    for (const fleet_router& each : m_readers) {
-        if (m_linked.contains(each.vm))
+    for (const fleet_router& each : m_sources.readers()) {
+        if (m_sources.isLinked(each.vm))
             sendRetained(now, each.vm, std::span(&table, 1), out);
     }
 }
@@ -406,8 +367,8 @@
 void row_relay::publishEra(time_point now, followed_table table, store_position before, relay_actions& out)
 {
     std::set<vm_id> peers;
-    for (const fleet_router& each : m_readers) {
-        if (m_linked.contains(each.vm))
+    for (const fleet_router& each : m_sources.readers()) {
+        if (m_sources.isLinked(each.vm))
             peers.insert(each.vm);
     }
     for (const auto& [vm, askedAt] : m_followers)
@@ -419,7 +380,6 @@
 
 void row_relay::publish(time_point now, table_update update, relay_actions& out)
 {
-    std::erase_if(m_followers, [&](const auto& each) { return now - each.second > m_limits.sourceTimeout; });
     rows_update published;
     published.returnedAge = returnedAge(now);
     published.era = basisEra();
@@ -516,7 +476,7 @@
 
 relay_actions row_relay::onLinkOpened(time_point now, const vm_id& peer)
 {
-    m_linked.insert(peer);
+    m_sources.onLinkOpened(peer);
     relay_actions out;
     sendRetained(now, peer, allTables, out);
     return out;
@@ -599,32 +559,32 @@
             hasGap |= !applyTable(now, from.vm, update, out);
     }
     hasGap |= received.era < m_era || basisEra() < m_era;
-    const auto asked = m_unanswered.find(received.echoSequence);
-    if (from.vm != m_source || asked == m_unanswered.end())
+    onAnswer(now, from.vm, received, hasGap, out);
+}
+
+void row_relay::onAnswer(time_point now, const vm_id& from, const rows_update& received, bool hasGap, relay_actions& out)
+{
+    const auto askedAt = m_sources.onAnswer(now, from, received.echoSequence);
+    if (!askedAt)
         return;
-    m_heardAt = now;
     // The response was made after the request was sent, so the time of the request minus
     // `basisAge` is a lower bound for the time of the confirmation. After a gap it does not
     // cover the missing rows.
     const auto isWhole = [](const table_state& each) { return each.replica.isWhole(); };
     const bool isComplete = !hasGap && std::all_of(m_tables.begin(), m_tables.begin() + basisTables, isWhole);
     if (received.basisAge && isComplete) {
-        const time_point basis = asked->second - *received.basisAge;
+        const time_point basis = *askedAt - *received.basisAge;
         for (std::size_t table = 0; table < static_cast<std::size_t>(basisTables); ++table)
             m_tables[table].confirmedAt = std::max(m_tables[table].confirmedAt.value_or(basis), basis);
         confirm(out);
-        const bool isSourceFresh = *received.basisAge <= m_limits.maxBasisAge;
-        if (isSourceFresh && !std::exchange(m_hasSourceBasis, true))
-            out.push_back(source_changed { m_source, "found" });
     }
-    m_unanswered.erase(m_unanswered.begin(), std::next(asked));
     // If several readers have lost the store, waiting until this router is stale itself
     // would take too long.
-    const bool isSourceStale = !received.basisAge || *received.basisAge > m_limits.maxBasisAge;
-    if (!isSourceStale)
-        return;
-    m_cooldownUntil[m_source] = now + m_limits.sourceCooldownWithoutStore;
-    switchSource({}, "without_store", out);
+    const bool isFresh = received.basisAge && *received.basisAge <= m_limits.maxBasisAge;
+    if (!isFresh)
+        reportSource(m_sources.onWithoutStore(now, from), out);
+    else if (isComplete && m_sources.onConfirmed(from))
+        out.push_back(source_changed { from, "found" });
 }
 
 }
--- a/unittests/Replica/Fixture.h
+++ b/unittests/Replica/Fixture.h
@@ -87,18 +87,29 @@
     }
 };
 
+/// How the store treats the calls of one router.
+enum class store_access {
+    answers,
+    refuses, ///< Each call fails at once.
+    silent, ///< Each call fails after `silentCallTimeout`.
+};
+
+/// Time after which a router gives up a call to a store that does not answer.
+constexpr duration silentCallTimeout = 1s;
+
 /// One simulated router.
 struct router {
-    explicit router(const std::string& name, const row_rules& rules)
+    router(const std::string& name, const data_centre_id& dataCentre, const row_rules& rules, std::uint64_t seed = 1)
         : vm(name)
-        , relay(vm, data_centre_id("a"), rules, {}, 1)
+        , relay(vm, dataCentre, rules, {}, seed)
     {
     }
 
     vm_id vm;
     row_relay relay;
-    bool reachesStore = true;
-    bool isFrozen = false;
+    store_access access = store_access::answers;
+    bool isMute = false; ///< Receives, but what it sends is lost.
+    bool isFrozen = false; ///< Neither receives nor sends; its links stay open.
     std::map<std::string, std::string> rows; ///< Rows of the operators' table, from `row_changed` actions.
     std::map<std::string, std::string> servers; ///< Rows of the servers' table, in the same way.
     std::uint64_t wholeReads = 0;
@@ -106,17 +117,20 @@
     std::size_t outages = 0; ///< Number of `store_lost` actions.
     time_point basis;
     std::uint64_t reads = 0;
+    std::uint64_t frames = 0; ///< Messages sent to other routers.
     std::uint64_t sourceChanges = 0; ///< Number of `source_changed` actions.
     time_point dueAt; ///< Next deadline, updated after each event like the event loop's timer.
 };
 
 /// Fleet of routers on a simulated clock that advances in steps of 20 ms.
 struct fleet {
-    explicit fleet(std::size_t size)
+    /// \p size routers, evenly distributed over \p dataCentres.
+    explicit fleet(std::size_t size, std::size_t dataCentres = 1)
     {
         for (std::size_t i = 0; i < size; ++i) {
-            routers.push_back(std::make_unique<router>("router-" + std::to_string(i), rules));
-            members.push_back({ routers.back()->vm, incarnation(1), data_centre_id("a"), { "127.0.0.1", 1 } });
+            const data_centre_id dataCentre(std::string(1, static_cast<char>('a' + i % dataCentres)));
+            routers.push_back(std::make_unique<router>("router-" + std::to_string(i), dataCentre, rules, i + 1));
+            members.push_back({ routers.back()->vm, incarnation(1), dataCentre, { "127.0.0.1", 1 } });
         }
         for (const auto& each : routers)
             each->relay.setMembers(members);
@@ -138,7 +152,7 @@
     /// Replaces a router by one that knows nothing.
     void restart(std::size_t index)
     {
-        routers[index] = std::make_unique<router>("router-" + std::to_string(index), rules);
+        routers[index] = std::make_unique<router>("router-" + std::to_string(index), members[index].dataCentre, rules);
         router& started = *routers[index];
         started.relay.setMembers(members);
         started.dueAt = now;
@@ -163,13 +177,18 @@
             if (const auto* read = std::get_if<read_table>(&action)) {
                 ++by.reads;
                 by.wholeReads += read->isWhole ? 1 : 0;
-                const result<rows_page> answer = by.reachesStore ? store.read(*read) : makeError(error_kind::unavailable, "down");
-                perform(by, by.relay.onRead(now, read->table, answer));
+                if (storeTime == duration::zero() && by.access != store_access::silent)
+                    perform(by, by.relay.onRead(now, read->table, answerOf(by, *read)));
+                else
+                    calls.push_back({ by.vm, *read, by.access, now });
             }
             if (std::holds_alternative<source_changed>(action))
                 ++by.sourceChanges;
-            if (const auto* sent = std::get_if<send_to_router>(&action))
-                frames.push_back({ by.vm, sent->to, sent->content });
+            if (const auto* sent = std::get_if<send_to_router>(&action)) {
+                ++by.frames;
+                if (!by.isMute)
+                    frames.push_back({ by.vm, sent->to, sent->content });
+            }
             if (const auto* changed = std::get_if<row_changed>(&action); changed && changed->table != followed_table::members) {
                 auto& held = changed->table == followed_table::operators ? by.rows : by.servers;
                 if (changed->row.isDeleted)
@@ -185,11 +204,50 @@
         }
     }
 
+    result<rows_page> answerOf(const router& by, const read_table& asked) const
+    {
+        if (by.access == store_access::answers)
+            return store.read(asked);
+        return makeError(error_kind::unavailable, "down");
+    }
+
+    /// Answers the calls that are due. The store holds a call for changes until a row changes
+    /// or its wait is over.
+    void answerCalls()
+    {
+        std::deque<call> open;
+        open.swap(calls);
+        for (const call& each : open) {
+            router& by = at(each.from);
+            if (by.isFrozen)
+                continue;
+            const bool isSilent = each.access == store_access::silent;
+            const bool mayAnswer = now - each.at >= (isSilent ? silentCallTimeout : storeTime);
+            const result<rows_page> answer = isSilent ? makeError(error_kind::outcomeUnknown, "silent") : answerOf(by, each.asked);
+            const bool isHeld = answer && answer->rows.empty() && now - each.at < storeTime + each.asked.wait;
+            if (!mayAnswer || isHeld) {
+                calls.push_back(each);
+                continue;
+            }
+            perform(by, by.relay.onRead(now, each.asked.table, answer));
+            perform(by, by.relay.onTick(now));
+            by.dueAt = by.relay.nextDeadline(now);
+        }
+    }
+
+    /// Closes the links of a router that is gone, as seen by the others.
+    void closeLinksTo(const vm_id& gone)
+    {
+        for (const auto& each : routers)
+            each->relay.onLinkClosed(gone);
+    }
+
     void run(duration length)
     {
         const time_point end = now + length;
         while (now < end) {
             now += 20ms;
+            answerCalls();
             std::deque<frame> due;
             due.swap(frames);
             for (const frame& each : due) {
@@ -214,11 +272,20 @@
         message content;
     };
 
+    struct call {
+        vm_id from;
+        read_table asked;
+        store_access access; ///< As of the start of the call.
+        time_point at;
+    };
+
     any_change rules;
     fake_store store;
     std::vector<std::unique_ptr<router>> routers;
     std::vector<fleet_router> members;
     std::deque<frame> frames;
+    std::deque<call> calls;
+    duration storeTime {}; ///< Time of an answer of the store; zero: within the same step.
     time_point now { 100s };
 };
 
--- a/unittests/Replica/RowRelayTests.cpp
+++ b/unittests/Replica/RowRelayTests.cpp
@@ -53,7 +53,7 @@
     fleet all(12);
     all.run(3s);
     const vm_id cut = all.routers[0]->relay.readers()[0].vm;
-    all.at(cut).reachesStore = false;
+    all.at(cut).access = store_access::refuses;
     all.store.put(followed_table::operators, "config", "2");
     all.run(1950ms);
     CHECK(currentRouters(all, "config", "2") >= 11);
@@ -73,7 +73,7 @@
         const std::vector<fleet_router> readers = all.routers[0]->relay.readers();
         REQUIRE(readers.size() == 3);
         for (std::size_t i = 0; i < readers.size(); ++i)
-            all.at(readers[i].vm).reachesStore = i == kept;
+            all.at(readers[i].vm).access = i == kept ? store_access::answers : store_access::refuses;
         all.store.put(followed_table::operators, "config", "2");
         all.run(1900ms);
         CHECK(currentRouters(all, "config", "2") >= 10);
@@ -88,7 +88,7 @@
     fleet all(6);
     all.run(3s);
     for (const auto& each : all.routers)
-        each->reachesStore = false;
+        each->access = store_access::refuses;
     const time_point outage = all.now;
     all.run(4s);
     for (const auto& each : all.routers)
@@ -101,11 +101,11 @@
     fleet all(6);
     all.run(3s);
     for (const auto& each : all.routers)
-        each->reachesStore = false;
+        each->access = store_access::refuses;
     all.run(5s);
     all.store.put(followed_table::operators, "config", "2");
     for (const auto& each : all.routers)
-        each->reachesStore = true;
+        each->access = store_access::answers;
     all.run(1500ms);
     CHECK(currentRouters(all, "config", "2") == 6);
 }
@@ -117,7 +117,7 @@
     fleet all(40);
     all.run(3s);
     for (const auto& each : all.routers) {
-        each->reachesStore = false;
+        each->access = store_access::refuses;
         each->reads = 0;
     }
     all.run(10s);
@@ -128,7 +128,7 @@
     CHECK(reads < 3 * 3 * 30 + 37 * 4);
     all.store.put(followed_table::operators, "config", "2");
     for (const auto& each : all.routers)
-        each->reachesStore = true;
+        each->access = store_access::answers;
     all.run(2s);
     CHECK(currentRouters(all, "config", "2") == 40);
 }
@@ -140,12 +140,12 @@
     fleet all(8);
     all.run(3s);
     for (const auto& each : all.routers) {
-        each->reachesStore = false;
+        each->access = store_access::refuses;
         each->sourceChanges = 0;
     }
     all.run(10s);
     for (const auto& each : all.routers) {
-        each->reachesStore = true;
+        each->access = store_access::answers;
         CHECK(each->sourceChanges <= 2);
     }
     all.run(3s);
