A connection that times out retires the others to its server

All open connections of a router can go silent together. Its reads of the store then tried the connections that were still open one after the other, 1 s each, so that the rows could grow older than the 3 s that are given after a reset of all connections.

The new test of store_client failed before: the read after the one that timed out took another connection that had been open.

--- a/include/pimentoladder/Net/HttpClient.h
+++ b/include/pimentoladder/Net/HttpClient.h
@@ -76,7 +76,8 @@
 };
 
 /// Sends requests over keep-alive connections. Each request is sent at most
-/// once; the client never retries. Destroying the client cancels its attempts.
+/// once; the client never retries. After an attempt that timed out, the other connections
+/// to its server are not used again. Destroying the client cancels its attempts.
 /// Not thread-safe; call on the loop's thread. Attempts may outlive the client.
 class http_client {
 public:
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -68,7 +68,7 @@
 
     std::unique_ptr<http_client_attempt> send(http_client_request request, http_client_callbacks callbacks);
     std::size_t idleConnectionCount() const;
-    void retire(const endpoint& server);
+    void retire(const endpoint& server) override;
 
     const http_client_limits& limits() const override { return m_limits; }
     void keep(http_client_connection& unused) override;
--- a/lib/Net/HttpClientConnection.cpp
+++ b/lib/Net/HttpClientConnection.cpp
@@ -358,6 +358,9 @@
             ended.kind = attempt_end_kind::notSent;
     }
     m_isEnding = false;
+    // All open connections can go silent together, while new ones work.
+    if (m_endKind == attempt_end_kind::timeout)
+        m_pool.retire(m_server);
     if (isReusable)
         m_pool.keep(*this);
     else
--- a/lib/Net/HttpClientConnection.h
+++ b/lib/Net/HttpClientConnection.h
@@ -46,6 +46,8 @@
     virtual void startOnNewConnection(std::shared_ptr<http_attempt_state> attempt) = 0;
     /// Destroys the connection. Must not be called from within an evhttp callback.
     virtual void discard(http_client_connection& dead) = 0;
+    /// Closes the idle connections to \p server soon, and each other one after its response.
+    virtual void retire(const endpoint& server) = 0;
 };
 
 /// One connection to a backend server, used by at most one attempt at a time. The
--- a/unittests/PlatformAdapter/StoreClientTests.cpp
+++ b/unittests/PlatformAdapter/StoreClientTests.cpp
@@ -19,6 +19,10 @@
 
     void onRequest(const http_request& request, const std::shared_ptr<http_response_writer>& answer)
     {
+        if (isSilent) {
+            held.push_back(answer);
+            return;
+        }
         targets.push_back(request.target);
         bodies.push_back(request.body);
         const auto [status, body] = replies.at(std::min(targets.size(), replies.size()) - 1);
@@ -36,6 +40,8 @@
     std::vector<http_headers> headers; ///< Of the replies; the last ones are repeated.
     std::vector<std::string> targets;
     std::vector<std::string> bodies;
+    bool isSilent = false; ///< Requests get no response.
+    std::vector<std::shared_ptr<http_response_writer>> held;
 };
 
 result<rows_page> read(scripted_store& store, bool isWhole)
@@ -149,6 +155,41 @@
     }
 }
 
+// Guards against a router that waits for each of its connections to the store in turn, after
+// all that were open have gone silent.
+TEST_CASE("after a read without a response the next one uses a new connection")
+{
+    scripted_store store;
+    store.replies = { { 200, R"({"rows":[],"has_more":false,"row_version":9,"now_ms":1})" } };
+    platform::store_client client(store.loop, store.location);
+    std::size_t ended = 0;
+    std::size_t succeeded = 0;
+    const auto readAtOnce = [&](std::size_t reads) {
+        ended = 0;
+        succeeded = 0;
+        for (std::size_t i = 0; i < reads; ++i) {
+            client.changes("op", revision(5), {}, [&](const result<rows_page>& page) {
+                succeeded += page ? 1 : 0;
+                if (++ended == reads)
+                    store.loop.stop();
+            });
+        }
+        store.loop.runFor(2s);
+        REQUIRE(ended == reads);
+    };
+    readAtOnce(3);
+    REQUIRE(succeeded == 3);
+    REQUIRE(store.server.connectionCount() == 3);
+    store.isSilent = true;
+    readAtOnce(1);
+    REQUIRE(succeeded == 0);
+    store.isSilent = false;
+    store.held.clear();
+    readAtOnce(1);
+    CHECK(succeeded == 1);
+    CHECK(store.server.connectionCount() == 1);
+}
+
 // Guards against a second fleet key, which would overwrite the first if the call did not
 // carry the condition.
 TEST_CASE("a conditional write requires that the row is absent")
