An empty list of workspaces admits nobody

Cause: the plan had one form for a configuration without a list of workspaces, under which no request needs a key, and for one whose list is empty. The servers got no workspace name with these requests, so they were admitted without a key and not by an old one.

Change: the list is optional, and fleet_view::identify names the three states of a caller for admission and shedding. A list that is null or no list is unreadable; before, null opened the fleet. An entry or key that cannot be read admits nobody and no longer keeps the whole version from being applied, which left withdrawn keys in force.

--- a/include/pimentoladder/Dispatch/FleetView.h
+++ b/include/pimentoladder/Dispatch/FleetView.h
@@ -26,6 +26,19 @@
     duration returnGrace = std::chrono::milliseconds(1900); ///< Time for servers to register again after an outage of the store.
 };
 
+/// What the configuration says about a caller's key.
+enum class key_standing {
+    notRequired, ///< The configuration lists no workspaces, so that no request needs a key.
+    unknown, ///< No workspace holds the key, no key was sent, or no configuration has been read yet.
+    held, ///< A workspace holds the key.
+};
+
+/// The workspace that a caller belongs to.
+struct caller_identity {
+    key_standing standing = key_standing::unknown;
+    const workspace_keys* holder = nullptr; ///< Null unless the key is held. Valid until the next configuration is applied.
+};
+
 /// Indexes the platform's rows for lookups of routes, keys and servers.
 ///
 /// A confirmation is a successful read of the store. Its age counts from the time at
@@ -65,8 +78,9 @@
     const serving_plan& plan() const { return *m_plan; }
     const route* findRoute(std::string_view host, std::string_view path) const { return m_routes.find(host, path); }
 
-    /// Returns the workspace that holds the key, or null.
-    const workspace_keys* workspaceByKey(std::string_view keyDigest) const;
+    /// Identifies a caller on a route that is not anonymous. \p keyDigest: of the caller's key,
+    /// or null if it sent none.
+    caller_identity identify(const std::string* keyDigest) const;
 
     const pool_profile* profileOf(const pool_id& pool) const;
     const registered_server* findServer(const server_id& id) const;
--- a/include/pimentoladder/Dispatch/ServingPlan.h
+++ b/include/pimentoladder/Dispatch/ServingPlan.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -73,7 +74,8 @@
     revision version;
     std::vector<route> routes;
     std::map<pool_id, pool_profile> pools;
-    std::vector<workspace_keys> workspaces; ///< Empty: no request needs a key.
+    std::optional<std::vector<workspace_keys>> workspaces; ///< Absent: no request needs a key. Empty: no key is valid.
+    std::size_t unreadableKeys = 0; ///< Keys, and workspaces without readable keys, that were left out of `workspaces`.
     double tokensPerSecond = 0; ///< Throughput of all engines together; 0: not configured.
     std::uint64_t maxHeadBytes = 0; ///< Of a caller's request; 0: not configured.
     std::uint64_t maxBodyBytes = 0; ///< Of a caller's request; 0: not configured.
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -437,9 +437,13 @@
         if (auto* plan = std::get_if<serving_plan>(&*decoded)) {
             const revision version = plan->version;
             const std::uint64_t routes = plan->routes.size();
+            // -1: the configuration lists no workspaces, so that no request needs a key.
+            const std::int64_t workspaces = plan->workspaces ? static_cast<std::int64_t>(plan->workspaces->size()) : -1;
+            const std::uint64_t unreadableKeys = plan->unreadableKeys;
             const bool isApplied = core.applyPlan(std::move(*plan), mayBeOlder);
             m_parts.log.write(log_level::info, isApplied ? "configuration_applied" : "configuration_ignored",
-                { { "version", version.value() }, { "row_revision", row.position.at.value() }, { "routes", routes } });
+                { { "version", version.value() }, { "row_revision", row.position.at.value() }, { "routes", routes },
+                    { "workspaces", workspaces }, { "unreadable_keys", unreadableKeys } });
             if (isApplied)
                 m_parts.planApplied(core.fleet().plan());
         }
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -139,14 +139,17 @@
         return m_fleet.isReady(now) ? refusal_kind::noPool : refusal_kind::notFresh;
     request.target = *found;
     request.workspace = fleet_view::anonymous();
-    if (found->isAnonymous || m_fleet.plan().workspaces.empty())
+    if (found->isAnonymous)
+        return std::nullopt;
+    const std::optional<std::string>& digest = request.received.keyDigest;
+    const caller_identity caller = m_fleet.identify(digest ? &*digest : nullptr);
+    if (caller.standing == key_standing::notRequired)
         return std::nullopt;
     if (!m_fleet.mayUseKeys(now))
         return refusal_kind::notFresh;
-    const workspace_keys* holder = request.received.keyDigest ? m_fleet.workspaceByKey(*request.received.keyDigest) : nullptr;
-    if (!holder)
+    if (caller.standing == key_standing::unknown)
         return m_fleet.isReady(now) ? refusal_kind::unauthenticated : refusal_kind::notFresh;
-    request.workspace = holder->workspace;
+    request.workspace = caller.holder->workspace;
     request.hasKey = true;
     return std::nullopt;
 }
@@ -169,11 +172,12 @@
 
 bool dispatcher::shouldShed(time_point now, const std::string* keyDigest)
 {
-    const workspace_keys* holder = keyDigest ? m_fleet.workspaceByKey(*keyDigest) : nullptr;
+    const caller_identity caller = m_fleet.identify(keyDigest);
+    if (caller.standing == key_standing::held)
+        return m_shedder.shouldRefuse(now, caller.holder->workspace);
     // Requests with unknown keys share an allowance of their own.
-    const workspace_id unknown;
-    return m_shedder.shouldRefuse(now, holder ? holder->workspace : keyDigest ? unknown
-                                                                              : fleet_view::anonymous());
+    const bool hasUnknownKey = keyDigest && caller.standing == key_standing::unknown;
+    return m_shedder.shouldRefuse(now, hasUnknownKey ? workspace_id() : fleet_view::anonymous());
 }
 
 dispatch_actions dispatcher::onRequest(time_point now, const inbound_request& received, request_number& number)
--- a/lib/Dispatch/FleetView.cpp
+++ b/lib/Dispatch/FleetView.cpp
@@ -1,6 +1,7 @@
 #include "pimentoladder/Dispatch/FleetView.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace pimentoladder {
@@ -9,6 +10,11 @@
 
     constexpr const char* dataCentreLabel = "data-centre";
 
+    std::span<const workspace_keys> listedWorkspaces(const serving_plan& plan)
+    {
+        return plan.workspaces ? std::span<const workspace_keys>(*plan.workspaces) : std::span<const workspace_keys>();
+    }
+
 }
 
 fleet_view::fleet_view(freshness_limits limits)
@@ -29,7 +35,7 @@
     m_plan = std::move(plan);
     m_routes = route_table(m_plan->routes);
     m_byKey.clear();
-    for (const workspace_keys& each : m_plan->workspaces) {
+    for (const workspace_keys& each : listedWorkspaces(*m_plan)) {
         for (const std::string& digest : each.keyDigests)
             m_byKey[digest] = &each;
     }
@@ -97,10 +103,14 @@
     return next;
 }
 
-const workspace_keys* fleet_view::workspaceByKey(std::string_view keyDigest) const
+caller_identity fleet_view::identify(const std::string* keyDigest) const
 {
-    const auto found = m_byKey.find(keyDigest);
-    return found == m_byKey.end() ? nullptr : found->second;
+    if (m_plan && !m_plan->workspaces)
+        return { key_standing::notRequired, nullptr };
+    const auto found = keyDigest ? m_byKey.find(*keyDigest) : m_byKey.end();
+    if (found == m_byKey.end())
+        return { key_standing::unknown, nullptr };
+    return { key_standing::held, found->second };
 }
 
 const pool_profile* fleet_view::profileOf(const pool_id& pool) const
@@ -126,7 +136,7 @@
     built->accessRules[everyone.id] = everyone;
     if (m_plan) {
         built->at = m_plan->version;
-        for (const workspace_keys& each : m_plan->workspaces)
+        for (const workspace_keys& each : listedWorkspaces(*m_plan))
             built->workspaces[each.workspace].id = each.workspace;
         for (const auto& [id, profile] : m_plan->pools) {
             built->pools[id].id = id;
--- a/unittests/Dispatch/FairFleet.cpp
+++ b/unittests/Dispatch/FairFleet.cpp
@@ -44,9 +44,9 @@
 {
     serving_plan plan = makePlan();
     plan.tokensPerSecond = 25'000 * static_cast<double>(engines);
-    plan.workspaces.clear();
+    plan.workspaces.emplace();
     for (const load_profile& load : m_loads)
-        plan.workspaces.push_back({ workspace_id(load.workspace), { "key-" + load.workspace }, {} });
+        plan.workspaces->push_back({ workspace_id(load.workspace), { "key-" + load.workspace }, {} });
     std::vector<vm_id> names;
     for (std::size_t i = 0; i < routers; ++i) {
         m_routers.push_back(std::make_unique<router>("router-" + std::to_string(i)));
--- a/unittests/Dispatch/Fixture.h
+++ b/unittests/Dispatch/Fixture.h
@@ -43,7 +43,7 @@
         makeRoute("/once/", "llm", repeat_policy::atMostOnce, true) };
     plan.pools[pool_id("portal")] = {};
     plan.pools[pool_id("llm")] = { pool_kind::model, 3s, 7.3 };
-    plan.workspaces = { { workspace_id("school"), { keyDigest }, {} } };
+    plan.workspaces = std::vector<workspace_keys> { { workspace_id("school"), { keyDigest }, {} } };
     return plan;
 }
 
--- a/unittests/PlatformAdapter/FleetRowsTests.cpp
+++ b/unittests/PlatformAdapter/FleetRowsTests.cpp
@@ -39,11 +39,42 @@
     CHECK(plan.routes[1].timeout == 1000500us);
     CHECK(plan.pools.at(pool_id("s1")).kind == pool_kind::model);
     CHECK(plan.pools.at(pool_id("s1")).coldRequestsPerSecond == doctest::Approx(7.3));
-    REQUIRE(plan.workspaces.size() == 1);
-    CHECK(plan.workspaces[0].keyDigests == std::vector<std::string> { sha256Hex("k1"), sha256Hex("k2") });
+    REQUIRE(plan.workspaces);
+    REQUIRE(plan.workspaces->size() == 1);
+    CHECK(plan.workspaces->front().keyDigests == std::vector<std::string> { sha256Hex("k1"), sha256Hex("k2") });
     CHECK(plan.tokensPerSecond == doctest::Approx(350000));
 }
 
+// Guards against a list of workspaces without an entry that is decoded as no list, which opens
+// the routes to everybody, and against one unreadable key that keeps withdrawn keys in force.
+TEST_CASE("no list of workspaces, an empty one and one with unreadable entries are decoded apart")
+{
+    const platform::fleet_rows codec;
+    const auto decode = [&](const std::string& field) {
+        return codec.decodeOperatorRow("config", R"({"version":3,"services":[],"routes":[])" + field + "}");
+    };
+    const auto planOf = [&](const std::string& field) { return std::get<serving_plan>(decode(field).value()); };
+    CHECK_FALSE(planOf("").workspaces);
+    REQUIRE(planOf(R"(,"tenants":[])").workspaces);
+    CHECK(planOf(R"(,"tenants":[])").workspaces->empty());
+    for (const char* noList : { "null", "{}", R"({"name":"t","api_keys":["k"]})", R"("k")", "0", "false" })
+        CHECK_FALSE(decode(R"(,"tenants":)" + std::string(noList)));
+    for (const char* unreadable : { "null", "5", R"("k")", R"({"name":"t"})", R"({"api_keys":["k"]})", R"({"name":"t","api_keys":"k"})",
+             R"({"name":"t","api_keys":null})", R"({"name":null,"api_keys":["k"]})" }) {
+        CAPTURE(unreadable);
+        const serving_plan plan = planOf(R"(,"tenants":[)" + std::string(unreadable) + R"(,{"name":"u","api_keys":["l"]}])");
+        REQUIRE(plan.workspaces);
+        REQUIRE(plan.workspaces->size() == 1);
+        CHECK(plan.workspaces->front().keyDigests == std::vector<std::string> { sha256Hex("l") });
+        CHECK(plan.unreadableKeys == 1);
+    }
+    const serving_plan mixed = planOf(R"(,"tenants":[{"name":"t","api_keys":["k",null,"",7,["m"]]},{"name":"u","api_keys":[]}])");
+    REQUIRE(mixed.workspaces->size() == 2);
+    CHECK(mixed.workspaces->front().keyDigests == std::vector<std::string> { sha256Hex("k") });
+    CHECK(mixed.workspaces->back().keyDigests.empty());
+    CHECK(mixed.unreadableKeys == 4);
+}
+
 // Guards against malformed rows that terminate the process or are decoded as valid.
 TEST_CASE("malformed rows are errors")
 {
