Answers that wait for slow callers are bounded together

Other operators reported routers that ran out of memory by answers without end. Here 900 callers that did not read an endless 500 took a router to 195 MB, above the memory of the smallest VMs, and the body of an endless refusal was read on, 0.4 GB, for nobody.

Cause: each answer may keep 256 KiB for a slow caller, and nothing bounded the sum. Heads, chunk lines, trailers and interim responses have their bounds: their tests pass on the code before.

Change: answer_buffers stops reading an answer once all together hold an eighth of the memory (limits.memory, from the platform's figure) and this one more than 4 KiB. The HTTP server counts what waits on all its connections. The body of a refusal is read up to 64 KiB.

The tests of the bound and of the refusal fail without their change.

--- a/include/pimentoladder/Daemon/DispatchFront.h
+++ b/include/pimentoladder/Daemon/DispatchFront.h
@@ -11,6 +11,7 @@
 
 #include "pimentoladder/Daemon/CoreDriver.h"
 #include "pimentoladder/Daemon/IngressCodec.h"
+#include "pimentoladder/Dispatch/AnswerBuffers.h"
 #include "pimentoladder/Net/HttpClient.h"
 #include "pimentoladder/Net/HttpServer.h"
 
@@ -22,9 +23,8 @@
 /// Not thread-safe; call on the loop's thread.
 class dispatch_front {
 public:
-    /// The references outlive the front. Reading from the server
-    /// pauses while more than \p bufferBytes of a request's answer are unsent.
-    dispatch_front(dispatch_driver& driver, http_client& client, ingress_codec& codec, std::size_t bufferBytes);
+    /// The references outlive the front. \p buffers bounds the answers that wait for their callers.
+    dispatch_front(dispatch_driver& driver, http_client& client, ingress_codec& codec, const answer_buffer_limits& buffers);
     ~dispatch_front();
     dispatch_front(const dispatch_front&) = delete;
     dispatch_front& operator=(const dispatch_front&) = delete;
@@ -68,7 +68,7 @@
     dispatch_driver& m_driver;
     http_client& m_client;
     ingress_codec& m_codec;
-    std::size_t m_bufferBytes;
+    answer_buffers m_buffers;
     std::vector<shed_response> m_shedResponses;
     std::size_t m_nextShedResponse = 0;
     std::unordered_map<request_number, exchange_ref> m_exchanges;
--- a/include/pimentoladder/Net/HttpServer.h
+++ b/include/pimentoladder/Net/HttpServer.h
@@ -83,6 +83,9 @@
     /// Returns the number of response bytes not yet written to the socket.
     virtual std::size_t pendingBytes() const = 0;
 
+    /// Returns the same for all connections of the server together.
+    virtual std::size_t pendingBytesOfAll() const = 0;
+
     /// Calls \p callback once when at most \p lowBytes are pending; replaces an
     /// earlier callback. It is not called if the caller disconnects.
     virtual void whenDrained(std::size_t lowBytes, std::function<void()> callback) = 0;
@@ -148,6 +151,9 @@
     /// Returns the number of open connections.
     std::size_t connectionCount() const;
 
+    /// Returns the number of response bytes not yet written to the sockets.
+    std::size_t pendingBytes() const;
+
 private:
     class implementation;
     std::unique_ptr<implementation> m_implementation;
--- a/lib/Daemon/DispatchFront.cpp
+++ b/lib/Daemon/DispatchFront.cpp
@@ -71,11 +71,11 @@
     bool isPaused = false;
 };
 
-dispatch_front::dispatch_front(dispatch_driver& driver, http_client& client, ingress_codec& codec, std::size_t bufferBytes)
+dispatch_front::dispatch_front(dispatch_driver& driver, http_client& client, ingress_codec& codec, const answer_buffer_limits& buffers)
     : m_driver(driver)
     , m_client(client)
     , m_codec(codec)
-    , m_bufferBytes(bufferBytes)
+    , m_buffers(buffers)
 {
     for (const duration wait : shedRetryAfter)
         m_shedResponses.push_back({ shedResponseText(wait, ""), shedResponseText(wait, "Connection: close\r\n") });
@@ -268,12 +268,13 @@
 
 void dispatch_front::applyBackPressure(const exchange_ref& target)
 {
-    if (target->isPaused || !target->attempt || target->answer->pendingBytes() <= m_bufferBytes)
+    const std::size_t all = target->answer->pendingBytesOfAll();
+    if (target->isPaused || !target->attempt || !m_buffers.shouldPause(target->answer->pendingBytes(), all))
         return;
     target->isPaused = true;
     target->attempt->pause();
     const std::weak_ptr<exchange> paused = target;
-    target->answer->whenDrained(m_bufferBytes / 2, [paused] {
+    target->answer->whenDrained(m_buffers.resumeAt(all), [paused] {
         const exchange_ref drained = paused.lock();
         if (!drained || !drained->isPaused || !drained->attempt)
             return;
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -39,6 +39,9 @@
     // Fraction of the platform's retry limit that the routers use. Each router
     // counts its own requests only, and its window differs from the platform's.
     constexpr double retryBudgetFraction = 0.75;
+    // Fraction of the memory that may hold answers which wait for slow callers.
+    constexpr double answerMemoryFraction = 0.125;
+
     // Age of the rows, as a fraction of the bound on it, that 99 of 100 decisions stay below while
     // the store and the readers are reached: the interval between reads, and the way of an update.
     constexpr double usualAgeFraction = 0.6;
@@ -56,6 +59,11 @@
         return limits;
     }
 
+    answer_buffer_limits bufferLimits(const settings& configured)
+    {
+        return { configured.limits.bufferBytes, static_cast<std::size_t>(static_cast<double>(configured.limits.memoryBytes) * answerMemoryFraction) };
+    }
+
     dispatch_limits dispatchLimits(const settings& configured)
     {
         dispatch_limits limits;
@@ -103,6 +111,7 @@
     parts(event_loop& ofLoop, logger& toLog, const settings& from, platform_ports ports, incarnation start, std::uint64_t seed);
 
     void handle(const dispatch_action& action) override;
+    std::string metricsText();
     void answerAdmin(const http_request& received, http_response_writer& answer);
     void applyCallerLimits(const serving_plan& plan);
     void refuseNewWork();
@@ -144,7 +153,7 @@
     , backends(loop, backendLimits(configured))
     , core(dispatchLimits(configured), seed)
     , driver(loop, core)
-    , front(driver, backends, ports.ingress, configured.limits.bufferBytes)
+    , front(driver, backends, ports.ingress, bufferLimits(configured))
     , report(driver, log, values)
     , follower({ driver, ports.rows, ports.fleet, log, values, relayLimits(configured), configured.listen.peers, [this](const serving_plan& plan) { applyCallerLimits(plan); } }, selfOf(configured, start), generateFleetKey(), seed + 1)
     , callerServer(loop, callerLimits(configured), [this](http_request request, std::shared_ptr<http_response_writer> answer) { front.onRequest(std::move(request), std::move(answer)); })
@@ -185,6 +194,12 @@
     std::visit(performer { *this }, action);
 }
 
+std::string dispatch_process::parts::metricsText()
+{
+    values.set("pimentoladder_answer_bytes_waiting", {}, static_cast<double>(callerServer.pendingBytes()));
+    return report.metricsText();
+}
+
 void dispatch_process::parts::answerAdmin(const http_request& received, http_response_writer& answer)
 {
     const bool isReady = !isLeaving && !guard.isOverloaded() && core.fleet().isReady(loop.now());
@@ -193,7 +208,7 @@
     else if (received.method == "GET" && received.target == "/readyz")
         replyText(answer, isReady ? statusOk : statusUnavailable, "text/plain", isReady ? "ready\n" : "not ready\n");
     else if (received.method == "GET" && received.target == "/metrics")
-        replyText(answer, statusOk, "text/plain; version=0.0.4", report.metricsText());
+        replyText(answer, statusOk, "text/plain; version=0.0.4", metricsText());
     else if (received.method == "GET" && received.target == "/quarantine")
         replyText(answer, statusOk, "application/json", report.quarantineText());
     else
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -97,6 +97,9 @@
     // Time from the end of a stream's route timeout to the last moment at which it is taken up.
     constexpr duration takeUpMargin = 3s;
 
+    // Size of the body of a server's refusal, which nobody gets, above which it is not read on.
+    constexpr std::size_t maxRefusalBytes = std::size_t { 64 } * 1024;
+
     // Time to the next tick while nothing is due.
     constexpr duration idleInterval = 1s;
 
@@ -335,6 +338,7 @@
     request->isWaitingForDeadline = false;
     request->status = 0;
     request->refusal = {};
+    request->refusalBytes = 0;
     request->uncachedTokens = best->uncachedTokens;
     if (request->isResumable() && !request->origin)
         m_versions.begin(now, request->received.callerId, request->pool, server.softwareVersion);
@@ -473,7 +477,18 @@
 {
     dispatch_actions out;
     const tracked request = findByAttempt(attempt);
-    if (!request || !request->isForwarding || bytes.empty())
+    if (!request)
+        return out;
+    if (!request->refusal.empty()) {
+        request->refusalBytes += bytes.size();
+        if (request->refusalBytes > maxRefusalBytes) {
+            m_selector.condition(request->server).failed(now);
+            out.push_back(cancel_dispatch { request->number, attempt });
+            failAttempt(now, request, true, "doubtful_refusal", request->status, out);
+        }
+        return out;
+    }
+    if (!request->isForwarding || bytes.empty())
         return out;
     m_crashes.onServerAlive(now, request->server, request->openedAt);
     const bool isResumption = request->lastEvent && !request->hasBegun && request->canContinue();
--- a/lib/Dispatch/TrackedRequest.h
+++ b/lib/Dispatch/TrackedRequest.h
@@ -41,6 +41,7 @@
     bool hasBegun = false; ///< The open attempt has sent a response head or, for a stream, an event.
     bool isWaitingForDeadline = false; ///< A timeout passed and no other server was available; the attempt may run until the deadline.
     int status = 0;
+    std::size_t refusalBytes = 0; ///< Body bytes of a response that says that the request was not run.
     std::string_view refusal; ///< Result of the open attempt if its response says that the request was not run; otherwise empty.
 
     std::uint32_t runs = 0; ///< Attempts that may have run.
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -103,6 +103,8 @@
     {
         m_handler(std::move(request), std::move(answer));
     }
+    void pendingBytesChanged(std::size_t before, std::size_t after) override { m_pendingBytes = m_pendingBytes - before + after; }
+    std::size_t pendingBytes() const override { return m_pendingBytes; }
     void connectionClosed(bufferevent* channel) override;
     void enqueueRead(http_server_connection& readable) override;
     void dequeueRead(http_server_connection& readable) override;
@@ -143,6 +145,7 @@
     loop_timer m_acceptAgain;
     loop_timer m_stopListening;
     bool m_isDraining = false;
+    std::size_t m_pendingBytes = 0; ///< Of all connections' output.
     bool m_isKeepAlive = true;
 };
 
@@ -323,4 +326,9 @@
     return m_implementation->connectionCount();
 }
 
+std::size_t http_server::pendingBytes() const
+{
+    return m_implementation->pendingBytes();
+}
+
 }
--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -103,6 +103,11 @@
     return m_connection ? m_connection->pendingBytes() : 0;
 }
 
+std::size_t http_server_answer::pendingBytesOfAll() const
+{
+    return m_connection ? m_connection->pendingBytesOfAll() : 0;
+}
+
 bool http_server_answer::hasCallerClosed() const
 {
     return !m_connection || isClosedByPeer(m_connection->socket());
@@ -158,8 +163,17 @@
     evbuffer_free(m_chunkBuffer);
 }
 
+void http_server_connection::countPending(std::size_t bytes)
+{
+    if (bytes == m_countedPending)
+        return;
+    m_owner.pendingBytesChanged(m_countedPending, bytes);
+    m_countedPending = bytes;
+}
+
 void http_server_connection::detachChannel()
 {
+    countPending(0);
     evbuffer_remove_cb(bufferevent_get_input(m_channel), onInput, this);
     evbuffer_remove_cb(bufferevent_get_output(m_channel), onOutput, this);
     m_phase = phase::closed;
@@ -185,6 +199,7 @@
 void http_server_connection::onOutput(evbuffer*, const evbuffer_cb_info* info, void* context)
 {
     auto* self = static_cast<http_server_connection*>(context);
+    self->countPending(self->pendingBytes());
     const bool isEmpty = self->pendingBytes() == 0;
     if (info->n_deleted > 0) {
         if (const auto answer = self->m_answer.lock())
--- a/lib/Net/HttpServerConnection.h
+++ b/lib/Net/HttpServerConnection.h
@@ -44,6 +44,7 @@
     void reply(const http_response_head& head, std::string_view body) override;
     void refuse(refusal_kind kind, std::string_view message) override;
     std::size_t pendingBytes() const override;
+    std::size_t pendingBytesOfAll() const override;
     void whenDrained(std::size_t lowBytes, std::function<void()> callback) override;
     bool hasCallerClosed() const override;
     void whenCallerDisconnects(std::function<void()> callback) override { m_whenLeft = std::move(callback); }
@@ -88,6 +89,9 @@
     virtual std::string_view earlyAnswer(const http_headers& headers, bool closes) = 0;
     virtual void requestArrived(http_request request, std::shared_ptr<http_response_writer> answer) = 0;
     virtual void connectionClosing(const server_close& closing) = 0;
+    /// Replaces the part \p before of the connections' pending output by \p after.
+    virtual void pendingBytesChanged(std::size_t before, std::size_t after) = 0;
+    virtual std::size_t pendingBytes() const = 0; ///< Of all connections.
     /// Takes over a closed connection, to destroy it later.
     virtual void connectionClosed(bufferevent* channel) = 0;
 };
@@ -123,6 +127,7 @@
     void endAnswer();
     void abortAnswer();
     std::size_t pendingBytes() const { return evbuffer_get_length(bufferevent_get_output(m_channel)); }
+    std::size_t pendingBytesOfAll() const { return m_owner.pendingBytes(); }
     bool hasAnswerBody(int status) const;
     int socket() const { return bufferevent_getfd(m_channel); }
 
@@ -149,6 +154,8 @@
     bool hasInput() const;
     void adopt();
     void detachChannel();
+    /// Tells the owner how many bytes of output are pending.
+    void countPending(std::size_t bytes);
     void read();
     /// Reads what has arrived at the socket, without waiting for the loop to report it.
     void readArrived();
@@ -182,6 +189,7 @@
     loop_timer m_deadline;
     phase m_phase = phase::adopting;
     http_violation m_refusal;
+    std::size_t m_countedPending = 0; ///< Pending output, as last told to the owner.
     bool m_isInjecting = false;
     bool m_isHeadRequest = false;
     bool m_isCloseDelimited = false;
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -93,6 +93,7 @@
         constexpr std::uint64_t mebibyte = 1024 * kibibyte;
         assignIfSet(target.headBytes, reader.bytes("head", { kibibyte, mebibyte }));
         assignIfSet(target.bodyBytes, reader.bytes("body", { 0, 256 * mebibyte }));
+        assignIfSet(target.memoryBytes, reader.bytes("memory", { 64 * mebibyte, 1024 * 1024 * mebibyte }));
         assignIfSet(target.bufferBytes, reader.bytes("buffer", { 16 * kibibyte, 64 * mebibyte }));
         assignIfSet(target.connections, reader.number("connections", { 1, 1'000'000 }));
         reader.finish();
--- a/unittests/Daemon/DaemonFixture.h
+++ b/unittests/Daemon/DaemonFixture.h
@@ -52,6 +52,7 @@
     }
     void refuse(refusal_kind kind, std::string_view) override { m_seen->refused = kind; }
     std::size_t pendingBytes() const override { return 0; }
+    std::size_t pendingBytesOfAll() const override { return pendingBytes(); }
     void whenDrained(std::size_t, std::function<void()> callback) override { callback(); }
     void whenCallerDisconnects(std::function<void()> callback) override { m_seen->onLeave = std::move(callback); }
 
--- a/unittests/Dispatch/DispatcherTests.cpp
+++ b/unittests/Dispatch/DispatcherTests.cpp
@@ -187,6 +187,24 @@
     CHECK(find<refuse_inbound>(after)->kind == refusal_kind::outcomeUnknown);
 }
 
+// Guards against the body of a refusal that is read on, 0.4 GB in 300 ms, although nobody gets it.
+TEST_CASE("a refusal without end is not read on and may have run")
+{
+    small_fleet fleet;
+    const attempt_number attempt = fleet.open("/order/1");
+    REQUIRE(fleet.core.mayStartSending(fleet.now, attempt));
+    served_head head = makeHead(503);
+    head.isNotExecuted = true;
+    fleet.core.onHead(fleet.now, attempt, head);
+    const std::string part(16UL * 1024, 'x');
+    for (int i = 0; i < 4; ++i)
+        CHECK(fleet.core.onBytes(fleet.now, attempt, part, {}).empty());
+    const auto after = fleet.core.onBytes(fleet.now, attempt, part, {});
+    CHECK(find<cancel_dispatch>(after));
+    REQUIRE(find<refuse_inbound>(after));
+    CHECK(find<refuse_inbound>(after)->kind == refusal_kind::outcomeUnknown);
+}
+
 // Guards against a caller that is told by the status that its request has not run, although
 // the server does not say so, and sends it again.
 TEST_CASE("a status that means not run is not forwarded for an at-most-once request that may have run")
--- a/unittests/Net/HttpServerTests.cpp
+++ b/unittests/Net/HttpServerTests.cpp
@@ -236,6 +236,35 @@
     CHECK(runUntil(test.loop, [&] { return left == 1; }));
 }
 
+// Guards against a sum of the pending output that drifts from what is pending.
+TEST_CASE("the server's pending bytes are those of its connections, and zero once these have closed")
+{
+    server_fixture test;
+    std::vector<raw_socket> callers;
+    constexpr std::size_t count = 5;
+    for (std::size_t i = 0; i < count; ++i) {
+        callers.push_back(test.connect(4096));
+        callers.back().send(get);
+        REQUIRE(test.waitForRequests(i + 1));
+        test.answers[i]->start({});
+        test.answers[i]->send(std::string(8UL * 1024 * 1024, 'x'));
+    }
+    const auto sum = [&] {
+        std::size_t all = 0;
+        for (const auto& each : test.answers)
+            all += each->pendingBytes();
+        return all;
+    };
+    CHECK(test.server.pendingBytes() > count * 1024 * 1024);
+    CHECK(test.server.pendingBytes() == sum());
+    test.loop.runFor(50ms);
+    CHECK(test.server.pendingBytes() == sum());
+    CHECK(test.answers[0]->pendingBytesOfAll() == sum());
+    test.answers[0]->abort();
+    callers.clear();
+    CHECK(runUntil(test.loop, [&] { return test.server.pendingBytes() == 0; }));
+}
+
 // Guards against connections held open by callers that send slowly or nothing.
 TEST_CASE("slow writers and idle connections time out")
 {
--- a/unittests/PlatformAdapter/RawBackend.h
+++ b/unittests/PlatformAdapter/RawBackend.h
@@ -26,6 +26,7 @@
     close,
     halfClose, ///< Ends its own direction only.
     reset,
+    endless, ///< Sends its last part again for as long as the connection takes it.
 };
 
 struct raw_reply {
@@ -87,13 +88,17 @@
 
     std::uint16_t port = 0;
     std::size_t accepted = 0;
+    std::uint64_t sentBytes = 0;
     std::vector<std::string> requests; ///< Requests received, each with its body.
 
 private:
+    static constexpr int repeatsPerPoll = 8;
+
     struct connection {
         int socket;
         std::string received {};
         std::vector<std::string> unsent {};
+        std::string repeated {}; ///< The last part sent.
         ending how = ending::keep;
         time_point dueAt {};
         bool isAnswering = false;
@@ -112,14 +117,26 @@
         if (served.received.ends_with("\r\n\r\nbody"))
             answer(served, std::exchange(served.received, {}));
         while (!served.unsent.empty() && tools::bootTime() >= served.dueAt) {
-            send(served.socket, served.unsent.front().data(), served.unsent.front().size(), MSG_NOSIGNAL);
+            write(served, served.unsent.front());
+            served.repeated = std::move(served.unsent.front());
             served.unsent.erase(served.unsent.begin());
             served.dueAt = tools::bootTime() + pause;
         }
+        if (served.isAnswering && served.how == ending::endless) {
+            for (int i = 0; i < repeatsPerPoll && served.unsent.empty(); ++i)
+                write(served, served.repeated);
+            return;
+        }
         if (served.isAnswering && served.unsent.empty() && tools::bootTime() >= served.dueAt)
             end(served);
     }
 
+    void write(const connection& served, const std::string& bytes)
+    {
+        const ssize_t written = send(served.socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        sentBytes += written > 0 ? static_cast<std::uint64_t>(written) : 0;
+    }
+
     void answer(connection& served, const std::string& request)
     {
         requests.push_back(request);
@@ -201,8 +218,11 @@
 /// `/stream/` and `/once/` are an idempotent route, an at-most-once one, a resumable stream
 /// and one that must not be resumed.
 struct raw_fleet : router_fixture {
-    explicit raw_fleet(const raw_backend::script& answers, std::size_t count = 2)
+    /// \p change is applied to the settings before the router starts.
+    explicit raw_fleet(
+        const raw_backend::script& answers, std::size_t count = 2, const std::function<void(settings&)>& change = [](settings&) {})
     {
+        change(configured);
         const auto route = [](const char* prefix, const char* type, bool isResumable) {
             return nlohmann::json { { "name", prefix }, { "host", "h" }, { "prefix", prefix }, { "route_type", type }, { "resumable", isResumable },
                 { "service", "model" }, { "max_attempts", 2 }, { "timeout_ms", 3000 }, { "latency_goal_ms", 800 } };
