--- a/lib/Replica/RelayLimits.cpp
+++ b/lib/Replica/RelayLimits.cpp
@@ -16,8 +16,8 @@
     constexpr double ownRead = 0.8;
     constexpr double shortRetry = 0.1;
     constexpr double readerRetry = 0.2;
-    // With jitter 1.2 of the bound, so that a router without readers is current again within
-    // the time that the store needs to count as stable (1.5 of the bound).
+    // With jitter 1.2 of the bound: platforms judge the age of rows again after 1.25 of it or more
+    // have passed since the end of an outage.
     constexpr double loneRetry = 0.8;
     constexpr double longRetry = 3.2;
 
