--- a/include/pimentoladder/Replica/RelayLimits.h
+++ b/include/pimentoladder/Replica/RelayLimits.h
@@ -48,7 +48,7 @@
 };
 
 /// Returns limits under which the rows of a router are at most \p maxRowAge old while the
-/// store answers it within a tenth of that. \p maxRowAge is positive.
+/// store answers it within a tenth of that. \p maxRowAge is positive. Thread-safe.
 ///
 /// At maxBasisAge (0.8 of the bound) a router reads the store, whatever its source does, so
 /// that no wait for a reader adds to another one. While a source answers, rows are 0.7 of the
