--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -21,6 +21,7 @@
 #include "pimentoladder/Outcome/AttemptEnd.h"
 #include "pimentoladder/Outcome/CrashAttribution.h"
 #include "pimentoladder/Outcome/RetryBudget.h"
+#include "pimentoladder/Rollout/RolloutOrder.h"
 
 namespace pimentoladder {
 
@@ -87,6 +88,12 @@
     void putServer(time_point now, const registered_server& server);
     void removeServer(time_point now, const server_id& server);
 
+    /// Starts or replaces the roll-out of the order's pool; \p at: revision of the order's row.
+    void setRollout(time_point now, revision at, const rollout_order& order);
+
+    /// Ends the roll-out of a pool, whose versions are no longer told apart.
+    void endRollout(time_point now, const pool_id& pool);
+
     /// Marks the initial list of servers as complete: servers added from now on have just started.
     void markServersListed(time_point now);
     void confirm(time_point sentAt);
@@ -109,6 +116,12 @@
     /// to those that are reported to take no requests.
     dispatch_actions onServerLimits(time_point now, const server_rate_limits& received);
 
+    /// Applies permits to send requests to the target version of roll-outs.
+    void setRolloutPermits(time_point now, const rollout_permits& permits);
+
+    /// Returns the evidence on roll-outs from this router's own attempts.
+    rollout_report rolloutEvidence(time_point now) const;
+
     /// Which software version began each stream.
     stream_versions& streamVersions() { return m_versions; }
 
--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -353,8 +353,64 @@
     bool isEmpty() const { return groups.empty() && uses.empty(); }
 };
 
+/// What one router has seen of a route on one side of a roll-out since it learnt of the
+/// order. The counts never decrease while the router runs.
+struct rollout_tally {
+    std::string route;
+    bool isTarget = false; ///< Servers of the version that the order names; false: all other servers of the pool.
+    std::uint64_t sent = 0; ///< Attempts whose first byte was sent.
+    std::uint64_t answers = 0; ///< Responses of servers; attempts that ended without one are not counted.
+    std::uint64_t failures = 0; ///< Of the answers, those with a server error.
+    std::uint64_t slow = 0; ///< Of the other answers, those that were much later than expected.
+    std::uint64_t servers = 0; ///< Set of servers that answered: bit i stands for those whose name hash is i modulo 64.
+    std::uint64_t faultyServers = 0; ///< Of them, those with a failed or slow answer.
+
+    bool operator==(const rollout_tally&) const = default;
+};
+
+/// Evidence of one router on one roll-out.
+struct rollout_evidence {
+    pool_id pool;
+    revision order; ///< Revision of the order's row.
+    std::uint64_t requests = 0; ///< Requests for the pool since the router learnt of the order.
+    std::uint32_t inProgress = 0; ///< Attempts in progress at servers of other versions than the target.
+    std::vector<rollout_tally> tallies;
+};
+
+/// Evidence of the sender on all roll-outs in progress. Sent to the readers.
+struct rollout_report {
+    std::vector<rollout_evidence> rollouts;
+};
+
+/// State of a roll-out as its operator sees it.
+enum class rollout_state : std::uint8_t {
+    inProgress,
+    completed, ///< Final: every request goes to the target version.
+    reverted, ///< Final: no request goes to the target version.
+};
+
+/// Permission to send a part of a pool's requests to the target version. It ends
+/// `rollout_limits::permitLifetime` after its owner confirmed it, unless the state is final.
+struct rollout_permit {
+    pool_id pool;
+    revision order; ///< Revision of the order's row.
+    fencing_token token; ///< Of the owner; a permit with a lower one than the last is void.
+    std::uint64_t sequence = 0; ///< Counts the owner's changes of the share.
+    rollout_state state = rollout_state::inProgress;
+    double share = 0; ///< Of the pool's requests, 0 to 1, that may go to the target version.
+    duration age {}; ///< Since the owner last confirmed it.
+
+    bool operator==(const rollout_permit&) const = default;
+};
+
+/// Permits of all roll-outs that the sender knows. Sent by the owner to the other readers and
+/// by readers to the routers that follow them.
+struct rollout_permits {
+    std::vector<rollout_permit> entries;
+};
+
 using message = std::variant<heartbeat, revision_announce, config_request, config_update, suspend, acquire, grant,
     grant_report, recall, in_flight_report, shard_release, service_counters, crash_report, shard_owner, follow_rows, rows_update,
-    usage_report, usage_totals, server_losses, server_rate_limits, stream_origins>;
+    usage_report, usage_totals, server_losses, server_rate_limits, stream_origins, rollout_report, rollout_permits>;
 
 }
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -128,6 +128,11 @@
 
 dispatcher::~dispatcher() = default;
 
+void dispatcher::setRollout(time_point, revision, const rollout_order&) { }
+void dispatcher::endRollout(time_point, const pool_id&) { }
+void dispatcher::setRolloutPermits(time_point, const rollout_permits&) { }
+rollout_report dispatcher::rolloutEvidence(time_point) const { return {}; }
+
 std::optional<refusal_kind> dispatcher::admit(time_point now, tracked_request& request)
 {
     if (m_drainAt && now >= *m_drainAt)
--- a/lib/Router/RouterCore.cpp
+++ b/lib/Router/RouterCore.cpp
@@ -125,6 +125,12 @@
 template <>
 void router_core::handle<stream_origins>(const member_ref&, const message&, time_point, router_actions&) { }
 
+template <>
+void router_core::handle<rollout_report>(const member_ref&, const message&, time_point, router_actions&) { }
+
+template <>
+void router_core::handle<rollout_permits>(const member_ref&, const message&, time_point, router_actions&) { }
+
 /// Handlers in the order of the alternatives of `message`.
 struct router_core::handler_table {
     template <std::size_t... Index>
--- a/lib/Wire/MessageCodec.cpp
+++ b/lib/Wire/MessageCodec.cpp
@@ -15,7 +15,7 @@
     constexpr std::array<std::string_view, messageKindCount> kindNames { "heartbeat", "revision_announce",
         "config_request", "config_update", "suspend", "acquire", "grant", "grant_report", "recall", "in_flight_report",
         "shard_release", "service_counters", "crash_report", "shard_owner", "follow_rows", "rows_update", "usage_report", "usage_totals",
-        "server_losses", "server_rate_limits" };
+        "server_losses", "server_rate_limits", "stream_origins", "rollout_report", "rollout_permits" };
 
     // Added to the index in `message` to form the kind on the wire, so that zero is never a
     // valid kind.
--- a/lib/Wire/MessageDecoder.cpp
+++ b/lib/Wire/MessageDecoder.cpp
@@ -227,6 +227,28 @@
         return { fields.requiredName<pool_id>(source.pool(), "pool"), textOf(source.version()), std::chrono::microseconds(source.age()) };
     }
 
+    rollout_tally read(const wire::RolloutTally& source, field_reader& fields)
+    {
+        return { fields.text(source.route(), "route"), source.target(), source.sent(), source.answers(), source.failures(), source.slow(), source.servers(), source.faulty_servers() };
+    }
+
+    rollout_permit read(const wire::RolloutPermit& source, field_reader& fields)
+    {
+        rollout_permit decoded;
+        decoded.pool = fields.requiredName<pool_id>(source.pool(), "pool");
+        decoded.order = revision(source.order());
+        decoded.token = fencing_token(source.token());
+        decoded.sequence = source.sequence();
+        if (source.state() > static_cast<std::uint8_t>(rollout_state::reverted))
+            fields.failField("state", "must be 0, 1 or 2");
+        decoded.state = static_cast<rollout_state>(source.state());
+        decoded.share = fields.nonNegative(source.share(), "share");
+        if (decoded.share > 1)
+            fields.failField("share", "must be 1 at most");
+        decoded.age = std::chrono::microseconds(source.age());
+        return decoded;
+    }
+
     crash_suspect read(const wire::Suspect& source, field_reader& fields)
     {
         crash_suspect decoded;
@@ -393,6 +415,21 @@
         return usage_totals { source.routers(), readList(source.entries(), fields), readList(source.observed(), fields) };
     }
 
+    rollout_evidence read(const wire::RolloutEvidence& source, field_reader& fields)
+    {
+        return { fields.requiredName<pool_id>(source.pool(), "pool"), revision(source.order()), source.requests(), source.in_progress(), readList(source.tallies(), fields) };
+    }
+
+    message read(const wire::RolloutReport& source, field_reader& fields)
+    {
+        return rollout_report { readList(source.rollouts(), fields) };
+    }
+
+    message read(const wire::RolloutPermits& source, field_reader& fields)
+    {
+        return rollout_permits { readList(source.entries(), fields) };
+    }
+
     message read(const wire::StreamOrigins& source, field_reader& fields)
     {
         return stream_origins { readList(source.groups(), fields), readList(source.uses(), fields), optionalDuration(source.known_for()) };
@@ -420,7 +457,8 @@
         &decodeAs<wire::Recall>, &decodeAs<wire::InFlightReport>, &decodeAs<wire::ShardRelease>,
         &decodeAs<wire::ServiceCounters>, &decodeAs<wire::CrashReport>, &decodeAs<wire::ShardOwner>,
         &decodeAs<wire::FollowRows>, &decodeAs<wire::RowsUpdate>, &decodeAs<wire::UsageReport>, &decodeAs<wire::UsageTotals>,
-        &decodeAs<wire::ServerLosses>, &decodeAs<wire::ServerRateLimits>, &decodeAs<wire::StreamOrigins> };
+        &decodeAs<wire::ServerLosses>, &decodeAs<wire::ServerRateLimits>, &decodeAs<wire::StreamOrigins>,
+        &decodeAs<wire::RolloutReport>, &decodeAs<wire::RolloutPermits> };
 
 }
 
--- a/lib/Wire/MessageEncoder.cpp
+++ b/lib/Wire/MessageEncoder.cpp
@@ -170,10 +170,23 @@
         return wire::CreateServerHold(builder, writeName(builder, source.server), source.start.value(), source.isLeaving, roundedUpMicroseconds(source.left));
     }
 
+    Offset<wire::RolloutTally> write(FlatBufferBuilder& builder, const rollout_tally& source)
+    {
+        const auto route = builder.CreateSharedString(source.route);
+        return wire::CreateRolloutTally(builder, route, source.isTarget, source.sent, source.answers, source.failures, source.slow, source.servers, source.faultyServers);
+    }
+
+    Offset<wire::RolloutPermit> write(FlatBufferBuilder& builder, const rollout_permit& source)
+    {
+        return wire::CreateRolloutPermit(builder, writeName(builder, source.pool), source.order.value(), source.token.value(), source.sequence,
+            static_cast<std::uint8_t>(source.state), source.share, roundedUpMicroseconds(source.age));
+    }
+
     // Defined below, because they contain a list and so need `writeList`.
     Offset<wire::RetainedRows> write(FlatBufferBuilder& builder, const retained_rows& source);
     Offset<wire::TableUpdate> write(FlatBufferBuilder& builder, const table_update& source);
     Offset<wire::ServerLoss> write(FlatBufferBuilder& builder, const server_loss& source);
+    Offset<wire::RolloutEvidence> write(FlatBufferBuilder& builder, const rollout_evidence& source);
 
     template <typename Entry>
     auto writeList(FlatBufferBuilder& builder, const std::vector<Entry>& entries)
@@ -300,6 +313,23 @@
         return wire::CreateStreamOrigins(builder, groups, uses, optionalMicroseconds(source.knownFor));
     }
 
+    Offset<wire::RolloutEvidence> write(FlatBufferBuilder& builder, const rollout_evidence& source)
+    {
+        const auto pool = writeName(builder, source.pool);
+        const auto tallies = writeList(builder, source.tallies);
+        return wire::CreateRolloutEvidence(builder, pool, source.order.value(), source.requests, source.inProgress, tallies);
+    }
+
+    Offset<wire::RolloutReport> write(FlatBufferBuilder& builder, const rollout_report& source)
+    {
+        return wire::CreateRolloutReport(builder, writeList(builder, source.rollouts));
+    }
+
+    Offset<wire::RolloutPermits> write(FlatBufferBuilder& builder, const rollout_permits& source)
+    {
+        return wire::CreateRolloutPermits(builder, writeList(builder, source.entries));
+    }
+
     Offset<wire::UsageReport> write(FlatBufferBuilder& builder, const usage_report& source)
     {
         const auto entries = writeList(builder, source.entries);
--- a/unittests/Wire/MessageCodecTests.cpp
+++ b/unittests/Wire/MessageCodecTests.cpp
@@ -47,7 +47,9 @@
         server_losses { { { server_id("i-1"), incarnation(3), 20ms, true,
             { { { trait_kind::promptPart, 0x99aabbccddeeff00 }, 1, true, { peer.vm }, { fingerprint(7) } } } } } },
         server_rate_limits { { { server_id("i-1"), true, 2.5, 20ms } }, { { server_id("i-2"), incarnation(3), true, 5s } } },
-        stream_origins { { { pool_id("llm"), "1.2", { fingerprint(7), fingerprint(8) } } }, { { pool_id("llm"), "1.2", 20ms } }, 30s } };
+        stream_origins { { { pool_id("llm"), "1.2", { fingerprint(7), fingerprint(8) } } }, { { pool_id("llm"), "1.2", 20ms } }, 30s },
+        rollout_report { { { pool_id("llm"), revision(12), 100, 3, { { "bulletin", true, 9, 8, 2, 1, 5, 4 } } } } },
+        rollout_permits { { { pool_id("llm"), revision(12), fencing_token(3), 4, rollout_state::inProgress, 0.25, 20ms } } } };
 }
 
 std::optional<message> decodeKnown(std::string_view payload)
