Roll-outs: run the coordinator in each router

Orders in the operators' table had no reader. Each router now hands them, with the readers and the servers of each version, to its roll-out coordinator, performs its reads and conditional writes, exchanges evidence and permits with the other routers at the interval of the usage reports, and gives the permits to the dispatcher. The bounds on exposure and roll-back come from the platform's settings (section rollouts).

Without an order nothing is read, written or sent.

--- a/include/pimentoladder/Daemon/FleetFollower.h
+++ b/include/pimentoladder/Daemon/FleetFollower.h
@@ -13,6 +13,7 @@
 #include "pimentoladder/Codec/MemberJson.h"
 #include "pimentoladder/Daemon/CoreDriver.h"
 #include "pimentoladder/Daemon/PeerMesh.h"
+#include "pimentoladder/Daemon/RolloutDriver.h"
 #include "pimentoladder/Dispatch/FleetCodec.h"
 #include "pimentoladder/Dispatch/FleetLimits.h"
 #include "pimentoladder/Dispatch/UsageMonitor.h"
@@ -54,6 +55,7 @@
     logger& log;
     metrics& values;
     relay_limits limits;
+    rollout_limits rollouts;
     endpoint peerListen; ///< Where this router accepts links; other routers may reach it at another address.
     std::function<void(const serving_plan&)> planApplied; ///< Called with each configuration that comes into force.
 };
@@ -93,6 +95,8 @@
     void updateMembers();
     void registerSelf();
     void exchangeUsage();
+    void sendToReaders(const message& content);
+    void sendToFollowers(const message& content);
     void setFleetUsage(time_point now, const vm_id& from, const usage_totals& totals);
     void reportUsageState(time_point now);
     void sendEvidence();
@@ -112,6 +116,7 @@
     fleet_limits m_limits;
     std::set<vm_id> m_informedFollowers; ///< Followers that have been sent all evidence.
     peer_mesh m_mesh;
+    rollout_driver m_rollouts;
     loop_timer m_registrationTimer;
     loop_timer m_usageTimer;
     loop_timer m_evidenceTimer;
--- a/include/pimentoladder/Settings/Settings.h
+++ b/include/pimentoladder/Settings/Settings.h
@@ -78,6 +78,13 @@
     std::chrono::nanoseconds restoredHold = std::chrono::minutes(1); ///< How long rows stay in force that a store restored from a copy lacks.
 };
 
+/// Bounds of the platform on roll-outs of a software version.
+struct rollout_bounds {
+    double exposureShare = 0.1; ///< Part of a pool's requests that a faulty version may get.
+    double exposureExtra = 50; ///< Requests that it may get besides; the platform may derive a fraction.
+    std::chrono::nanoseconds rollback = std::chrono::seconds(5); ///< Time from its 50th bad response after which it gets none.
+};
+
 /// Retry budget that the platform allows all routers together, in 10 s.
 struct retry_bounds {
     double share = 0.1; ///< Retries allowed for each request.
@@ -105,6 +112,7 @@
     placement_limits placement;
     freshness_bounds freshness;
     retry_bounds retries;
+    rollout_bounds rollouts;
     double cores = 1; ///< CPU cores available to this VM; may be a fraction.
     std::string logLevel = "info";
 };
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -60,6 +60,15 @@
         return limits;
     }
 
+    rollout_limits rolloutLimits(const settings& configured)
+    {
+        rollout_limits limits;
+        limits.exposureShare = configured.rollouts.exposureShare;
+        limits.exposureExtra = static_cast<std::uint64_t>(configured.rollouts.exposureExtra);
+        limits.rollback = configured.rollouts.rollback;
+        return limits;
+    }
+
     answer_buffer_limits bufferLimits(const settings& configured)
     {
         return { configured.limits.bufferBytes, static_cast<std::size_t>(static_cast<double>(configured.limits.memoryBytes) * answerMemoryFraction) };
@@ -159,7 +168,7 @@
     , driver(loop, core)
     , front(driver, backends, ports.ingress, bufferLimits(configured))
     , report(driver, log, values)
-    , follower({ driver, ports.rows, ports.fleet, log, values, relayLimits(configured), configured.listen.peers, [this](const serving_plan& plan) { applyCallerLimits(plan); } }, selfOf(configured, start), generateFleetKey(), seed + 1)
+    , follower({ driver, ports.rows, ports.fleet, log, values, relayLimits(configured), rolloutLimits(configured), configured.listen.peers, [this](const serving_plan& plan) { applyCallerLimits(plan); } }, selfOf(configured, start), generateFleetKey(), seed + 1)
     , callerServer(loop, callerLimits(configured), [this](http_request request, std::shared_ptr<http_response_writer> answer) { front.onRequest(std::move(request), std::move(answer)); })
     , adminServer(loop, {}, [this](const http_request& request, const std::shared_ptr<http_response_writer>& answer) { answerAdmin(request, *answer); })
     , guard(configured.cores)
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -56,6 +56,11 @@
 
 bool decoded_rules::isSignificant(std::uint32_t table, const published_row& before, const published_row& after) const
 {
+    if (table == static_cast<std::uint32_t>(followed_table::operators) && before.value == after.value && before.position.at != after.position.at) {
+        // An operator can give the same order again, for example after a roll-out was reverted.
+        const auto repeated = m_codec.decodeOperatorRow(after.key, after.value);
+        return repeated && std::holds_alternative<ordered_rollout>(*repeated);
+    }
     if (table != static_cast<std::uint32_t>(followed_table::servers))
         return before.value != after.value;
     const auto old = m_codec.decodeServer(before.key, before.value);
@@ -92,6 +97,9 @@
     , m_driver(parts.dispatch.loop(), m_relay)
     , m_registration(self, freshKey, m_memberCodec)
     , m_mesh(parts.dispatch.loop(), parts.log, linkSettings(self), meshOwner(), seed + 1)
+    , m_rollouts({ parts.dispatch, parts.store, parts.codec, parts.log, parts.values, parts.rollouts,
+                     [this](const message& content) { sendToReaders(content); }, [this](const message& content) { sendToFollowers(content); } },
+          self)
     , m_registrationTimer(parts.dispatch.loop(), [this] { registerSelf(); })
     , m_usageTimer(parts.dispatch.loop(), [this] { exchangeUsage(); })
     , m_evidenceTimer(parts.dispatch.loop(), [this] { sendEvidence(); })
@@ -158,9 +166,19 @@
                 m_mesh.send(from.vm, std::move(limits));
             if (stream_origins origins = versions.forward(now, from.vm); !origins.isEmpty())
                 m_mesh.send(from.vm, std::move(origins));
+            if (rollout_permits permits = m_rollouts.permits(); !permits.entries.empty())
+                m_mesh.send(from.vm, std::move(permits));
         }
         return;
     }
+    if (const auto* evidence = std::get_if<rollout_report>(&received)) {
+        m_rollouts.onReport(from, *evidence);
+        return;
+    }
+    if (const auto* permits = std::get_if<rollout_permits>(&received)) {
+        m_rollouts.onPermits(*permits);
+        return;
+    }
     if (const auto* totals = std::get_if<usage_totals>(&received)) {
         setFleetUsage(now, from.vm, *totals);
         return;
@@ -202,9 +220,26 @@
         m_usage.onReport(now, { m_self.vm, m_self.start }, own);
         setFleetUsage(now, m_self.vm, m_usage.totals(now));
     }
+    m_rollouts.exchange();
     reportUsageState(now);
 }
 
+void fleet_follower::sendToReaders(const message& content)
+{
+    for (const fleet_router& each : m_relay.readers()) {
+        if (each.vm != m_self.vm)
+            m_mesh.send(each.vm, content);
+    }
+}
+
+void fleet_follower::sendToFollowers(const message& content)
+{
+    for (const vm_id& peer : m_mesh.openPeers()) {
+        if (m_relay.isFollowedBy(peer))
+            m_mesh.send(peer, content);
+    }
+}
+
 void fleet_follower::setFleetUsage(time_point now, const vm_id& from, const usage_totals& totals)
 {
     m_usageMonitor.onTotals(now, from, totals);
@@ -405,6 +440,7 @@
     for (const fleet_router& each : members)
         routers.push_back(each.vm);
     m_relay.setMembers(std::move(members));
+    m_rollouts.setReaders(m_relay.readers(), routers.size());
     m_parts.dispatch.core().setRouters(std::move(routers));
     const auto key = member_registration::fleetKey(rows);
     if (!key)
@@ -426,6 +462,8 @@
     const time_point now = m_driver.loop().now();
     dispatcher& core = m_parts.dispatch.core();
     m_outOfServiceByRow.erase(row.key);
+    if (row.isDeleted)
+        m_rollouts.removeOrder(row.key);
     if (!row.isDeleted) {
         auto decoded = m_parts.codec.decodeOperatorRow(row.key, row.value);
         if (!decoded) {
@@ -434,6 +472,8 @@
         }
         if (const auto* out = std::get_if<evacuated_data_centre>(&*decoded))
             m_outOfServiceByRow[row.key] = out->dataCentre;
+        if (const auto* ordered = std::get_if<ordered_rollout>(&*decoded))
+            m_rollouts.putOrder(row.key, row.position.at, ordered->order);
         if (auto* plan = std::get_if<serving_plan>(&*decoded)) {
             const revision version = plan->version;
             const std::uint64_t routes = plan->routes.size();
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -149,6 +149,14 @@
         reader.finish();
     }
 
+    void readRollouts(mapping_reader reader, rollout_bounds& target)
+    {
+        assignIfSet(target.exposureShare, reader.decimal("exposure_share", { 0, 1 }));
+        assignIfSet(target.exposureExtra, reader.decimal("exposure_extra", { 0, 1e6 }));
+        assignIfSet(target.rollback, reader.time("rollback", { 1s, 10min }));
+        reader.finish();
+    }
+
     void readLog(mapping_reader reader, settings& target)
     {
         assignIfSet(target.logLevel, reader.choice("level", { "debug", "info", "warning", "error" }));
@@ -209,6 +217,7 @@
         readPlacement(root.section("placement", false), target.placement);
         readFreshness(root.section("freshness", false), target.freshness);
         readRetries(root.section("retries", false), target.retries);
+        readRollouts(root.section("rollouts", false), target.rollouts);
         assignIfSet(target.cores, root.decimal("cores", { 0.01, 1024 }));
         readLog(root.section("log", false), target);
         root.finish();
