--- a/tools/standins/FaultPlan.cpp
+++ b/tools/standins/FaultPlan.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr std::array<std::pair<std::string_view, fault_kind>, 21> kindNames { {
+    constexpr std::array<std::pair<std::string_view, fault_kind>, 22> kindNames { {
         { "outage", fault_kind::outage },
         { "hang", fault_kind::hang },
         { "refuse", fault_kind::refuse },
@@ -29,6 +29,7 @@
         { "request_limit", fault_kind::requestLimit },
         { "endless", fault_kind::endless },
         { "turn_away", fault_kind::turnAway },
+        { "failure", fault_kind::failure },
         { "announce_leaving", fault_kind::announceLeaving },
     } };
 
--- a/tools/standins/FaultPlan.h
+++ b/tools/standins/FaultPlan.h
@@ -37,6 +37,7 @@
     requestLimit, ///< The backend server names a request limit in its responses.
     endless, ///< A stream sends bytes without end that complete no event.
     turnAway, ///< The backend server answers 503 with Retry-After and does not run the request.
+    failure, ///< The backend server runs the request and answers 500.
     announceLeaving, ///< The backend server announces in its responses that it leaves; its registration stays as it is.
 };
 
--- a/tools/standins/Main.cpp
+++ b/tools/standins/Main.cpp
@@ -55,6 +55,7 @@
 ABSL_FLAG(std::uint32_t, slots, 8, "backend: limit of requests in progress; further ones are refused without running");
 ABSL_FLAG(absl::Duration, heartbeat, absl::Seconds(1), "backend: time between two registrations");
 ABSL_FLAG(std::string, crash_part, "", "backend: prompt part, in hexadecimal, that ends the process when a response on it begins; default: none");
+ABSL_FLAG(std::string, software_version, "1", "backend: software version that it registers");
 ABSL_FLAG(absl::Duration, cold_start, absl::ZeroDuration(), "backend: how long it reports itself as cold after its start");
 
 ABSL_FLAG(std::string, links, "", "relay: name=IP:port>IP:port, separated by commas");
@@ -116,6 +117,7 @@
             settings.store = tools::parseAddress(absl::GetFlag(FLAGS_store));
         settings.heartbeat = flagTime(FLAGS_heartbeat);
         settings.crashPart = absl::GetFlag(FLAGS_crash_part);
+        settings.version = absl::GetFlag(FLAGS_software_version);
         settings.coldStart = flagTime(FLAGS_cold_start);
         return settings;
     }
--- a/tools/standins/platform/BackendService.cpp
+++ b/tools/standins/platform/BackendService.cpp
@@ -19,6 +19,7 @@
 
     constexpr const char* attemptHeader = "X-Attempt-Id";
     constexpr int statusMisdirected = 421;
+    constexpr int statusFailed = 500;
     constexpr int statusFull = 503;
     constexpr int statusInvalid = 400;
     constexpr int crashExitCode = 70;
@@ -104,7 +105,7 @@
         return;
     const time_point now = bootTime();
     const auto coldLeft = std::chrono::duration_cast<std::chrono::milliseconds>(std::max(m_coldUntil - now, duration::zero()));
-    json entry { { "service", m_settings.pool }, { "address", m_settings.advertised }, { "zone", m_settings.dataCentre }, { "version", "1" },
+    json entry { { "service", m_settings.pool }, { "address", m_settings.advertised }, { "zone", m_settings.dataCentre }, { "version", m_settings.version },
         { "slots", m_settings.slots }, { "state", m_isDraining ? "draining" : "ready" }, { "cold_left_ms", coldLeft.count() }, { "born", m_startedMs } };
     if (entry != m_registration)
         ++m_sequence;
@@ -141,6 +142,10 @@
         refuse(exchange, statusFull, "full");
         return;
     }
+    if (m_faults.take(fault_kind::failure, exchange->path(), bootTime())) {
+        fail(exchange);
+        return;
+    }
     if (exchange->header("X-Token-Counts").empty())
         startUnary(exchange);
     else
@@ -166,6 +171,14 @@
     exchange->reply(statusFull, "{}", { { attemptHeader, attempt }, { "X-Not-Executed", "1" }, { "Retry-After", seconds } });
 }
 
+void backend_service::fail(const exchange_ptr& exchange)
+{
+    const std::string execution = m_context.name + "-" + std::to_string(m_startedMs) + "-p" + std::to_string(++m_lastUnary);
+    recordStart(exchange, execution);
+    recordEnd(execution, "failed");
+    exchange->reply(statusFailed, "{}", headersFor(exchange->header(attemptHeader)));
+}
+
 /// Adds the announcement that the server leaves, if a fault asks for it.
 void backend_service::announceLeaving(const std::string& attempt, std::vector<tools::http_header>& headers)
 {
--- a/tools/standins/platform/BackendService.h
+++ b/tools/standins/platform/BackendService.h
@@ -26,6 +26,7 @@
     tools::numeric_address store; ///< Store to register in; port 0: none.
     duration heartbeat = std::chrono::seconds(1);
     std::string crashPart; ///< Prompt part, in hexadecimal, that ends the process when a response on it begins; empty: none.
+    std::string version = "1"; ///< Software version that it registers.
     duration coldStart {}; ///< How long after its start the server reports itself as cold.
 };
 
@@ -65,6 +66,7 @@
     void end(run_number number, const char* result);
     void refuse(const exchange_ptr& exchange, int status, const char* reason);
     void announceLeaving(const std::string& attempt, std::vector<tools::http_header>& headers);
+    void fail(const exchange_ptr& exchange);
     void turnAway(const exchange_ptr& exchange, duration time);
     void sendHeartbeat();
     void writeRegistration();
