Roll-outs: divide a pool's requests between two versions and count what comes of them

Cause: an order to move a pool to another software version had no effect at the routers; the four functions of the dispatcher were empty.

Change: rollout_split (library Dispatch) holds the orders, the newest permit of each and the evidence of this router's own attempts. A new request is drawn once and goes to the target version with the permitted share; it goes to the other versions if no target server can take it. Retries go to the other versions, continued streams to the version that began them, and after a revert nothing goes to the target. The last check before the first byte asks for the permit again, so that a router that was paused does not act on one that has ended. A small share goes to few target servers, the same at every router.

--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -119,6 +119,7 @@
     revision planVersion;
     duration basisAge {};
     std::optional<duration> usageAge; ///< Of the fleet's sums of usage; nothing if there are none.
+    std::string_view rolloutSide {}; ///< Of the server's version in a roll-out: target or current; empty if the pool has no order.
 };
 
 /// Log record of the end of an attempt.
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -15,6 +15,7 @@
 #include "pimentoladder/Dispatch/FleetView.h"
 #include "pimentoladder/Dispatch/LoadShedder.h"
 #include "pimentoladder/Dispatch/PromptAdmission.h"
+#include "pimentoladder/Dispatch/RolloutSplit.h"
 #include "pimentoladder/Dispatch/ServerSelector.h"
 #include "pimentoladder/Dispatch/StreamVersions.h"
 #include "pimentoladder/Dispatch/WorkspaceShare.h"
@@ -29,6 +30,7 @@
 struct dispatch_limits {
     selection_limits selection;
     freshness_limits freshness;
+    rollout_limits rollout;
     duration maxListAge = std::chrono::milliseconds(1200); ///< Age up to which the list of servers proves that one software version only is in use.
     double retryShare = 0.1; ///< Retries that this router may send per request.
     std::uint64_t fleetRetries = 36; ///< Retries that all routers together may send in 10 s, whatever the request rate.
@@ -165,6 +167,16 @@
     void choosePool(tracked_request& request);
     void startAttempt(time_point now, const tracked& request, dispatch_actions& out);
     std::optional<selected_server> choose(time_point now, tracked_request& request, selection_request& wanted, bool isFirst);
+    /// Returns the server for the first attempt of a request that goes to the target version of a
+    /// roll-out, or nothing if no server of it can take the request now.
+    std::optional<selected_server> chooseTarget(time_point now, tracked_request& request, selection_request& wanted, const rollout_rule& rule);
+    std::optional<selected_server> chooseVersion(time_point now, tracked_request& request, selection_request& wanted, bool isFirst);
+    std::optional<version_filter> allowedVersions(time_point now, const tracked_request& request) const;
+    bool isOriginWithdrawn(time_point now, const tracked_request& request) const;
+    bool isVersionPermitted(time_point now, const tracked_request& request) const;
+    const std::string& currentVersion(const tracked_request& request) const;
+    std::string_view rolloutSide(time_point now, const tracked_request& request) const;
+    void recordSent(time_point now, const tracked_request& request);
     share_use shareUse(time_point now, const tracked_request& request);
     /// Precondition: the request has a prompt.
     prompt_estimate estimateOf(const tracked_request& request, const selected_server& best) const;
@@ -196,6 +208,7 @@
     retry_budget m_budget;
     crash_attribution m_crashes;
     stream_versions m_versions;
+    rollout_split m_rollouts;
     load_shedder m_shedder;
     std::map<request_trait, time_point> m_trialsAt; ///< This router's last trial of each quarantined trait.
     random_source m_random;
--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -32,6 +32,20 @@
     only, ///< Those with a request limit.
 };
 
+/// Software versions that a request may use.
+struct version_filter {
+    std::string version;
+    bool isExcluded = false; ///< All versions but this one are used.
+
+    bool allows(const std::string& each) const { return (each == version) != isExcluded; }
+};
+
+/// The servers that come first in the rendezvous order of a key.
+struct server_subset {
+    std::uint64_t key = 0;
+    std::uint64_t minWeight = 0; ///< `rendezvousWeight` of the last one.
+};
+
 /// Criteria for the selection of a server.
 struct selection_request {
     workspace_id workspace;
@@ -43,8 +57,8 @@
     /// estimates, would all pick the same idle server.
     std::size_t promptChoices = 2;
     limited_servers limited = limited_servers::excluded;
-    /// Only servers of this software version are used, if it is set.
-    std::optional<std::string> softwareVersion {};
+    std::optional<version_filter> versions {}; ///< Nothing: servers of all versions are used.
+    std::optional<server_subset> subset {}; ///< Nothing: all servers are used.
     /// By how much of its spacing a request may be early at a server with a request limit.
     double limitTolerance = 0;
 };
@@ -73,6 +87,10 @@
     /// used only if no other one is left.
     std::optional<selected_server> select(time_point now, const selection_request& wanted);
 
+    /// Returns whether a server that meets the criteria is in service and has not announced that it
+    /// leaves, whether or not it takes a request now and has been tried before.
+    bool hasServer(const selection_request& wanted) const;
+
     /// Returns the state of a server, which is created if there is none.
     server_condition& condition(const server_id& server) { return m_conditions[server]; }
 
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -69,13 +69,19 @@
 {
     if (!mayWrite())
         return;
-    m_log.write(log_level::info, "request_dispatched",
-        { { "id", std::string_view(decided.callerId) }, { "request", decided.request.value() }, { "attempt", decided.attempt.value() },
-            { "route", std::string_view(decided.routeName) }, { "workspace", std::string_view(decided.workspace.value()) },
-            { "server", std::string_view(decided.server.value()) }, { "expected_ms", milliseconds(decided.expectedFirstEvent) },
-            { "unread_tokens", static_cast<std::int64_t>(decided.uncachedTokens) }, { "candidates", std::uint64_t { decided.candidates } },
-            { "runs_before", std::uint64_t { decided.attemptsSoFar } }, { "cold", decided.isCold }, { "share_fill", roundToHundredths(decided.shareUtilisation) }, { "served_fill", roundToHundredths(decided.servedUtilisation) }, { "entitled_fill", roundToHundredths(decided.entitledUtilisation) },
-            { "config_version", decided.planVersion.value() }, { "basis_age_ms", milliseconds(decided.basisAge) }, { "usage_age_ms", decided.usageAge ? milliseconds(*decided.usageAge) : -1 } });
+    const auto write = [&](auto... side) {
+        m_log.write(log_level::info, "request_dispatched",
+            { { "id", std::string_view(decided.callerId) }, { "request", decided.request.value() }, { "attempt", decided.attempt.value() },
+                { "route", std::string_view(decided.routeName) }, { "workspace", std::string_view(decided.workspace.value()) },
+                { "server", std::string_view(decided.server.value()) }, { "expected_ms", milliseconds(decided.expectedFirstEvent) },
+                { "unread_tokens", static_cast<std::int64_t>(decided.uncachedTokens) }, { "candidates", std::uint64_t { decided.candidates } },
+                { "runs_before", std::uint64_t { decided.attemptsSoFar } }, { "cold", decided.isCold }, { "share_fill", roundToHundredths(decided.shareUtilisation) }, { "served_fill", roundToHundredths(decided.servedUtilisation) }, { "entitled_fill", roundToHundredths(decided.entitledUtilisation) },
+                { "config_version", decided.planVersion.value() }, { "basis_age_ms", milliseconds(decided.basisAge) }, { "usage_age_ms", decided.usageAge ? milliseconds(*decided.usageAge) : -1 }, side... });
+    };
+    if (decided.rolloutSide.empty())
+        write();
+    else
+        write(log_field { "rollout_side", decided.rolloutSide });
 }
 
 void dispatch_report::perform(const attempt_outcome& ended)
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -111,6 +111,7 @@
         return { limits.retryShare, limits.fleetRetries / parts };
     }
 
+    constexpr int minErrorStatus = 400;
     constexpr int minServerErrorStatus = 500;
 
 }
@@ -121,6 +122,7 @@
     , m_selector(m_fleet, m_limits.selection, seed)
     , m_budget(retryLimits(m_limits, m_limits.selection.coldShares))
     , m_crashes(m_limits.selection.self)
+    , m_rollouts(m_fleet, m_limits.rollout, seed + 2)
     , m_random(seed + 1)
 {
     m_versions.setMaxListAge(m_limits.maxListAge);
@@ -128,10 +130,34 @@
 
 dispatcher::~dispatcher() = default;
 
-void dispatcher::setRollout(time_point, revision, const rollout_order&) { }
-void dispatcher::endRollout(time_point, const pool_id&) { }
-void dispatcher::setRolloutPermits(time_point, const rollout_permits&) { }
-rollout_report dispatcher::rolloutEvidence(time_point) const { return {}; }
+void dispatcher::setRollout(time_point, revision at, const rollout_order& order)
+{
+    m_rollouts.setOrder(at, order);
+}
+
+void dispatcher::endRollout(time_point, const pool_id& pool)
+{
+    m_rollouts.endOrder(pool);
+}
+
+void dispatcher::setRolloutPermits(time_point now, const rollout_permits& permits)
+{
+    m_rollouts.setPermits(now, permits);
+}
+
+rollout_report dispatcher::rolloutEvidence(time_point now) const
+{
+    rollout_report report = m_rollouts.evidence();
+    for (rollout_evidence& each : report.rollouts) {
+        const auto rule = m_rollouts.ruleOf(now, each.pool);
+        const auto isAtOthers = [&](const auto& entry) {
+            const tracked_request& request = *entry.second;
+            return request.attempt != attempt_number() && request.pool == each.pool && request.serverVersion != rule->version;
+        };
+        each.inProgress = static_cast<std::uint32_t>(std::count_if(m_requests.begin(), m_requests.end(), isAtOthers));
+    }
+    return report;
+}
 
 std::optional<refusal_kind> dispatcher::admit(time_point now, tracked_request& request)
 {
@@ -305,6 +331,112 @@
     return isUsable(limited) || !best ? limited : best;
 }
 
+/// Returns whether the stream that the request goes on with began at the target version of a
+/// roll-out that was reverted.
+bool dispatcher::isOriginWithdrawn(time_point now, const tracked_request& request) const
+{
+    if (m_rollouts.isEmpty() || !request.origin)
+        return false;
+    const auto rule = m_rollouts.ruleOf(now, request.pool);
+    return rule && rule->state == rollout_state::reverted && request.origin->version == rule->version;
+}
+
+/// Returns the versions that an attempt may use, unless it is a first one that goes to the target
+/// version of a roll-out; nothing: all versions.
+std::optional<version_filter> dispatcher::allowedVersions(time_point now, const tracked_request& request) const
+{
+    if (request.origin)
+        return version_filter { request.origin->version };
+    const auto rule = m_rollouts.isEmpty() ? std::nullopt : m_rollouts.ruleOf(now, request.pool);
+    if (!rule)
+        return std::nullopt;
+    if (rule->state == rollout_state::completed)
+        return rule->target();
+    // A router that has missed the permits must not refuse everything once the old servers have stopped.
+    selection_request others { request.workspace, request.pool, nullptr, {} };
+    others.versions = rule->others();
+    const bool isOnlyTargetLeft = rule->state != rollout_state::reverted && !m_selector.hasServer(others);
+    if (rule->share >= 1 || isOnlyTargetLeft)
+        return std::nullopt;
+    return others.versions;
+}
+
+std::optional<selected_server> dispatcher::chooseTarget(time_point now, tracked_request& request, selection_request& wanted, const rollout_rule& rule)
+{
+    wanted.versions = rule.target();
+    const auto chooseUsable = [&](const std::optional<server_subset>& subset) {
+        selection_request among = wanted;
+        among.subset = subset;
+        auto chosen = choose(now, request, among, true);
+        // An ejected server of the subset may be unreachable while others of the version are not.
+        const bool isUsable = chosen && isAdmissible(request, *chosen) && !(subset && m_selector.condition(chosen->server).isEjected(now));
+        return isUsable ? chosen : std::nullopt;
+    };
+    if (const auto subset = m_rollouts.firstServers(request.pool, rule.share)) {
+        if (auto chosen = chooseUsable(subset))
+            return chosen;
+    }
+    return chooseUsable(std::nullopt);
+}
+
+/// Returns the server for the next attempt among those whose version the request may use, and
+/// adds the versions to \p wanted.
+std::optional<selected_server> dispatcher::chooseVersion(time_point now, tracked_request& request, selection_request& wanted, bool isFirst)
+{
+    const auto rule = m_rollouts.isEmpty() ? std::nullopt : m_rollouts.ruleOf(now, request.pool);
+    if (isFirst && rule)
+        m_rollouts.recordRequest(request.pool);
+    const bool isDrawn = isFirst && rule && !request.origin && rule->state == rollout_state::inProgress && m_rollouts.draw(rule->share);
+    if (isDrawn) {
+        if (auto chosen = chooseTarget(now, request, wanted, *rule))
+            return chosen;
+    }
+    wanted.versions = allowedVersions(now, request);
+    if (isOriginWithdrawn(now, request))
+        return std::nullopt;
+    return choose(now, request, wanted, isFirst);
+}
+
+/// Returns the version that is registered for the server of the open attempt now; it may have
+/// started again since the attempt was opened.
+const std::string& dispatcher::currentVersion(const tracked_request& request) const
+{
+    const registered_server* server = m_fleet.findServer(request.server);
+    return server ? server->softwareVersion : request.serverVersion;
+}
+
+/// Returns whether the open attempt may still be sent to the version of its server. The permit may
+/// have ended, or the roll-out may have become final, since the server was selected.
+bool dispatcher::isVersionPermitted(time_point now, const tracked_request& request) const
+{
+    const auto rule = m_rollouts.isEmpty() ? std::nullopt : m_rollouts.ruleOf(now, request.pool);
+    if (!rule)
+        return true;
+    if (request.origin)
+        return !isOriginWithdrawn(now, request);
+    const bool isTarget = currentVersion(request) == rule->version;
+    if (isTarget && rule->share > 0)
+        return true;
+    const auto allowed = allowedVersions(now, request);
+    return !allowed || allowed->allows(currentVersion(request));
+}
+
+std::string_view dispatcher::rolloutSide(time_point now, const tracked_request& request) const
+{
+    const auto rule = m_rollouts.isEmpty() ? std::nullopt : m_rollouts.ruleOf(now, request.pool);
+    if (!rule)
+        return {};
+    return request.serverVersion == rule->version ? "target" : "current";
+}
+
+void dispatcher::recordSent(time_point now, const tracked_request& request)
+{
+    if (m_rollouts.isEmpty())
+        return;
+    const auto expected = request.received.prompt ? std::optional(request.expectedAnswer) : std::nullopt;
+    m_rollouts.onSent(now, { request.attempt, request.pool, request.target.name, request.server, currentVersion(request), request.isAtColdServer, expected });
+}
+
 void dispatcher::startAttempt(time_point now, const tracked& request, dispatch_actions& out)
 {
     const prompt_work* prompt = request->received.prompt ? &*request->received.prompt : nullptr;
@@ -312,12 +444,10 @@
     if (prompt && isFirst)
         request->share = shareUse(now, *request);
     selection_request wanted { request->workspace, request->pool, prompt, request->triedServers };
-    if (request->origin)
-        wanted.softwareVersion = request->origin->version;
-    const auto best = choose(now, *request, wanted, isFirst);
+    const auto best = chooseVersion(now, *request, wanted, isFirst);
     if (!best) {
         const send_window earliest = m_selector.earliestWindow(now, wanted);
-        const bool hasOtherVersions = request->origin && earliest.reason == hold_reason::outOfService;
+        const bool hasOtherVersions = request->origin && (earliest.reason == hold_reason::outOfService || isOriginWithdrawn(now, *request));
         request->heldBy = hasOtherVersions ? hold_reason::otherVersion : earliest.reason;
         if (request->hasHead)
             abortResponse(now, request, out);
@@ -340,6 +470,8 @@
     request->openedAt = now;
     request->progressAt = now;
     request->isSent = false;
+    request->isAtColdServer = best->isCold;
+    request->expectedAnswer = best->expectedFirstEvent;
     request->isDenied = false;
     request->isForwarding = false;
     request->hasBegun = false;
@@ -354,7 +486,7 @@
     m_selector.condition(best->server).started(now, request->attempt, best->uncachedTokens);
     out.push_back(dispatch_decision { request->number, request->attempt, request->received.callerId, request->target.name,
         request->workspace, best->server, best->expectedFirstEvent, best->uncachedTokens, best->candidates, request->runs,
-        request->share.ofCapacity, request->share.ofServed, request->share.ofEntitled, best->isCold, m_fleet.plan().version, m_fleet.basisAge(now).value_or(duration::zero()), m_share.fleetAge(now) });
+        request->share.ofCapacity, request->share.ofServed, request->share.ofEntitled, best->isCold, m_fleet.plan().version, m_fleet.basisAge(now).value_or(duration::zero()), m_share.fleetAge(now), rolloutSide(now, *request) });
     const workspace_id forwardedWorkspace = request->hasKey ? request->workspace : workspace_id();
     out.push_back(open_dispatch { request->number, request->attempt, best->server,
         server.location, forwardedWorkspace, request->deadline - now, request->lastEvent });
@@ -368,12 +500,14 @@
         return false;
     request->hasCallerClosed = hasCallerClosed;
     const bool isCurrent = !request->hasKey || m_fleet.mayUseKeys(now);
-    if (hasCallerClosed || !isCurrent || !m_selector.sendWindow(now, request->server, request->openedAt).isOpen() || now >= request->deadline) {
+    const bool isServerOpen = m_selector.sendWindow(now, request->server, request->openedAt).isOpen();
+    if (hasCallerClosed || !isCurrent || !isServerOpen || !isVersionPermitted(now, *request) || now >= request->deadline) {
         request->isDenied = true;
         return false;
     }
     request->isSent = true;
     request->progressAt = now;
+    recordSent(now, *request);
     return true;
 }
 
@@ -410,6 +544,8 @@
         schedule(request, nextCheck(*request));
         return out;
     }
+    if (head.status >= minErrorStatus)
+        m_rollouts.onAnswer(now, attempt, head.status >= minServerErrorStatus);
     if (isNotRunStatus(head.status) && !request->isRepeatable()) {
         // The caller would take the status as a promise, which the server has not given.
         drop(true, "unconfirmed_refusal");
@@ -420,6 +556,9 @@
         drop(true, "unsigned_answer");
         return out;
     }
+    const bool awaitsEvent = request->target.isStream && head.isEventStream;
+    if (!awaitsEvent)
+        m_rollouts.onAnswer(now, attempt, head.status >= minServerErrorStatus);
     if (head.status >= minServerErrorStatus)
         condition.failed(now);
     const bool isResumed = request->hasHead;
@@ -516,6 +655,7 @@
     if (events.last) {
         server_condition& condition = m_selector.condition(request->server);
         condition.responded(now, attempt);
+        m_rollouts.onAnswer(now, attempt, false);
         if (!std::exchange(request->hasBegun, true))
             m_crashes.onBegun(now, request->traits);
         if (!request->firstEvent) {
@@ -542,6 +682,7 @@
         return out;
     server_condition& condition = m_selector.condition(request->server);
     if (end.kind == attempt_end_kind::complete && request->isForwarding) {
+        m_rollouts.onAnswer(now, attempt, request->status >= minServerErrorStatus);
         if (request->status < minServerErrorStatus)
             condition.succeeded();
         if (request->received.prompt && request->firstEvent)
@@ -639,6 +780,7 @@
 void dispatcher::closeAttempt(time_point now, tracked_request& request, std::string_view result, int status, dispatch_actions& out)
 {
     m_byAttempt.erase(request.attempt);
+    m_rollouts.onEnded(request.attempt);
     m_selector.condition(request.server).ended(request.attempt);
     attempt_outcome outcome { request.number, request.attempt, request.received.callerId, request.server, result, status, now - request.openedAt, request.hasBegun, {} };
     const bool hasSharedParts = request.received.prompt && request.received.prompt->parts.size() >= 2;
@@ -821,9 +963,8 @@
     std::set<server_id> tried = request->triedServers;
     tried.insert(request->server);
     selection_request other { request->workspace, request->pool, prompt, tried };
-    if (request->origin)
-        other.softwareVersion = request->origin->version;
-    const bool hasAlternative = canRetry(now, *request, true) && m_selector.select(now, other);
+    other.versions = allowedVersions(now, *request);
+    const bool hasAlternative = canRetry(now, *request, true) && !isOriginWithdrawn(now, *request) && m_selector.select(now, other);
     if (!hasAlternative && request->refusal.empty()) {
         request->isWaitingForDeadline = true;
         schedule(request, nextCheck(*request));
@@ -839,6 +980,7 @@
     dispatch_actions out;
     if (m_fleet.onTick(now))
         m_selector.retain(m_fleet.servers());
+    m_rollouts.onTick(now);
     evaluateCrashes(now, out);
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const request_number number = m_deadlines.begin()->second;
@@ -857,6 +999,8 @@
         next = std::min(next, *removal);
     if (const auto evaluation = m_crashes.nextEvaluation())
         next = std::min(next, *evaluation);
+    if (const auto overdue = m_rollouts.nextDeadline())
+        next = std::min(next, *overdue);
     if (!m_deadlines.empty())
         next = std::min(next, m_deadlines.begin()->first);
     return next;
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -302,10 +302,19 @@
 
 bool server_selector::hasWantedVersion(const server_id& server, const selection_request& wanted) const
 {
-    if (!wanted.softwareVersion)
+    if (!wanted.versions)
         return true;
     const registered_server* registered = m_fleet.findServer(server);
-    return registered && registered->softwareVersion == *wanted.softwareVersion;
+    return registered && wanted.versions->allows(registered->softwareVersion);
+}
+
+bool server_selector::hasServer(const selection_request& wanted) const
+{
+    bool isFound = false;
+    m_fleet.access().forEachReachableServer(wanted.workspace, wanted.pool, [&](const backend_server& server) {
+        isFound = isFound || (hasWantedVersion(server.id, wanted) && !isLeaving(server.id));
+    });
+    return isFound;
 }
 
 std::vector<server_selector::candidate> server_selector::candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored)
@@ -318,6 +327,8 @@
             return;
         if (!hasWantedVersion(server.id, wanted))
             return;
+        if (wanted.subset && rendezvousWeight(m_known[position].nameHash, wanted.subset->key) < wanted.subset->minWeight)
+            return;
         server_condition& known = *m_known[position].condition;
         if (known.isLimited(now) != (wanted.limited == limited_servers::only))
             return;
--- a/lib/Dispatch/TrackedRequest.h
+++ b/lib/Dispatch/TrackedRequest.h
@@ -35,6 +35,8 @@
     time_point openedAt;
     time_point progressAt; ///< Time at which the request was sent, or of the last event.
     bool isSent = false;
+    bool isAtColdServer = false; ///< When the attempt was opened.
+    duration expectedAnswer {}; ///< Expected time to the first event of the open attempt.
     bool isDenied = false; ///< This router withheld the first byte.
     bool hasCallerClosed = false; ///< Detected at the caller's socket before `onCallerDisconnected`.
     bool isForwarding = false; ///< The open attempt's bytes are forwarded to the caller.
