--- a/include/pimentoladder/Rollout/RolloutCoordinator.h
+++ b/include/pimentoladder/Rollout/RolloutCoordinator.h
@@ -112,12 +112,30 @@
 private:
     struct rollout;
 
+    bool isReader() const;
+    std::optional<std::size_t> rank() const;
+    bool hasAuthority(const rollout& of, time_point now) const;
+    bool mayTakeOver(const rollout& of, time_point now) const;
+    void drive(time_point now, const pool_id& pool, rollout& of, bool isTick, rollout_actions& actions);
+    void follow(time_point now, const pool_id& pool, rollout& of, rollout_actions& actions);
+    void decide(time_point now, const pool_id& pool, rollout& of, rollout_actions& actions);
+    void commit(time_point now, const pool_id& pool, rollout& of, rollout_state state, bool isNewOwner, rollout_actions& actions);
+    void read(time_point now, rollout_actions& actions);
+    void learnRow(time_point now, const pool_id& pool, rollout& of, const rollout_record& record, revision at, rollout_actions& actions);
+    void become(time_point now, const pool_id& pool, rollout& of, std::string_view reason, rollout_actions& actions);
+    void lose(time_point now, const pool_id& pool, rollout& of, std::string_view reason, rollout_actions& actions);
+    void end(time_point now, const pool_id& pool, rollout& of, const rollout_permit& final, rollout_actions& actions);
+    rollout_event describe(time_point now, const pool_id& pool, const rollout& of, std::string_view kind, std::string_view reason) const;
+
     vm_id m_self;
     incarnation m_start;
     rollout_limits m_limits;
     std::vector<vm_id> m_readers;
     std::size_t m_routers = 1;
     std::map<pool_id, rollout> m_rollouts;
+    std::optional<time_point> m_readSentAt; ///< Of the read in progress.
+    time_point m_readNotBefore {}; ///< After an error of the store.
+    time_point m_lastTick {};
 };
 
 }
