Roll-outs: tests of the order's row, the state row, the record and the transaction

Guards the edge of the roll-outs: unreadable orders, an order that is given again with the same text, an unknown outcome of a transaction, records of other writers, and the platform's settings.

--- a/unittests/PlatformAdapter/FleetRowsTests.cpp
+++ b/unittests/PlatformAdapter/FleetRowsTests.cpp
@@ -145,6 +145,48 @@
     CHECK(std::holds_alternative<unrelated_row>(*codec.decodeOperatorRow("other", "?")));
 }
 
+// Guards against an order that cannot be read and yet moves requests, or moves those of another pool.
+TEST_CASE("orders of roll-outs are decoded, or refused as unreadable")
+{
+    const platform::fleet_rows codec;
+    const auto row = codec.decodeOperatorRow("rollout/llm", R"({"service":"llm","to":"v2","duration_s":12.5})");
+    REQUIRE(row);
+    CHECK(std::get<ordered_rollout>(*row).order == rollout_order { pool_id("llm"), "v2", 12500ms });
+    for (const char* value : { "?", "{}", R"({"service":"other","to":"v2","duration_s":12})", R"({"service":"llm","to":"","duration_s":12})", R"({"service":"llm","to":2,"duration_s":12})",
+             R"({"service":"llm","to":"v2"})", R"({"service":"llm","to":"v2","duration_s":-1})", R"({"service":"llm","to":"v2","duration_s":1e300})", R"({"service":"llm","to":"v2","duration_s":"12"})" }) {
+        CAPTURE(value);
+        CHECK_FALSE(codec.decodeOperatorRow("rollout/llm", value));
+    }
+}
+
+// Guards against a state that the operator cannot find or read.
+TEST_CASE("the state of a roll-out is written as the operator reads it")
+{
+    const platform::fleet_rows codec;
+    CHECK(codec.stateTable() == "status");
+    CHECK(codec.rolloutStateKey(pool_id("llm")) == "rollout/llm");
+    CHECK(codec.encodeRolloutState("v2", rollout_state::inProgress) == R"({"state":"in_progress","to":"v2"})");
+    CHECK(codec.encodeRolloutState("v2", rollout_state::completed) == R"({"state":"completed","to":"v2"})");
+    CHECK(codec.encodeRolloutState("v2", rollout_state::reverted) == R"({"state":"reverted","to":"v2"})");
+}
+
+// Guards against an operator who gives the same order again, after a roll-out was reverted, and gets no roll-out.
+TEST_CASE("an order that is written again with the same text is a new order")
+{
+    const platform::fleet_rows codec;
+    const decoded_rules rules(codec);
+    const auto operators = static_cast<std::uint32_t>(followed_table::operators);
+    const published_row first { "rollout/llm", R"({"service":"llm","to":"v2","duration_s":12})", { {}, revision(7) }, false };
+    published_row again = first;
+    CHECK_FALSE(rules.isSignificant(operators, first, again));
+    again.position.at = revision(9);
+    CHECK(rules.isSignificant(operators, first, again));
+    const published_row plan { "config", R"({"version":1,"routes":[],"services":[]})", { {}, revision(7) }, false };
+    published_row rewritten = plan;
+    rewritten.position.at = revision(9);
+    CHECK_FALSE(rules.isSignificant(operators, plan, rewritten));
+}
+
 namespace {
 
 published_row makeConfiguration(int version, const std::string& tenants = "[]")
--- a/unittests/PlatformAdapter/StoreClientTests.cpp
+++ b/unittests/PlatformAdapter/StoreClientTests.cpp
@@ -209,3 +209,44 @@
     CHECK(store.bodies[0].find("\"row_version\":0") != std::string::npos);
     CHECK(store.bodies[0].find("dmFsdWU=") != std::string::npos);
 }
+
+// Guards against a decision that is written although another router has written since, and against
+// a write whose outcome is not known that is taken for one that failed.
+TEST_CASE("a transaction names the revision that it expects, and its outcomes are told apart")
+{
+    struct outcome_case {
+        int status;
+        const char* body;
+        std::optional<error_kind> expected;
+    };
+    const outcome_case cases[] = {
+        { 200, R"({"row_version":41,"now_ms":3})", std::nullopt },
+        { 200, "{}", error_kind::outcomeUnknown },
+        { 200, "[", error_kind::outcomeUnknown },
+        { 412, R"({"rows":[]})", error_kind::conflict },
+        { 429, "", error_kind::resourceExhausted },
+        { 503, "", error_kind::unavailable },
+        { 0, "", error_kind::outcomeUnknown },
+    };
+    for (const outcome_case& each : cases) {
+        CAPTURE(each.status);
+        scripted_store store;
+        store.replies = { { each.status, each.body } };
+        platform::store_client client(store.loop, store.location);
+        std::optional<result<revision>> outcome;
+        client.commit({ "rollouts", "llm", revision(40), { { "rollouts", "llm", "a" }, { "status", "rollout/llm", "b" } } }, [&](const result<revision>& ended) {
+            outcome = ended;
+            store.loop.stop();
+        });
+        store.loop.runFor(2s);
+        REQUIRE(outcome);
+        CHECK(outcome->has_value() == !each.expected.has_value());
+        if (each.expected)
+            CHECK(outcome->error().kind == *each.expected);
+        else
+            CHECK(**outcome == revision(41));
+        REQUIRE(store.bodies.size() == 1);
+        CHECK(store.bodies[0].find(R"("expect":[{"key":"llm","part":"","row_version":40,"table":"rollouts"}])") != std::string::npos);
+        CHECK(store.bodies[0].find(R"("key":"rollout/llm")") != std::string::npos);
+    }
+}
--- a/unittests/Settings/SettingsTests.cpp
+++ b/unittests/Settings/SettingsTests.cpp
@@ -59,7 +59,8 @@
     return { { "node_name", "entry-1" }, { "zone", "north" }, { "limits.cpu_share", "0.12" }, { "listen.frontend", "127.0.0.1:8783" },
         { "listen.ready", "127.0.0.1:8780" }, { "ip", "127.0.0.1" }, { "internal_ports.0", "7400" }, { "platform.address", "127.0.0.1:8781" },
         { "bounds.revoke_ms", "5000" }, { "bounds.config_apply_ms", "2000" }, { "bounds.drain_ms", "2000" },
-        { "bounds.retry_budget_extra", "56" }, { "bounds.retry_budget_ratio", "0.2" } };
+        { "bounds.retry_budget_extra", "56" }, { "bounds.retry_budget_ratio", "0.2" },
+        { "bounds.rollback_ms", "5000" }, { "bounds.exposure_share", "0.1" }, { "bounds.exposure_tolerance", "50" } };
 }
 
 std::string replaced(std::string text, const std::string& from, const std::string& to)
@@ -170,6 +171,10 @@
         { "bounds.revoke_ms", "false" },
         { "bounds.config_apply_ms", "2666.6666666666665" },
         { "bounds.drain_ms", "1.5e3" },
+        { "bounds.rollback_ms", "5000.0" },
+        { "bounds.rollback_ms", "false" },
+        { "bounds.exposure_share", "0.0526315789473684" },
+        { "bounds.exposure_tolerance", "33.1578947368421" },
         { "limits.cpu_share", "1" },
         { "limits.link_mbps", "0" },
         { "limits.link_mbps", "false" },
@@ -187,11 +192,15 @@
     values["bounds.config_apply_ms"] = "2666.6666666666665";
     values["bounds.retry_budget_extra"] = "33.1578947368421";
     values["limits.link_mbps"] = "10.0";
+    values["bounds.exposure_tolerance"] = "12.5";
     const auto parsed = parseSettings(renderTemplate(values), "router.yaml", {});
     REQUIRE(parsed);
     CHECK(parsed->freshness.configuration == 2'666'666'666ns);
     CHECK(parsed->retries.extra == doctest::Approx(33.158));
     CHECK(parsed->limits.linkBitsPerSecond == doctest::Approx(10e6));
+    CHECK(parsed->rollouts.exposureExtra == doctest::Approx(12.5));
+    CHECK(parsed->rollouts.exposureShare == doctest::Approx(0.1));
+    CHECK(parsed->rollouts.rollback == 5s);
 }
 
 // Guards against a figure that cannot be used and is replaced silently by a default.
