--- a/tools/standins/platform/BackendService.cpp
+++ b/tools/standins/platform/BackendService.cpp
@@ -194,7 +194,9 @@
     const std::string attempt = exchange->header(attemptHeader);
     recordStart(exchange, execution);
     ++m_unaryRuns;
-    m_context.events.callAfter(m_settings.serviceTime, [this, exchange, execution, attempt] {
+    const auto slow = m_faults.take(fault_kind::latency, exchange->path(), bootTime());
+    const duration taken = m_settings.serviceTime + (slow ? slow->latency : duration::zero());
+    m_context.events.callAfter(taken, [this, exchange, execution, attempt] {
         --m_unaryRuns;
         const bool isLost = m_faults.take(fault_kind::lostAnswer, exchange->path(), bootTime()).has_value();
         recordEnd(execution, isLost ? "reset" : "finished");
