Roll-outs: brief step at full share, evidence of single servers; first tests

Cause: at 12 s a step to all requests exposes more than the budget before its faults are reported. Change: all requests go to the target for a short time only until that evidence is sound.

--- a/include/pimentoladder/Rollout/RolloutEvidence.h
+++ b/include/pimentoladder/Rollout/RolloutEvidence.h
@@ -3,13 +3,10 @@
 
 #pragma once
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
-#include <utility>
 
 #include "pimentoladder/Base/Ids.h"
 #include "pimentoladder/Base/Time.h"
@@ -51,8 +48,8 @@
 struct rollout_fault_spread {
     unsigned servers = 0;
     unsigned faultyServers = 0;
-    unsigned otherPairs = 0; ///< Pairs without the server that is faulty at the most routers.
-    unsigned otherFaultyPairs = 0;
+    unsigned otherFaultyPairs = 0; ///< Without the server that is faulty at the most routers.
+    std::size_t routers = 0; ///< That have reported.
 };
 
 /// Keeps the newest report of each router on one order. A router that restarts counts from
@@ -65,8 +62,7 @@
     void add(time_point now, const member_ref& from, const rollout_evidence& reported);
     rollout_totals totals() const;
 
-    /// Returns the spread on \p route, or on all routes together.
-    rollout_fault_spread spread(const std::optional<std::string>& route) const;
+    rollout_fault_spread spread() const;
 
     /// Returns the age of the oldest newest report among the routers that reported within
     /// `recentTime`.
--- a/include/pimentoladder/Rollout/RolloutJudge.h
+++ b/include/pimentoladder/Rollout/RolloutJudge.h
@@ -3,10 +3,11 @@
 
 #pragma once
 
-#include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "pimentoladder/Rollout/RolloutEvidence.h"
 
@@ -38,11 +39,14 @@
     static constexpr double leastHarm = 0.15; ///< Part of the answers above the baseline.
     static constexpr double baselineFloor = 0.02; ///< A lower rate would let rare failures revert.
 
+    /// Time over which the two sides are compared while the other versions fail.
+    static constexpr duration recentTime = std::chrono::seconds(1);
+
     /// Takes the newest totals, which never decrease; \p evidence: where they come from.
-    rollout_verdict update(const rollout_totals& totals, const rollout_evidence_sum& evidence);
+    rollout_verdict update(time_point now, const rollout_totals& totals, const rollout_evidence_sum& evidence);
 
     /// Begins the evidence by which a share is called sound.
-    void beginStep(const rollout_totals& totals) { m_stepStart = totals; }
+    void beginStep(const rollout_totals& totals);
 
     /// Returns the part of the answers of the other versions that are faulty, at least the floor.
     static double baselineRate(const rollout_counts& current);
@@ -52,13 +56,20 @@
     /// \p seen agree with it.
     static double logRatio(const rollout_comparison& seen, const rollout_counts& usual);
 
+    /// Returns whether the other versions have more faults in \p seen than chance explains.
+    static bool areOthersFailing(const rollout_counts& seen, const rollout_counts& usual);
+
 private:
-    double runRatio(const std::optional<std::string>& route, const rollout_comparison& total);
-    bool isSoundSince(const rollout_totals& totals) const;
-    bool isFewServers(const std::optional<std::string>& route, const rollout_counts& target, const rollout_counts& current, const rollout_evidence_sum& evidence) const;
+    using test_key = std::optional<std::string>; ///< Route; none: all together.
+
+    rollout_comparison recent(const test_key& route, const rollout_comparison& total) const;
+    double runRatio(const test_key& route, const rollout_comparison& total);
+    double stepRatio(const test_key& route, const rollout_comparison& total);
+    static bool isFewServers(const rollout_comparison& total, const rollout_evidence_sum& evidence);
 
-    std::map<std::optional<std::string>, rollout_comparison> m_runStarts; ///< Totals at which each test last began; no route: all.
-    rollout_totals m_stepStart;
+    std::map<test_key, rollout_comparison> m_runStarts; ///< Totals at which each test last began.
+    std::map<test_key, rollout_comparison> m_stepStarts;
+    std::deque<std::pair<time_point, rollout_totals>> m_recent;
 };
 
 }
--- a/lib/Rollout/RolloutCoordinator.cpp
+++ b/lib/Rollout/RolloutCoordinator.cpp
@@ -26,6 +26,10 @@
     // Time after a step before its answers count: the permit must reach the routers first.
     constexpr duration settleTime = 300ms;
 
+    // Time until the rate of requests is known, and the part of the length that it may take.
+    constexpr duration rateTime = 1s;
+    constexpr int rateTimeDivisor = 6;
+
     bool isFinal(rollout_state state) { return state != rollout_state::inProgress; }
 
     // Whether \p one replaces \p other. A final permit is never replaced for its order.
@@ -93,6 +97,9 @@
     time_point confirmedAt {}; ///< When the last commit that succeeded was sent.
     bool isCommitDue = false;
     time_point stepAt {};
+    brief_step brief = brief_step::none;
+    bool isDoubted = false; ///< The brief step showed faults that are not proven.
+    double trialShare = 0; ///< Before the brief step.
     bool isStepSettled = false;
     time_point lastWaitEvent {};
     std::string_view endReason = "committed_by_other";
@@ -225,14 +232,14 @@
 rollout_actions rollout_coordinator::onRead(time_point now, const result<std::vector<std::pair<rollout_record, revision>>>& records)
 {
     rollout_actions actions;
-    const std::optional<time_point> sentAt = std::exchange(m_readSentAt, std::nullopt);
+    const time_point sentAt = std::exchange(m_readSentAt, std::nullopt).value_or(now);
     if (!records) {
         m_readNotBefore = now + retryDelay;
         return actions;
     }
     for (auto& [pool, of] : m_rollouts) {
         // The read may show the row as it was before a commit of this router.
-        if (!of.order || of.pending || !sentAt || of.commitEndedAt > *sentAt)
+        if (!of.order || of.pending || of.commitEndedAt > sentAt)
             continue;
         of.readSentAt = sentAt;
         of.mustRead = false;
@@ -373,7 +380,7 @@
     }
     // Every reader judges, so that one that takes over knows when faults started.
     if (isTick) {
-        of.verdict = of.judge.update(of.evidence.totals(), of.evidence);
+        of.verdict = of.judge.update(now, of.evidence.totals(), of.evidence);
         of.isCondemned = of.isCondemned || of.verdict.isFaulty;
         of.verdict.isFaulty = of.isCondemned;
     }
@@ -390,12 +397,12 @@
             commit(now, pool, of, rollout_state::inProgress, false, actions);
         return;
     }
+    if (isTick)
+        decide(now, pool, of, actions);
     if (of.mustRead) {
         read(now, actions);
         return;
     }
-    if (isTick)
-        decide(now, pool, of, actions);
     const bool isRenewalDue = now - of.confirmedAt >= m_limits.renewInterval;
     if (!of.pending && now >= of.notBefore && (isRenewalDue || of.isCommitDue))
         commit(now, pool, of, rollout_state::inProgress, false, actions);
@@ -462,6 +469,7 @@
     of.learnt.reset();
     of.judge.beginStep(of.evidence.totals());
     of.stepAt = now;
+    of.brief = brief_step::none;
     of.isStepSettled = false;
     of.isCommitDue = false;
     actions.emplace_back(describe(now, pool, of, "rollout_owned", reason));
@@ -520,31 +528,43 @@
 {
     const rollout_totals totals = of.evidence.totals();
     const duration stepElapsed = now - of.stepAt;
-    if (!of.isStepSettled && stepElapsed >= (of.own.share < 1 ? settleTime : rollout_schedule::reactionTime)) {
+    if (!of.isStepSettled && stepElapsed >= (of.own.share < 1 || of.brief == brief_step::running ? settleTime : rollout_schedule::reactionTime)) {
         of.judge.beginStep(totals);
         of.isStepSettled = true;
         of.verdict.isSound = false;
     }
     const std::chrono::duration<double> known = of.elapsed(now);
+    // Good answers at the smaller share do not outweigh faults of the brief step.
+    of.isDoubted = of.isDoubted || (of.brief != brief_step::none && of.verdict.isSuspect);
+    of.verdict.isSuspect = of.verdict.isSuspect || of.isDoubted;
+    of.verdict.isSound = of.verdict.isSound && !of.isDoubted;
+    const bool isRateKnown = known > std::min<duration>(rateTime, of.order->length / rateTimeDivisor);
     const rollout_progress progress {
         .length = of.order->length,
         .elapsed = of.elapsed(now),
         .stepElapsed = stepElapsed,
         .share = of.own.share,
-        .perSecond = known > 1s ? static_cast<double>(totals.requests) / known.count() : 0,
+        .trialShare = of.trialShare,
+        .brief = of.brief,
+        .perSecond = isRateKnown ? static_cast<double>(totals.requests) / known.count() : 0,
         .exposed = totals.all.target.sent,
         .answers = totals.all.target.answers,
         .inProgress = totals.inProgress,
         .hasServers = of.targetServers > 0,
-        .hasEvidence = known > 1s && 2 * of.evidence.recentRouters(now) >= m_routers,
+        .hasEvidence = isRateKnown && 2 * of.evidence.recentRouters(now) >= m_routers,
         .verdict = of.verdict,
     };
     const rollout_step step = rollout_schedule(m_limits).next(progress);
+    if (step.brief == brief_step::running && of.brief == brief_step::none)
+        of.trialShare = of.own.share;
+    // The evidence of a brief step begins with it and goes on after it.
+    const bool isBriefEnd = step.brief == brief_step::ended && of.brief == brief_step::running;
+    of.brief = step.brief;
     if (step.share != of.own.share && step.state != rollout_state::completed) {
         of.own.share = step.share;
         ++of.own.sequence;
         of.stepAt = now;
-        of.isStepSettled = false;
+        of.isStepSettled = isBriefEnd || !of.verdict.isSound;
         of.isCommitDue = true;
         actions.emplace_back(describe(now, pool, of, "rollout_step", step.reason));
         actions.emplace_back(permits_changed {});
@@ -552,7 +572,7 @@
         of.lastWaitEvent = now;
         actions.emplace_back(describe(now, pool, of, "rollout_waits", of.verdict.isOneServer ? "one_server" : step.reason));
     }
-    if (!isFinal(step.state) || of.pending || now < of.notBefore)
+    if (!isFinal(step.state) || of.pending || of.mustRead || now < of.notBefore)
         return;
     of.endReason = step.reason;
     commit(now, pool, of, step.state, false, actions);
--- a/lib/Rollout/RolloutEvidence.cpp
+++ b/lib/Rollout/RolloutEvidence.cpp
@@ -1,6 +1,7 @@
 #include "pimentoladder/Rollout/RolloutEvidence.h"
 
 #include <algorithm>
+#include <array>
 
 namespace pimentoladder {
 
@@ -83,7 +84,7 @@
     return sum;
 }
 
-rollout_fault_spread rollout_evidence_sum::spread(const std::optional<std::string>& route) const
+rollout_fault_spread rollout_evidence_sum::spread() const
 {
     std::array<unsigned, serverBits> answered {};
     std::array<unsigned, serverBits> faulty {};
@@ -91,7 +92,7 @@
         std::uint64_t servers = 0;
         std::uint64_t faultyServers = 0;
         for (const rollout_tally& tally : known.newest.tallies) {
-            if (!tally.isTarget || (route && tally.route != *route))
+            if (!tally.isTarget)
                 continue;
             servers |= tally.servers;
             faultyServers |= tally.faultyServers;
@@ -102,14 +103,12 @@
         }
     }
     rollout_fault_spread found;
+    found.routers = m_sources.size();
     const auto worst = static_cast<std::size_t>(std::max_element(faulty.begin(), faulty.end()) - faulty.begin());
     for (std::size_t i = 0; i < serverBits; ++i) {
         found.servers += answered.at(i) > 0 ? 1 : 0;
         found.faultyServers += faulty.at(i) > 0 ? 1 : 0;
-        if (i == worst)
-            continue;
-        found.otherPairs += answered.at(i);
-        found.otherFaultyPairs += faulty.at(i);
+        found.otherFaultyPairs += i == worst ? 0 : faulty.at(i);
     }
     return found;
 }
--- /dev/null
+++ b/unittests/Rollout/OwnershipTests.cpp
@@ -0,0 +1,1 @@
+#include <doctest/doctest.h>
