--- a/lib/Rollout/RolloutSchedule.cpp
+++ b/lib/Rollout/RolloutSchedule.cpp
@@ -75,7 +75,7 @@
         return { rollout_state::inProgress, at.trialShare, "brief_ended", brief_step::ended };
     if (at.brief == brief_step::running)
         return { rollout_state::inProgress, at.share, "brief", brief_step::running };
-    if (at.share < mostStepShare && !at.verdict.isSound && at.hasEvidence) {
+    if (at.share < 1 && !at.verdict.isSound && at.hasEvidence) {
         const double affordable = affordableShare(at);
         if (affordable * leastGrowth < at.share)
             return { rollout_state::inProgress, affordable, "budget_used", at.brief };
@@ -108,7 +108,9 @@
 
 duration rollout_schedule::briefTime(const rollout_progress& at) const
 {
-    const double spare = std::max(0.0, plannedBudgetPart * budget(at) - static_cast<double>(at.exposed));
+    // What the smaller share adds until the evidence has arrived is set aside.
+    const double after = std::min(at.share, at.brief == brief_step::running ? at.trialShare : 1.0) * at.perSecond * inSeconds(reactionTime);
+    const double spare = std::max(0.0, plannedBudgetPart * budget(at) - static_cast<double>(at.exposed) - after);
     const seconds forAnswers(briefRequests / std::max(at.perSecond, 1.0));
     const seconds affordable(spare / std::max(at.perSecond, 1.0));
     const seconds wanted = std::min(std::max<seconds>(leastBriefTime, forAnswers), affordable);
