Check of an operators' configuration before it is sent

Operators learnt only from the routers' logs that a configuration is refused, hides a route or takes a workspace's last key.

Nesting of 3 million levels, endless numbers and invalid UTF-8 end in an error and exit code 2.

--- a/tools/pimentoladder/Main.cpp
+++ b/tools/pimentoladder/Main.cpp
@@ -17,6 +17,7 @@
 #include <unistd.h>
 
 #include "AdminCommand.h"
+#include "ConfigurationCheck.h"
 #include "pimentoladder/Daemon/DispatchProcess.h"
 #include "pimentoladder/Daemon/RouterProcess.h"
 #include "pimentoladder/Net/EventLoop.h"
@@ -29,6 +30,11 @@
 ABSL_FLAG(std::string, config, "", "settings file");
 ABSL_FLAG(std::vector<std::string>, set, {}, "settings that override the file and the environment: section.key=value,...");
 
+ABSL_FLAG(std::string, configuration, "", "check: operators' configuration, as the store holds it; - for standard input");
+ABSL_FLAG(std::string, against, "", "check: configuration in force, to compare with");
+ABSL_FLAG(std::string, format, "text", "check of a configuration: text or json");
+ABSL_FLAG(std::uint32_t, router_memory, 120, "check of a configuration: memory of the smallest router, in MiB");
+
 namespace pimentoladder {
 
 namespace {
@@ -45,6 +51,11 @@
                                   "\n"
                                   "  run --config=FILE     run a router\n"
                                   "  check --config=FILE   check a settings file and report every error\n"
+                                  "  check --configuration=FILE [--against=FILE] [--format=json] [--router_memory=MIB]\n"
+                                  "                        check an operators' configuration (- for standard input): errors,\n"
+                                  "                        entries that can never match, limits that contradict each other,\n"
+                                  "                        and what differs from the version in force. Starts nothing.\n"
+                                  "                        Exit code 0: sound, 1: findings, 2: cannot be read\n"
                                   "  admin ...             administer a running router; see `admin help`\n"
                                   "  version               print the version\n"
                                   "\n"
@@ -90,6 +101,11 @@
 
     int check()
     {
+        constexpr std::uint64_t mebibyte = 1024 * 1024;
+        if (const std::string path = absl::GetFlag(FLAGS_configuration); !path.empty()) {
+            const configuration_check_request request { path, absl::GetFlag(FLAGS_against), absl::GetFlag(FLAGS_format), absl::GetFlag(FLAGS_router_memory) * mebibyte };
+            return checkConfiguration(request, std::cin, std::cout, std::cerr);
+        }
         if (!loadSettings())
             return exitUsage;
         std::cout << "settings are valid\n";
