--- a/include/pimentoladder/Dispatch/RolloutSplit.h
+++ b/include/pimentoladder/Dispatch/RolloutSplit.h
@@ -87,6 +87,10 @@
     /// server error. Unknown attempts, and all but the first answer, are ignored.
     void onAnswer(time_point now, attempt_number attempt, bool hasFailed);
 
+    /// Counts an attempt that this router gives up because nothing has come for too long, as
+    /// answered late if its answer was expected at a time and has not been counted.
+    void onGivenUp(attempt_number attempt);
+
     /// Forgets an attempt.
     void onEnded(attempt_number attempt);
 
@@ -139,7 +143,7 @@
     static void keep(std::optional<held_permit>& held, const held_permit& received);
     void keepEarly(const held_permit& received);
     route_evidence* evidenceOf(const open_attempt& attempt);
-    void count(open_attempt& attempt, route_evidence& evidence, bool hasFailed, bool isSlow);
+    static void count(open_attempt& attempt, route_evidence& evidence, bool hasFailed, bool isSlow);
 
     const fleet_view& m_fleet;
     rollout_limits m_limits;
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -352,13 +352,13 @@
         return std::nullopt;
     if (rule->state == rollout_state::completed)
         return rule->target();
+    if (rule->share >= 1)
+        return std::nullopt;
     // A router that has missed the permits must not refuse everything once the old servers have stopped.
     selection_request others { request.workspace, request.pool, nullptr, {} };
     others.versions = rule->others();
     const bool isOnlyTargetLeft = rule->state != rollout_state::reverted && !m_selector.hasServer(others);
-    if (rule->share >= 1 || isOnlyTargetLeft)
-        return std::nullopt;
-    return others.versions;
+    return isOnlyTargetLeft ? std::nullopt : others.versions;
 }
 
 std::optional<selected_server> dispatcher::chooseTarget(time_point now, tracked_request& request, selection_request& wanted, const rollout_rule& rule)
@@ -415,7 +415,9 @@
     if (request.origin)
         return !isOriginWithdrawn(now, request);
     const bool isTarget = currentVersion(request) == rule->version;
-    if (isTarget && rule->share > 0)
+    if (!isTarget)
+        return rule->state != rollout_state::completed;
+    if (rule->share > 0)
         return true;
     const auto allowed = allowedVersions(now, request);
     return !allowed || allowed->allows(currentVersion(request));
@@ -971,6 +973,7 @@
         return;
     }
     m_selector.condition(request->server).failed(now);
+    m_rollouts.onGivenUp(request->attempt);
     out.push_back(cancel_dispatch { request->number, request->attempt });
     failAttempt(now, request, true, "silent", request->status, out);
 }
--- a/lib/Dispatch/RolloutSplit.cpp
+++ b/lib/Dispatch/RolloutSplit.cpp
@@ -229,6 +229,15 @@
         count(answered, *evidence, hasFailed, isSlow);
 }
 
+void rollout_split::onGivenUp(attempt_number attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end() || !found->second.overdueAt || found->second.isCounted)
+        return;
+    if (route_evidence* evidence = evidenceOf(found->second))
+        count(found->second, *evidence, false, true);
+}
+
 void rollout_split::onEnded(attempt_number attempt)
 {
     const auto found = m_attempts.find(attempt);
--- a/unittests/Dispatch/RolloutSplitTests.cpp
+++ b/unittests/Dispatch/RolloutSplitTests.cpp
@@ -139,7 +139,7 @@
     open_dispatch openAt(const std::string& version, const std::string& path)
     {
         for (;;) {
-            const open_dispatch opened = *find<open_dispatch>(request(path));
+            open_dispatch opened = *find<open_dispatch>(request(path));
             if (versionOf(opened.server) == version) {
                 core.mayStartSending(now, opened.attempt);
                 return opened;
@@ -363,7 +363,7 @@
         fleet.allow("llm", 0.5);
         fleet.targetsAmong(100, "/once/1"); // Fills the retry budget.
         const auto begin = [&] {
-            const open_dispatch opened = fleet.openAt(version, "/stream/1");
+            open_dispatch opened = fleet.openAt(version, "/stream/1");
             fleet.core.onHead(fleet.now, opened.attempt, eventHead());
             fleet.core.onBytes(fleet.now, opened.attempt, "id: 4\n\n", { 4, 4 });
             return opened;
@@ -676,6 +676,31 @@
     CHECK(target().answers == 4);
 }
 
+// Guards against a version that hangs and is given up on before its answer would be late.
+TEST_CASE("an attempt that the router gives up as silent is slow")
+{
+    for (const std::string version : { "1", "2" }) {
+        rollout_fleet fleet;
+        fleet.order("portal");
+        fleet.allow("portal", 0.5);
+        for (int i = 0; i < 10; ++i) {
+            const open_dispatch usual = fleet.openAt("1", "/read/1");
+            fleet.now += 100ms; // Late is what takes longer than 450 ms.
+            fleet.allow("portal", 0.5);
+            fleet.core.onHead(fleet.now, usual.attempt, plainHead());
+        }
+        const open_dispatch hanging = fleet.openAt(version, "/read/1");
+        const auto tally = [&] { return fleet.tally("portal", "route/read/", version == "2"); };
+        const std::uint64_t answers = tally().answers;
+        fleet.now += 301ms;
+        const auto given = fleet.core.onTick(fleet.now);
+        REQUIRE(find<cancel_dispatch>(given));
+        CHECK(find<cancel_dispatch>(given)->attempt == hanging.attempt);
+        CHECK(tally().slow == 1);
+        CHECK(tally().answers == answers + 1);
+    }
+}
+
 // Guards against a stream that counts as answered by its head, although no event follows.
 TEST_CASE("a stream answers with its first event, and is late against what was expected of its prompt")
 {
