Roll-outs: a version that is always late is measured against the others

Cause: a prompt's expected first event includes the delay that the router has learnt from the server's late answers.

Change: no more is expected than the reading of the prompt and the smoothed delay of the other versions on that route, once one of these has answered.

Ruled out: leaving it to the first late answers of each server, since each router learns the delay from a few of them.

--- a/include/pimentoladder/Dispatch/RolloutSplit.h
+++ b/include/pimentoladder/Dispatch/RolloutSplit.h
@@ -45,6 +45,7 @@
     std::string version; ///< Of the server.
     bool isCold = false; ///< Late answers of cold servers are no evidence.
     std::optional<duration> expected; ///< Time to the first event; nothing for a request without a prompt.
+    duration reading {}; ///< Time that the server needs to read the prompt.
 };
 
 /// One router's knowledge of the ordered roll-outs: their permits, and the evidence of its own
@@ -114,7 +115,7 @@
 
     struct route_evidence {
         std::array<rollout_tally, 2> sides; ///< Others, target.
-        std::optional<duration> usualResponse; ///< Smoothed, of the other versions, for requests without a prompt.
+        std::optional<duration> usualDelay; ///< Smoothed time to an answer of the other versions, without the reading of the prompt.
     };
 
     struct pool_state {
@@ -133,9 +134,10 @@
         std::string route; ///< Under which it is counted.
         bool isTarget = false;
         bool isCounted = false; ///< Its answer, or that it is overdue.
-        bool setsUsual = false; ///< Its response time counts for the usual one of its route.
+        bool setsUsual = false; ///< Its answer counts for the usual delay of its route.
         std::uint64_t serverBit = 0;
         time_point sentAt;
+        duration reading {};
         std::optional<time_point> overdueAt;
     };
 
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -436,7 +436,7 @@
     if (m_rollouts.isEmpty())
         return;
     const auto expected = request.received.prompt ? std::optional(request.expectedAnswer) : std::nullopt;
-    m_rollouts.onSent(now, { request.attempt, request.pool, request.target.name, request.server, currentVersion(request), request.isAtColdServer, expected });
+    m_rollouts.onSent(now, { request.attempt, request.pool, request.target.name, request.server, currentVersion(request), request.isAtColdServer, expected, prefillTime(request.uncachedTokens) });
 }
 
 void dispatcher::startAttempt(time_point now, const tracked& request, dispatch_actions& out)
--- a/lib/Dispatch/RolloutSplit.cpp
+++ b/lib/Dispatch/RolloutSplit.cpp
@@ -20,7 +20,7 @@
     // An answer is slow if it takes longer than this multiple of the expected time, and the margin.
     constexpr int slowFactor = 3;
     constexpr duration slowMargin = 150ms;
-    // Weight of a response in the usual response time of its route.
+    // Weight of an answer in the usual delay of its route.
     constexpr double usualGain = 0.05;
     // Resolution of the draw.
     constexpr std::size_t drawSteps = std::size_t { 1 } << 30;
@@ -180,13 +180,18 @@
     const bool hasOwnTally = state.routes.contains(sent.route) || state.routes.size() < maxRoutes;
     opened.route = hasOwnTally ? sent.route : std::string();
     opened.isTarget = sent.version == state.version;
-    // Routes that are counted together have no usual response time.
-    opened.setsUsual = !opened.isTarget && !sent.expected && !sent.isCold && hasOwnTally;
+    // Routes that are counted together have no usual delay.
+    opened.setsUsual = !opened.isTarget && !sent.isCold && hasOwnTally;
     opened.serverBit = std::uint64_t { 1 } << (hashName(sent.server.value()) % serverBits);
     opened.sentAt = now;
+    opened.reading = sent.reading;
     route_evidence& evidence = state.routes[opened.route];
     ++evidence.sides.at(opened.isTarget ? 1 : 0).sent;
-    const auto expected = sent.expected ? sent.expected : evidence.usualResponse;
+    // What is expected of a server includes the delay learnt from its late answers, which would
+    // hide a version that is always late. So no more is expected than of the other versions.
+    auto expected = sent.expected;
+    if (evidence.usualDelay)
+        expected = std::min(expected.value_or(duration::max()), sent.reading + *evidence.usualDelay);
     if (expected && !sent.isCold) {
         opened.overdueAt = now + slowFactor * *expected + slowMargin;
         m_overdue.insert({ *opened.overdueAt, sent.attempt });
@@ -221,9 +226,9 @@
     if (!evidence)
         return;
     if (std::exchange(answered.setsUsual, false) && !hasFailed) {
-        const duration taken = now - answered.sentAt;
-        auto& usual = evidence->usualResponse;
-        usual = usual ? *usual + std::chrono::duration_cast<duration>((taken - *usual) * usualGain) : taken;
+        const duration delay = std::max(now - answered.sentAt - answered.reading, duration::zero());
+        auto& usual = evidence->usualDelay;
+        usual = usual ? *usual + std::chrono::duration_cast<duration>((delay - *usual) * usualGain) : delay;
     }
     if (!answered.isCounted)
         count(answered, *evidence, hasFailed, isSlow);
--- a/unittests/Dispatch/RolloutSplitTests.cpp
+++ b/unittests/Dispatch/RolloutSplitTests.cpp
@@ -749,6 +749,48 @@
     CHECK(target().answers == 1);
 }
 
+// Guards against a late version that is judged by the delay learnt from its own late answers.
+TEST_CASE("every answer of a version that is always late is slow")
+{
+    rollout_fleet fleet;
+    fleet.order("llm");
+    const auto target = [&] { return fleet.tally("llm", "route/once/", true); };
+    struct running {
+        attempt_number attempt;
+        time_point answersAt;
+    };
+    std::vector<running> open;
+    for (std::uint32_t i = 0; i < 1000; ++i) {
+        fleet.now += 20ms;
+        fleet.core.confirm(fleet.now);
+        fleet.allow("llm", 0.3);
+        fleet.core.onTick(fleet.now);
+        std::erase_if(open, [&](const running& each) {
+            if (fleet.now < each.answersAt)
+                return false;
+            fleet.core.onHead(fleet.now, each.attempt, eventHead());
+            fleet.core.onBytes(fleet.now, each.attempt, "id: 1\n\n", { 1, 1 });
+            fleet.core.onAttemptEnded(fleet.now, each.attempt, { attempt_end_kind::complete, true });
+            return true;
+        });
+        inbound_request received;
+        received.callerId = "prompt-" + std::to_string(i);
+        received.host = "host";
+        received.path = "/once/1";
+        received.keyDigest = keyDigest;
+        received.timeLeft = 10s;
+        received.prompt = prompt_work { { { i % 7, 1000 }, { 1000 + i, 500 } }, 1500, 50 };
+        const auto actions = fleet.core.onRequest(fleet.now, received, fleet.number);
+        const auto* opened = find<open_dispatch>(actions);
+        REQUIRE(opened);
+        fleet.core.mayStartSending(fleet.now, opened->attempt);
+        open.push_back({ opened->attempt, fleet.now + (fleet.versionOf(opened->server) == "2" ? 1000ms : 40ms) });
+    }
+    CHECK(target().answers > 100);
+    CHECK(target().slow == target().answers);
+    CHECK(fleet.tally("llm", "route/once/", false).slow == 0);
+}
+
 // Guards against a cold start that is taken for a fault of the version.
 TEST_CASE("late answers of cold servers are not slow")
 {
