--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -60,6 +60,11 @@
         return limits;
     }
 
+    answer_buffer_limits bufferLimits(const settings& configured)
+    {
+        return { configured.limits.bufferBytes, static_cast<std::size_t>(static_cast<double>(configured.limits.memoryBytes) * answerMemoryFraction) };
+    }
+
     rollout_limits rolloutLimits(const settings& configured)
     {
         rollout_limits limits;
@@ -69,17 +74,13 @@
         return limits;
     }
 
-    answer_buffer_limits bufferLimits(const settings& configured)
-    {
-        return { configured.limits.bufferBytes, static_cast<std::size_t>(static_cast<double>(configured.limits.memoryBytes) * answerMemoryFraction) };
-    }
-
     dispatch_limits dispatchLimits(const settings& configured)
     {
         dispatch_limits limits;
         limits.selection.ownDataCentre = configured.dataCentre;
         limits.selection.self = configured.vm;
         limits.selection.maxRest = configured.timeouts.serverRest;
+        limits.rollout = rolloutLimits(configured);
         limits.retryShare = configured.retries.share * retryBudgetFraction;
         limits.fleetRetries = static_cast<std::uint64_t>(configured.retries.extra * retryBudgetFraction);
         limits.freshness.maxKeyBasisAge = configured.freshness.keys - keyFreshnessMargin;
