--- a/lib/Rollout/RolloutCoordinator.cpp
+++ b/lib/Rollout/RolloutCoordinator.cpp
@@ -27,6 +27,8 @@
     // Part of the lease by which the owner's authority ends before others may take over, for
     // clocks that differ in rate and for a decision on its way out.
     constexpr duration authorityMargin = 100ms;
+    // Time beyond the lease before a takeover: the age of a permit does not count its transit.
+    constexpr duration transitMargin = 100ms;
     // Time after a step before its answers count: the permit must reach the routers first.
     constexpr duration settleTime = 300ms;
 
@@ -177,7 +179,8 @@
 
 void rollout_coordinator::noteCall(time_point now)
 {
-    if (isActive() && now - m_lastCall > pauseLimit) {
+    // Before an order there are no ticks, so the time without one counts as a pause too.
+    if (now - m_lastCall > pauseLimit) {
         m_wokeAt = now;
         m_pause = now - m_lastCall;
     }
@@ -379,7 +382,7 @@
         return false;
     // Only a read after the lease's time shows that the row has not changed in it.
     if (of.row && of.row->record.order == of.at)
-        return of.readSentAt && *of.readSentAt >= of.row->seenAt + m_limits.leaseTime;
+        return of.readSentAt && *of.readSentAt >= of.row->seenAt + m_limits.leaseTime + transitMargin;
     if (ownRank > 0 && (of.learnt || !of.readSentAt))
         return false;
     return now - of.orderedAt >= static_cast<duration::rep>(ownRank) * rankDelay;
@@ -431,8 +434,8 @@
 {
     const std::size_t ownRank = *rank();
     const bool isFirstTry = !of.readSentAt && !of.learnt && now - of.orderedAt >= static_cast<duration::rep>(ownRank) * rankDelay;
-    const bool mayHaveEnded = of.row && of.row->record.order == of.at && now >= of.row->seenAt + m_limits.leaseTime
-        && (!of.readSentAt || *of.readSentAt < of.row->seenAt + m_limits.leaseTime);
+    const bool mayHaveEnded = of.row && of.row->record.order == of.at && now >= of.row->seenAt + m_limits.leaseTime + transitMargin
+        && (!of.readSentAt || *of.readSentAt < of.row->seenAt + m_limits.leaseTime + transitMargin);
     if (mayTakeOver(of, now)) {
         commit(now, pool, of, rollout_state::inProgress, true, actions);
         return;
--- a/unittests/Rollout/OwnershipTests.cpp
+++ b/unittests/Rollout/OwnershipTests.cpp
@@ -162,15 +162,17 @@
     }
 
     // Runs \p event at a router; one that is frozen then handles it when it wakes.
-    void later(std::size_t index, duration after, const std::function<void()>& event)
+    void later(std::size_t index, duration after, const std::function<void()>& event) { later(index, m_routers[index].number, after, event); }
+
+    // Only for the process that was started with the number \p incarnationNumber.
+    void later(std::size_t index, std::uint64_t incarnationNumber, duration after, const std::function<void()>& event)
     {
-        const std::uint64_t incarnationNumber = m_routers[index].number;
         m_events.emplace(m_now + after, [this, index, incarnationNumber, event] {
             const router& at = m_routers[index];
             if (!at.isAlive || at.number != incarnationNumber)
                 return;
             if (at.frozenUntil > m_now)
-                later(index, at.frozenUntil - m_now, event);
+                later(index, incarnationNumber, at.frozenUntil - m_now, event);
             else
                 event();
         });
@@ -241,7 +243,7 @@
     void read(std::size_t index)
     {
         ++reads;
-        m_events.emplace(m_now + callDelay, [this, index] {
+        m_events.emplace(m_now + callDelay, [this, index, number = m_routers[index].number] {
             result<std::vector<std::pair<rollout_record, revision>>> rows;
             if (m_now < m_storeAwayUntil) {
                 rows = makeError(error_kind::unavailable, "the store is away");
@@ -249,15 +251,15 @@
                 for (const auto& [pool, row] : m_rows)
                     rows->push_back(row);
             }
-            later(index, callDelay, [this, index, rows] { take(index, core(index).onRead(m_now, rows)); });
+            later(index, number, callDelay, [this, index, rows] { take(index, core(index).onRead(m_now, rows)); });
         });
     }
 
     void write(std::size_t index, const commit_rollout& commit)
     {
         const lost_answer lost = std::exchange(m_lose, lost_answer::no);
-        const auto answer = [this, index, pool = commit.record.pool](duration after, const result<revision>& outcome) {
-            later(index, after, [this, index, pool, outcome] { take(index, core(index).onCommitted(m_now, pool, outcome)); });
+        const auto answer = [this, index, number = m_routers[index].number, pool = commit.record.pool](duration after, const result<revision>& outcome) {
+            later(index, number, after, [this, index, pool, outcome] { take(index, core(index).onCommitted(m_now, pool, outcome)); });
         };
         if (lost != lost_answer::no)
             answer(300ms, makeError(error_kind::outcomeUnknown, "the answer was lost"));
--- a/unittests/Rollout/PermitTests.cpp
+++ b/unittests/Rollout/PermitTests.cpp
@@ -22,7 +22,8 @@
     follower()
     {
         core.setReaders({ vm_id("a"), vm_id("b") }, 8);
-        core.onOrder(start, revision(7), order);
+        core.onOrder(start - 300ms, revision(7), order);
+        core.onTick(start - 50ms);
     }
 
     double shareAt(time_point now) const
