--- a/lib/Rollout/RolloutCoordinator.cpp
+++ b/lib/Rollout/RolloutCoordinator.cpp
@@ -21,14 +21,14 @@
     constexpr duration retryDelay = 200ms; // After an error of the store.
     // Time without a tick after which the router was paused, and the time for which messages
     // that arrived meanwhile are still handled then.
-    constexpr duration pauseLimit = 400ms;
+    constexpr duration pauseLimit = 150ms;
     constexpr duration wakeTime = 200ms;
     constexpr duration waitEventInterval = 1s;
     // Part of the lease by which the owner's authority ends before others may take over, for
     // clocks that differ in rate and for a decision on its way out.
     constexpr duration authorityMargin = 100ms;
-    // Time beyond the lease before a takeover: the age of a permit does not count its transit.
-    constexpr duration transitMargin = 100ms;
+    // Time beyond the lease before a takeover: the age of a permit does not count its transit, nor pauses within the limit.
+    constexpr duration transitMargin = 200ms;
     // Time after a step before its answers count: the permit must reach the routers first.
     constexpr duration settleTime = 300ms;
 
--- a/unittests/Rollout/PermitTests.cpp
+++ b/unittests/Rollout/PermitTests.cpp
@@ -16,14 +16,21 @@
     return { chat, at, fencing_token(token), sequence, rollout_state::inProgress, share, 0ms };
 }
 
-struct follower {
+class follower {
+public:
     rollout_coordinator core { vm_id("z"), incarnation(1), {} };
 
     follower()
     {
         core.setReaders({ vm_id("a"), vm_id("b") }, 8);
         core.onOrder(start - 300ms, revision(7), order);
-        core.onTick(start - 50ms);
+        runTo(start);
+    }
+
+    void runTo(time_point end)
+    {
+        for (; m_now <= end; m_now += 50ms)
+            core.onTick(m_now);
     }
 
     double shareAt(time_point now) const
@@ -31,6 +38,9 @@
         const rollout_permits known = core.permits(now);
         return known.entries.empty() ? -1 : known.entries.front().share;
     }
+
+private:
+    time_point m_now = start - 250ms;
 };
 
 }
@@ -57,6 +67,7 @@
     CHECK(router.core.permits(start + 1s).entries.front().age == 1400ms);
     CHECK(router.shareAt(start + 1100ms) == -1);
     aged.age = 200ms;
+    router.runTo(start + 1100ms);
     router.core.onPermits(start + 1100ms, { { aged } });
     CHECK(router.shareAt(start + 1100ms) == 0.5);
 }
@@ -65,10 +76,10 @@
 TEST_CASE("a permit that waited while its receiver was paused counts the pause")
 {
     follower router;
-    router.core.onTick(start + 100ms);
     router.core.onPermits(start + 4s, { { permitOf(1, 1, 0.5) } });
     CHECK(router.shareAt(start + 4s) == -1);
     router.core.onTick(start + 4100ms);
+    router.core.onTick(start + 4200ms);
     router.core.onPermits(start + 4300ms, { { permitOf(1, 1, 0.5) } });
     CHECK(router.shareAt(start + 4300ms) == 0.5);
 }
