Admit callers' requests to the memory of the process

Cause: nothing bounded what the bodies of all callers take together. Each body was held up to three times (exchange, attempt, output of the connection), refused and stopped ones kept what they held (assigning an empty string keeps the allocation), and the kernel buffered up to 6 MiB of each connection.

Change: memory_account (library Memory, core) holds what is being read, kept for retries and waiting as answers. Half of limits.memory is admitted, large requests get a part of that only. A request that finds no room gets 503 memory_full before it has run; one without progress for 1 s gives way to others. A body is one shared_body that the output refers to. SO_RCVBUF is 64 KiB for callers and 256 KiB for servers; input that waits to be parsed is 16 KiB in place of 64 KiB.

--- a/include/pimentoladder/Daemon/DispatchReport.h
+++ b/include/pimentoladder/Daemon/DispatchReport.h
@@ -35,6 +35,8 @@
 
     /// Counts a caller's connection that the server closes. Writes a line if the caller loses
     /// a request or part of a response by it.
+    /// Logs and counts a measure for want of memory, with what \p account holds.
+    void recordMemory(const memory_event& taken, const memory_account& account);
     void recordClose(const server_close& closing);
 
     /// Writes a line if the loop handled an event \p lag late by `stallThreshold` or more.
--- a/include/pimentoladder/Net/HttpClient.h
+++ b/include/pimentoladder/Net/HttpClient.h
@@ -37,7 +37,7 @@
     std::string method; ///< GET, HEAD, POST, PUT, DELETE, OPTIONS or PATCH; others end as `notSent`.
     std::string target;
     http_headers headers; ///< Hop-by-hop headers are removed.
-    std::string body;
+    shared_body body;
     bool mayReuseConnection = true; ///< Whether an idle keep-alive connection may be reused.
     std::string host {}; ///< Value of `Host`; empty: the server's address.
 };
--- a/include/pimentoladder/Net/HttpMessageParser.h
+++ b/include/pimentoladder/Net/HttpMessageParser.h
@@ -75,6 +75,12 @@
     /// Returns the violation. Precondition: `progress() == violated`.
     const http_violation& violation() const { return m_violation; }
 
+    /// Returns the bytes of the message that the parser holds.
+    std::size_t bufferedBytes() const { return m_raw.size() + m_head.size(); }
+
+    /// Returns the declared length of the body; 0 if the head is incomplete or declares none.
+    std::uint64_t announcedBytes() const { return m_progress != http_progress::head ? m_length.value_or(0) : 0; }
+
     /// Returns whether any byte of the message has been read.
     bool hasBegun() const { return m_hasBegun; }
 
--- a/include/pimentoladder/Net/HttpServer.h
+++ b/include/pimentoladder/Net/HttpServer.h
@@ -11,6 +11,7 @@
 #include "pimentoladder/Base/Error.h"
 #include "pimentoladder/Base/Time.h"
 #include "pimentoladder/Config/Document.h"
+#include "pimentoladder/Memory/MemoryAccount.h"
 #include "pimentoladder/Net/HttpMessage.h"
 #include "pimentoladder/Net/Traffic.h"
 #include "pimentoladder/Outcome/Refusal.h"
@@ -40,6 +41,7 @@
     connectionLimit,
     abortedResponse,
     refusedEarly,
+    memory,
 };
 
 /// Returns the name of \p reason. Thread-safe.
@@ -52,6 +54,23 @@
     std::size_t unsentBytes = 0; ///< Output that has not been written to the socket.
 };
 
+/// What the server does for want of memory.
+enum class memory_measure {
+    refused, ///< A request that is being read finds no room, and is refused.
+    gaveWay, ///< An incomplete request that has stalled is refused, so that another one finds room.
+    discardedInput, ///< Input behind a request in progress is discarded, and the connection closes after the response.
+};
+
+/// Returns the name of \p measure. Thread-safe.
+std::string_view memoryMeasureName(memory_measure measure);
+
+/// One measure, with what it was decided by.
+struct memory_event {
+    memory_measure measure {};
+    std::size_t receivedBytes = 0; ///< Of the request, or of the input behind one in progress.
+    std::size_t neededBytes = 0; ///< Room that the request needs, including its announced rest.
+};
+
 /// The response to one request. Releasing the last reference to a response that
 /// has not ended aborts it. After the caller has disconnected, no call has any effect.
 /// Not thread-safe; call on the loop's thread.
@@ -116,7 +135,8 @@
 /// Not thread-safe; call on the loop's thread. Answers may outlive the server.
 class http_server {
 public:
-    http_server(event_loop& loop, http_server_limits limits, http_request_handler handler);
+    /// \p memory decides which requests may be read; without one all may.
+    http_server(event_loop& loop, http_server_limits limits, http_request_handler handler, std::shared_ptr<memory_account> memory = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
@@ -141,6 +161,9 @@
     /// that callers close, and those that close after their response, are not reported.
     void setCloseObserver(std::function<void(const server_close&)> observer);
 
+    /// Sets a function that is called for each measure that the server takes for want of memory.
+    void setMemoryObserver(std::function<void(const memory_event&)> observer);
+
     /// Returns how long the first of the requests that wait to be read has waited.
     duration readDelay() const;
 
--- a/include/pimentoladder/Outcome/Refusal.h
+++ b/include/pimentoladder/Outcome/Refusal.h
@@ -22,6 +22,7 @@
     expectationFailed,
     versionNotSupported,
     tooManyConnections,
+    memoryFull,
     // The request cannot be routed.
     unauthenticated,
     noPool,
--- a/lib/Daemon/DispatchFront.cpp
+++ b/lib/Daemon/DispatchFront.cpp
@@ -47,6 +47,19 @@
         return text;
     }
 
+    /// A body that is kept for its attempts, with its room.
+    struct kept_body {
+        std::string text;
+        std::shared_ptr<memory_room> room;
+    };
+
+    /// Takes the body of \p request, so that its attempts and their output share it without copies.
+    shared_body takeBody(http_request& request)
+    {
+        const auto kept = std::make_shared<const kept_body>(kept_body { std::move(request.body), request.room });
+        return shared_body(std::shared_ptr<const std::string>(kept, &kept->text));
+    }
+
     /// Returns the complete response to a request that is shed, with \p connectionHeader.
     std::string shedResponseText(duration retryAfter, std::string_view connectionHeader)
     {
@@ -61,7 +74,8 @@
 /// One caller's request with its current attempt.
 struct dispatch_front::exchange {
     request_number number;
-    http_request request;
+    http_request request; ///< Without its body.
+    shared_body body;
     std::shared_ptr<http_response_writer> answer;
     attempt_number attemptNumber;
     std::unique_ptr<http_client_attempt> attempt;
@@ -113,6 +127,7 @@
     m_driver.post([&](dispatcher& core, time_point now) {
         inbound_request described = m_codec.describe(target->request);
         described.contentHash = contentHashOf(target->request);
+        target->body = takeBody(target->request);
         dispatch_actions actions = core.onRequest(now, described, target->number);
         m_exchanges[target->number] = target;
         return actions;
@@ -161,7 +176,7 @@
     request.method = target->request.method;
     request.target = target->request.target;
     request.headers = m_codec.attemptHeaders(target->request, opened);
-    request.body = target->request.body;
+    request.body = target->body;
     target->attemptNumber = opened.attempt;
     target->events.reset();
     target->isPaused = false;
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -11,6 +11,7 @@
 #include "pimentoladder/Daemon/FleetFollower.h"
 #include "pimentoladder/Dispatch/LinkMeter.h"
 #include "pimentoladder/Dispatch/OverloadGuard.h"
+#include "pimentoladder/Memory/MemoryAccount.h"
 #include "pimentoladder/Net/HttpClient.h"
 #include "pimentoladder/Net/HttpServer.h"
 #include "pimentoladder/Telemetry/Metrics.h"
@@ -79,6 +80,12 @@
         return limits;
     }
 
+    /// Returns the size of the largest body that is admitted while nothing else is held.
+    std::size_t largestBody(const memory_account& memory, std::size_t headBytes)
+    {
+        return memory.largestRequest() - std::min(memory.largestRequest(), headBytes);
+    }
+
     fleet_router selfOf(const settings& configured, incarnation start)
     {
         return { configured.vm, start, configured.dataCentre, configured.listen.peersAdvertised, configured.cores };
@@ -114,6 +121,7 @@
     void handle(const dispatch_action& action) override;
     std::string metricsText();
     void answerAdmin(const http_request& received, http_response_writer& answer);
+    http_server_limits limitsOfCallers() const;
     void applyCallerLimits(const serving_plan& plan);
     void refuseNewWork();
     byte_counts bytesMoved() const;
@@ -126,6 +134,7 @@
     logger& log;
     settings configured;
     metrics values;
+    std::shared_ptr<memory_account> memory;
     http_client backends;
     dispatcher core;
     dispatch_driver driver;
@@ -154,13 +163,15 @@
     : loop(ofLoop)
     , log(toLog)
     , configured(from)
+    , memory(std::make_shared<memory_account>(memoryLimitsFor(configured.limits.memoryBytes)))
     , backends(loop, backendLimits(configured))
     , core(dispatchLimits(configured), seed)
     , driver(loop, core)
     , front(driver, backends, ports.ingress, bufferLimits(configured))
     , report(driver, log, values)
     , follower({ driver, ports.rows, ports.fleet, log, values, relayLimits(configured), configured.listen.peers, [this](const serving_plan& plan) { applyCallerLimits(plan); } }, selfOf(configured, start), generateFleetKey(), seed + 1)
-    , callerServer(loop, callerLimits(configured), [this](http_request request, std::shared_ptr<http_response_writer> answer) { front.onRequest(std::move(request), std::move(answer)); })
+    , callerServer(
+          loop, limitsOfCallers(), [this](http_request request, std::shared_ptr<http_response_writer> answer) { front.onRequest(std::move(request), std::move(answer)); }, memory)
     , adminServer(loop, {}, [this](const http_request& request, const std::shared_ptr<http_response_writer>& answer) { answerAdmin(request, *answer); })
     , guard(configured.cores)
     , link(configured.limits.linkBitsPerSecond)
@@ -173,6 +184,7 @@
     driver.setHandler(*this);
     callerServer.setEarlyCheck([this](const http_headers& headers, bool closes) { return front.checkEarly(headers, closes); });
     callerServer.setCloseObserver([this](const server_close& closing) { report.recordClose(closing); });
+    callerServer.setMemoryObserver([this](const memory_event& taken) { report.recordMemory(taken, *memory); });
 }
 
 void dispatch_process::parts::handle(const dispatch_action& action)
@@ -202,6 +214,9 @@
 std::string dispatch_process::parts::metricsText()
 {
     values.set("pimentoladder_answer_bytes_waiting", {}, static_cast<double>(callerServer.pendingBytes()));
+    for (const memory_holder holder : { memory_holder::input, memory_holder::reading, memory_holder::requests, memory_holder::answers })
+        values.set("pimentoladder_memory_held_bytes", { { "holder", std::string(memoryHolderName(holder)) } }, static_cast<double>(memory->held(holder)));
+    values.set("pimentoladder_memory_limit_bytes", {}, static_cast<double>(memory->limits().total));
     return report.metricsText();
 }
 
@@ -220,6 +235,14 @@
         replyText(answer, statusNotFound, "text/plain", "paths are /livez, /readyz, /metrics and /quarantine\n");
 }
 
+/// Returns the limits of the settings. A body that the memory never has room for is refused as too large.
+http_server_limits dispatch_process::parts::limitsOfCallers() const
+{
+    http_server_limits limits = callerLimits(configured);
+    limits.bodyBytes = std::min(limits.bodyBytes, largestBody(*memory, limits.headBytes));
+    return limits;
+}
+
 void dispatch_process::parts::applyCallerLimits(const serving_plan& plan)
 {
     http_server_limits limits = callerLimits(configured);
@@ -227,6 +250,7 @@
         limits.headBytes = plan.maxHeadBytes;
     if (plan.maxBodyBytes > 0)
         limits.bodyBytes = plan.maxBodyBytes;
+    limits.bodyBytes = std::min(limits.bodyBytes, largestBody(*memory, limits.headBytes));
     if (plan.headTimeout > duration::zero())
         limits.headTimeout = plan.headTimeout;
     if (plan.idleTimeout > duration::zero())
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -173,6 +173,19 @@
             { "loop_lag_ms", milliseconds(m_driver.loopLag()) } });
 }
 
+void dispatch_report::recordMemory(const memory_event& taken, const memory_account& account)
+{
+    const std::string_view measure = memoryMeasureName(taken.measure);
+    m_metrics.count("pimentoladder_memory_measures_total", { { "measure", std::string(measure) } });
+    if (!mayWrite())
+        return;
+    const auto held = [&account](memory_holder holder) { return std::uint64_t { account.held(holder) }; };
+    m_log.write(log_level::warning, "memory_scarce",
+        { { "measure", measure }, { "received_bytes", std::uint64_t { taken.receivedBytes } }, { "needed_bytes", std::uint64_t { taken.neededBytes } },
+            { "input_bytes", held(memory_holder::input) }, { "reading_bytes", held(memory_holder::reading) }, { "request_bytes", held(memory_holder::requests) },
+            { "answer_bytes", held(memory_holder::answers) }, { "limit_bytes", std::uint64_t { account.limits().total } } });
+}
+
 void dispatch_report::recordLag(const loop_sample& sample)
 {
     if (sample.timerLag + sample.readDelay < stallThreshold)
--- a/lib/Net/HttpClientConnection.cpp
+++ b/lib/Net/HttpClientConnection.cpp
@@ -18,6 +18,8 @@
 
     // Limit of buffered input that evhttp does not read while it writes a request.
     constexpr std::size_t inputBufferLimit = std::size_t { 128 } * 1024;
+    // What the kernel may hold of a response whose caller does not read. It counts as memory of the process.
+    constexpr int receiveBufferBytes = 256 * 1024;
     // The client uses its own timers, so evhttp's must not fire before them.
     constexpr int evhttpTimeoutSeconds = 24 * 60 * 60;
 
@@ -61,6 +63,26 @@
         return std::chrono::seconds(seconds);
     }
 
+    void releaseShared(const void*, std::size_t, void* owner)
+    {
+        delete static_cast<shared_body*>(owner);
+    }
+
+    /// Adds \p body to \p output, which keeps a reference to it until it has been written. Small
+    /// ones are copied, so that they are written in one piece with the head.
+    void addShared(evbuffer* output, const shared_body& body)
+    {
+        constexpr std::size_t smallestShared = std::size_t { 16 } * 1024;
+        const std::string_view bytes = body.view();
+        if (bytes.size() < smallestShared) {
+            evbuffer_add(output, bytes.data(), bytes.size());
+            return;
+        }
+        auto owner = std::make_unique<shared_body>(body);
+        if (evbuffer_add_reference(output, bytes.data(), bytes.size(), releaseShared, owner.get()) == 0)
+            static_cast<void>(owner.release());
+    }
+
     std::string hostOf(const endpoint& server)
     {
         const bool isV6 = server.address.find(':') != std::string::npos;
@@ -137,9 +159,10 @@
         if (!isSetByClient)
             evhttp_add_header(headers, each.name.c_str(), each.value.c_str());
     }
-    if (!wanted.body.empty() || findMethod(wanted.method)->hasBody)
-        evhttp_add_header(headers, "Content-Length", std::to_string(wanted.body.size()).c_str());
-    evbuffer_add(evhttp_request_get_output_buffer(request), wanted.body.data(), wanted.body.size());
+    const std::string_view body = wanted.body.view();
+    if (!body.empty() || findMethod(wanted.method)->hasBody)
+        evhttp_add_header(headers, "Content-Length", std::to_string(body.size()).c_str());
+    addShared(evhttp_request_get_output_buffer(request), wanted.body);
     return request;
 }
 
@@ -235,6 +258,8 @@
     m_hasAskedMaySend = true;
     if (!m_isReused)
         m_pool.connectEnded(m_begunAt, true);
+    if (!m_isReused)
+        limitReceiveBuffer(bufferevent_getfd(m_channel), receiveBufferBytes);
     setNoDelay(bufferevent_getfd(m_channel));
     m_deadline.arm(m_pool.limits().firstByteTimeout);
     const auto callbacks = m_attempt->callbacks;
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -22,6 +23,9 @@
 namespace {
 
     constexpr int listenBacklog = 1024;
+    // What the kernel may hold of the input of a connection. It counts as memory of the process. A
+    // round trip of 3 ms leaves 20 MB a second.
+    constexpr int receiveBufferBytes = 64 * 1024;
     // Bounds of the time for new requests in one iteration of the loop. Between them it is the
     // time that everything else has taken.
     constexpr duration minReadTime = std::chrono::milliseconds(5);
@@ -49,16 +53,32 @@
         return "aborted_response";
     case server_close_reason::refusedEarly:
         return "refused_early";
+    case server_close_reason::memory:
+        return "memory";
+    }
+    return "unknown";
+}
+
+std::string_view memoryMeasureName(memory_measure measure)
+{
+    switch (measure) {
+    case memory_measure::refused:
+        return "refused";
+    case memory_measure::gaveWay:
+        return "gave_way";
+    case memory_measure::discardedInput:
+        return "discarded_input";
     }
     return "unknown";
 }
 
 class http_server::implementation final : public http_server_connection_owner {
 public:
-    implementation(event_loop& loop, http_server_limits limits, http_request_handler handler)
+    implementation(event_loop& loop, http_server_limits limits, http_request_handler handler, std::shared_ptr<memory_account> memory)
         : m_loop(loop)
         , m_limits(limits)
         , m_handler(std::move(handler))
+        , m_memory(memory ? std::move(memory) : std::make_shared<memory_account>(memory_limits {}))
         , m_http(evhttp_new(loop.base()))
         , m_destroyClosed(loop, [this] { m_closed.clear(); })
         , m_readSoon(loop, [this] { readQueued(); })
@@ -93,6 +113,14 @@
     void setKeepAlive(bool isKept) { m_isKeepAlive = isKept; }
     void setCloseObserver(std::function<void(const server_close&)> observer) { m_closeObserver = std::move(observer); }
     void setEarlyCheck(http_early_check check) { m_earlyCheck = std::move(check); }
+    void setMemoryObserver(std::function<void(const memory_event&)> observer) { m_memoryObserver = std::move(observer); }
+    const std::shared_ptr<memory_account>& memory() const override { return m_memory; }
+    bool makeRoom(caller_number asking) override;
+    void memoryMeasureTaken(const memory_event& taken) override
+    {
+        if (m_memoryObserver)
+            m_memoryObserver(taken);
+    }
     std::string_view earlyAnswer(const http_headers& headers, bool closes) override { return m_earlyCheck ? m_earlyCheck(headers, closes) : std::string_view(); }
     void connectionClosing(const server_close& closing) override
     {
@@ -103,7 +131,11 @@
     {
         m_handler(std::move(request), std::move(answer));
     }
-    void pendingBytesChanged(std::size_t before, std::size_t after) override { m_pendingBytes = m_pendingBytes - before + after; }
+    void pendingBytesChanged(std::size_t before, std::size_t after) override
+    {
+        m_pendingBytes = m_pendingBytes - before + after;
+        m_memory->count(memory_holder::answers, before, after);
+    }
     std::size_t pendingBytes() const override { return m_pendingBytes; }
     void bytesMoved(std::size_t received, std::size_t sent) override
     {
@@ -139,9 +171,13 @@
     http_request_handler m_handler;
     http_early_check m_earlyCheck;
     std::function<void(const server_close&)> m_closeObserver;
+    std::function<void(const memory_event&)> m_memoryObserver;
+    std::shared_ptr<memory_account> m_memory;
     evhttp* m_http;
     std::vector<evhttp_bound_socket*> m_sockets;
     std::map<bufferevent*, std::unique_ptr<http_server_connection>> m_connections;
+    std::unordered_map<std::uint64_t, http_server_connection*> m_callers; ///< Open connections by `caller_number`.
+    std::uint64_t m_lastCaller = 0;
     std::vector<std::unique_ptr<http_server_connection>> m_closed; ///< Destroyed once none of their callbacks can be on the stack.
     deferred_call m_destroyClosed;
     std::deque<queued_read> m_readQueue;
@@ -176,6 +212,7 @@
         evconnlistener_free(listener);
         return failure();
     }
+    limitReceiveBuffer(evconnlistener_get_fd(listener), receiveBufferBytes);
     evconnlistener_set_error_cb(listener, onAcceptFailed);
     listenerOwners()[listener] = this;
     m_sockets.push_back(bound);
@@ -213,6 +250,7 @@
 void http_server::implementation::connectionClosed(bufferevent* channel)
 {
     const auto found = m_connections.find(channel);
+    m_callers.erase(found->second->number().value());
     m_closed.push_back(std::move(found->second));
     m_connections.erase(found);
     m_destroyClosed.schedule();
@@ -230,6 +268,13 @@
     std::erase_if(m_readQueue, [&](const queued_read& each) { return each.connection == &readable; });
 }
 
+bool http_server::implementation::makeRoom(caller_number asking)
+{
+    const auto stalled = m_memory->findStalled(m_loop.now(), asking);
+    const auto found = stalled ? m_callers.find(stalled->value()) : m_callers.end();
+    return found != m_callers.end() && found->second->giveWay();
+}
+
 void http_server::implementation::readQueued()
 {
     const time_point begin = m_loop.now();
@@ -250,8 +295,12 @@
 {
     auto* self = static_cast<implementation*>(context);
     bufferevent* channel = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-    if (channel)
-        self->m_connections.emplace(channel, std::make_unique<http_server_connection>(self->m_loop, *self, channel));
+    if (!channel)
+        return channel;
+    const caller_number number(++self->m_lastCaller);
+    auto opened = std::make_unique<http_server_connection>(self->m_loop, *self, channel, number);
+    self->m_callers.emplace(number.value(), opened.get());
+    self->m_connections.emplace(channel, std::move(opened));
     return channel;
 }
 
@@ -286,8 +335,8 @@
         evconnlistener_enable(evhttp_bound_socket_get_listener(each));
 }
 
-http_server::http_server(event_loop& loop, http_server_limits limits, http_request_handler handler)
-    : m_implementation(std::make_unique<implementation>(loop, limits, std::move(handler)))
+http_server::http_server(event_loop& loop, http_server_limits limits, http_request_handler handler, std::shared_ptr<memory_account> memory)
+    : m_implementation(std::make_unique<implementation>(loop, limits, std::move(handler), std::move(memory)))
 {
 }
 
@@ -313,6 +362,11 @@
     m_implementation->setCloseObserver(std::move(observer));
 }
 
+void http_server::setMemoryObserver(std::function<void(const memory_event&)> observer)
+{
+    m_implementation->setMemoryObserver(std::move(observer));
+}
+
 void http_server::setEarlyCheck(http_early_check check)
 {
     m_implementation->setEarlyCheck(std::move(check));
--- a/lib/Net/HttpServerConnection.cpp
+++ b/lib/Net/HttpServerConnection.cpp
@@ -16,8 +16,9 @@
 
 namespace {
 
-    // Limit of the bytes of later requests read while a response is in progress.
-    constexpr std::size_t readAheadBytes = std::size_t { 64 } * 1024;
+    // Limit of the bytes of later requests read while a response is in progress, and of input that
+    // waits to be parsed. An iteration of the loop reads as much from a socket.
+    constexpr std::size_t readAheadBytes = std::size_t { 16 } * 1024;
     // Connections above the limit that get a refusal; further ones are closed at once.
     constexpr std::size_t maxRefusedConnections = 64;
     constexpr std::string_view placeholderRequest = "GET / HTTP/1.1\r\nHost: refused\r\nContent-Length: 0\r\n\r\n";
@@ -134,12 +135,13 @@
         m_notifyDrained.schedule();
 }
 
-http_server_connection::http_server_connection(event_loop& loop, http_server_connection_owner& owner, bufferevent* channel)
+http_server_connection::http_server_connection(event_loop& loop, http_server_connection_owner& owner, bufferevent* channel, caller_number number)
     : m_loop(loop)
     , m_owner(owner)
     , m_channel(channel)
     , m_raw(evbuffer_new())
     , m_chunkBuffer(evbuffer_new())
+    , m_number(number)
     , m_parser(http_message_parser::forRequests({ owner.limits().headBytes, owner.limits().bodyBytes }))
     , m_proceed(loop, [this] { proceed(); })
     , m_deadline(loop, [this] { deadlinePassed(); })
@@ -174,9 +176,11 @@
 void http_server_connection::detachChannel()
 {
     countPending(0);
+    m_owner.memory()->count(memory_holder::input, std::exchange(m_countedInput, 0), 0);
     evbuffer_remove_cb(bufferevent_get_input(m_channel), onInput, this);
     evbuffer_remove_cb(bufferevent_get_output(m_channel), onOutput, this);
     m_phase = phase::closed;
+    m_room.reset();
     m_proceed.cancel();
     m_deadline.cancel();
 }
@@ -189,14 +193,75 @@
     self->m_owner.bytesMoved(info->n_added, 0);
     if (evbuffer_get_length(self->m_raw) < readAheadBytes)
         self->takeRawInput();
-    if (self->m_phase == phase::refusing)
+    if (self->m_phase == phase::refusing || self->m_discardsInput)
         evbuffer_drain(self->m_raw, evbuffer_get_length(self->m_raw));
+    self->countInput();
+    if (self->m_phase == phase::answering)
+        self->limitInputBehindRequest();
     if (self->m_phase == phase::reading)
         self->readSoon();
     else
         self->m_proceed.schedule();
 }
 
+void http_server_connection::countInput()
+{
+    const std::size_t bytes = evbuffer_get_length(m_raw) + evbuffer_get_length(bufferevent_get_input(m_channel));
+    if (bytes == m_countedInput)
+        return;
+    m_owner.memory()->count(memory_holder::input, m_countedInput, bytes);
+    m_countedInput = bytes;
+}
+
+std::size_t http_server_connection::neededBytes() const
+{
+    return m_parser.bufferedBytes() + std::max<std::size_t>(m_body.size(), m_parser.announcedBytes());
+}
+
+bool http_server_connection::takeRoom()
+{
+    if (!m_room)
+        m_room = std::make_shared<memory_room>(m_owner.memory(), m_number);
+    const std::size_t received = m_parser.bufferedBytes() + m_body.size();
+    while (!m_room->resize(m_loop.now(), received, neededBytes())) {
+        if (!m_owner.makeRoom(m_number))
+            return false;
+    }
+    return true;
+}
+
+void http_server_connection::releaseBody()
+{
+    // Assigning an empty string would keep the allocation.
+    std::string().swap(m_body);
+    m_room.reset();
+}
+
+bool http_server_connection::giveWay()
+{
+    if (m_phase != phase::reading || !m_room)
+        return false;
+    refuseForMemory(memory_measure::gaveWay);
+    return true;
+}
+
+void http_server_connection::refuseForMemory(memory_measure measure)
+{
+    m_owner.memoryMeasureTaken({ measure, m_parser.bufferedBytes() + m_body.size(), neededBytes() });
+    refuse(refusal_kind::memoryFull, {});
+}
+
+void http_server_connection::limitInputBehindRequest()
+{
+    if (m_discardsInput || !m_owner.memory()->shouldDiscardInput(m_countedInput))
+        return;
+    m_owner.memoryMeasureTaken({ memory_measure::discardedInput, m_countedInput, m_countedInput });
+    m_discardsInput = true;
+    takeRawInput();
+    evbuffer_drain(m_raw, evbuffer_get_length(m_raw));
+    countInput();
+}
+
 void http_server_connection::onOutput(evbuffer*, const evbuffer_cb_info* info, void* context)
 {
     auto* self = static_cast<http_server_connection*>(context);
@@ -245,11 +310,18 @@
     else if (m_phase == phase::reading && hasInput())
         readSoon();
     else if (m_phase == phase::aborting && pendingBytes() == 0)
-        close(m_hasServed ? server_close_reason::abortedResponse : server_close_reason::refusedEarly);
+        close(abortReason());
     if (m_owner.isDraining())
         closeIfIdle();
 }
 
+server_close_reason http_server_connection::abortReason() const
+{
+    if (m_discardsInput)
+        return server_close_reason::memory;
+    return m_hasServed ? server_close_reason::abortedResponse : server_close_reason::refusedEarly;
+}
+
 void http_server_connection::readSoon()
 {
     if (!std::exchange(m_isQueued, true))
@@ -315,8 +387,15 @@
         evbuffer_drain(m_raw, m_parser.feed(bytes, m_body));
         if (!hadBegun && m_parser.hasBegun())
             m_deadline.arm(m_owner.limits().headTimeout);
+        if (m_parser.progress() != http_progress::violated && m_parser.hasBegun() && !takeRoom()) {
+            refuseForMemory(memory_measure::refused);
+            break;
+        }
         progressed(wasHead);
     }
+    // The callbacks of a refusal may have closed the connection.
+    if (m_phase != phase::closed)
+        countInput();
 }
 
 void http_server_connection::readArrived()
@@ -340,6 +419,8 @@
         if (!wasHead)
             return;
         m_deadline.arm(m_owner.limits().bodyTimeout);
+        // There is room for it, and growing step by step would copy the body.
+        m_body.reserve(m_parser.announcedBytes());
         if (m_parser.expectsContinue())
             sendContinue();
         return;
@@ -369,7 +450,7 @@
     if (answer.empty())
         return false;
     m_parser.reset();
-    m_body.clear();
+    releaseBody();
     m_deadline.arm(m_owner.limits().idleTimeout);
     // Output of a connection without a request must not pass through evhttp, which would take its
     // end for that of a response. A caller that leaves no room for a short refusal does not read.
@@ -407,6 +488,7 @@
 {
     m_phase = phase::refusing;
     m_refusal = { kind, std::move(message) };
+    releaseBody();
     inject(placeholderRequest);
 }
 
@@ -425,6 +507,9 @@
     taken.method = head.substr(0, head.find(' '));
     taken.target = evhttp_request_get_uri(request);
     taken.body = std::exchange(m_body, {});
+    taken.room = std::exchange(m_room, nullptr);
+    if (taken.room)
+        taken.room->complete();
     const evkeyvalq* headers = evhttp_request_get_input_headers(request);
     for (const evkeyval* each = headers->tqh_first; each; each = each->next.tqe_next) {
         const bool isFraming
@@ -544,6 +629,7 @@
 
 void http_server_connection::answerSent()
 {
+    const bool closes = m_discardsInput;
     if (const auto answer = m_answer.lock())
         answer->answerSent();
     m_answer.reset();
@@ -551,7 +637,11 @@
     m_phase = phase::reading;
     m_parser.reset();
     takeRawInput();
+    countInput();
     m_deadline.arm(m_owner.limits().idleTimeout);
+    // What was discarded may be part of a request, so nothing further can be read.
+    if (closes)
+        m_phase = phase::aborting;
     m_proceed.schedule();
 }
 
--- a/lib/Net/HttpServerConnection.h
+++ b/lib/Net/HttpServerConnection.h
@@ -93,6 +93,10 @@
     virtual void pendingBytesChanged(std::size_t before, std::size_t after) = 0;
     virtual std::size_t pendingBytes() const = 0; ///< Of all connections.
     virtual void bytesMoved(std::size_t received, std::size_t sent) = 0;
+    virtual const std::shared_ptr<memory_account>& memory() const = 0;
+    /// Lets a request of another connection that has stalled give way. Returns whether one did.
+    virtual bool makeRoom(caller_number asking) = 0;
+    virtual void memoryMeasureTaken(const memory_event& taken) = 0;
     /// Takes over a closed connection, to destroy it later.
     virtual void connectionClosed(bufferevent* channel) = 0;
 };
@@ -101,7 +105,7 @@
 /// out of it as it arrives; evhttp receives one validated head at a time.
 class http_server_connection {
 public:
-    http_server_connection(event_loop& loop, http_server_connection_owner& owner, bufferevent* channel);
+    http_server_connection(event_loop& loop, http_server_connection_owner& owner, bufferevent* channel, caller_number number);
     ~http_server_connection();
     http_server_connection(const http_server_connection&) = delete;
     http_server_connection& operator=(const http_server_connection&) = delete;
@@ -112,7 +116,12 @@
     /// Handles the input that has arrived. Called by the owner, in the order of its queue.
     void readQueued();
 
-    /// Refuses the connection before any request.
+    caller_number number() const { return m_number; }
+
+    /// Refuses the incomplete request, so that another one finds room. Returns false if there is none.
+    bool giveWay();
+
+    /// Refuses the request that is being read, or the connection before any request.
     void refuse(refusal_kind kind, std::string message);
     /// Closes at once. Must not be called from within an evhttp callback.
     void close(server_close_reason reason);
@@ -150,6 +159,7 @@
     /// Sets the time limit of the output after it has grown, or \p hasWritten to the socket.
     void limitWriting(bool isEmpty, bool hasWritten);
     void proceed();
+    server_close_reason abortReason() const;
     /// Puts the connection into the owner's queue, unless it is there.
     void readSoon();
     bool hasInput() const;
@@ -157,6 +167,17 @@
     void detachChannel();
     /// Tells the owner how many bytes of output are pending.
     void countPending(std::size_t bytes);
+    /// Tells the account how many bytes of input have not been parsed.
+    void countInput();
+    /// Takes room for what has been read of the request and the announced rest of its body.
+    /// Returns whether there is room.
+    bool takeRoom();
+    std::size_t neededBytes() const;
+    /// Releases what has been read of the body, and the room of the request.
+    void releaseBody();
+    void refuseForMemory(memory_measure measure);
+    /// Discards the input behind a request in progress, if it is too much while memory is scarce.
+    void limitInputBehindRequest();
     void read();
     /// Reads what has arrived at the socket, without waiting for the loop to report it.
     void readArrived();
@@ -181,8 +202,10 @@
     evhttp_request* m_request = nullptr;
     evbuffer* m_raw; ///< Input that has not been parsed.
     evbuffer* m_chunkBuffer; ///< Scratch buffer for parts of a response.
+    caller_number m_number;
     http_message_parser m_parser;
     std::string m_body;
+    std::shared_ptr<memory_room> m_room; ///< Of the request that is being read.
     std::weak_ptr<http_server_answer> m_answer;
     deferred_call m_proceed;
     bool m_hasServed = false; ///< A request has been passed to the handler.
@@ -191,6 +214,8 @@
     phase m_phase = phase::adopting;
     http_violation m_refusal;
     std::size_t m_countedPending = 0; ///< Pending output, as last told to the owner.
+    std::size_t m_countedInput = 0; ///< Input, as last told to the account.
+    bool m_discardsInput = false; ///< The connection closes after the response.
     bool m_isInjecting = false;
     bool m_isHeadRequest = false;
     bool m_isCloseDelimited = false;
--- a/lib/Net/HttpSockets.cpp
+++ b/lib/Net/HttpSockets.cpp
@@ -46,6 +46,11 @@
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+void limitReceiveBuffer(int socket, int bytes)
+{
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+}
+
 void resetConnection(int socket)
 {
     // SO_LINGER has no effect here: evhttp calls shutdown before close, which sends a FIN.
--- a/lib/Net/HttpSockets.h
+++ b/lib/Net/HttpSockets.h
@@ -21,6 +21,10 @@
 /// Disables Nagle's algorithm, so that small writes are sent at once.
 void setNoDelay(int socket);
 
+/// Limits what the kernel buffers of the input of a socket, or of the connections that a listening
+/// socket accepts, to about \p bytes.
+void limitReceiveBuffer(int socket, int bytes);
+
 /// Resets the connection, so that the peer cannot mistake its end for a regular one.
 void resetConnection(int socket);
 
--- a/lib/Outcome/Refusal.cpp
+++ b/lib/Outcome/Refusal.cpp
@@ -26,6 +26,7 @@
         { expectationFailed, "expectation_failed", 417, notRun, no, "expect nothing but 100-continue" },
         { versionNotSupported, "version_not_supported", 505, notRun, no, "use HTTP/1.1 or HTTP/1.0" },
         { tooManyConnections, "too_many_connections", 503, notRun, later, "too many connections; send the request later" },
+        { memoryFull, "memory_full", 503, notRun, later, "this router has no memory for the request now; send it again" },
         { unauthenticated, "unauthenticated", 401, notRun, no, "send the workspace's key as a bearer token" },
         { noPool, "no_pool", 404, notRun, no, "no pool serves this path" },
         { noEligibleServer, "no_eligible_server", 503, notRun, later,
--- a/tools/pimentoladder/Main.cpp
+++ b/tools/pimentoladder/Main.cpp
@@ -14,6 +14,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <malloc.h>
 #include <unistd.h>
 
 #include "AdminCommand.h"
@@ -41,6 +42,10 @@
     // enough that lines appear soon after their events.
     constexpr duration logFlushInterval = std::chrono::milliseconds(10);
 
+    // Larger blocks are returned to the system when they are freed. Otherwise the allocator raises
+    // the threshold after the first large body, and keeps the memory of later ones.
+    constexpr int mappedBlockBytes = 128 * 1024;
+
     constexpr const char* usage = "usage: pimentoladder COMMAND [FLAGS]\n"
                                   "\n"
                                   "  run --config=FILE     run a router\n"
@@ -148,6 +153,7 @@
         if (!configured)
             return exitUsage;
         std::signal(SIGPIPE, SIG_IGN);
+        mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
         event_loop loop;
         // Log lines are buffered until the flush timer expires, and longer while
         // standard output does not accept them.
--- a/unittests/Net/HttpServerTests.cpp
+++ b/unittests/Net/HttpServerTests.cpp
@@ -21,13 +21,15 @@
 
 /// A server whose handler stores each request and response for the test.
 struct server_fixture {
-    explicit server_fixture(http_server_limits limits = {})
-        : server(loop, limits, [this](http_request request, std::shared_ptr<http_response_writer> answer) {
-            requests.push_back(std::move(request));
-            answers.push_back(std::move(answer));
-            if (onRequest)
-                onRequest();
-        })
+    explicit server_fixture(http_server_limits limits = {}, std::shared_ptr<memory_account> memory = nullptr)
+        : server(
+            loop, limits, [this](http_request request, std::shared_ptr<http_response_writer> answer) {
+                requests.push_back(std::move(request));
+                answers.push_back(std::move(answer));
+                if (onRequest)
+                    onRequest();
+            },
+            std::move(memory))
     {
         port = server.listen({ "127.0.0.1", 0 }).value().port;
     }
@@ -77,6 +79,60 @@
     CHECK(caller.received.find("X-B: 2") == std::string::npos);
 }
 
+// Guards against a crowd that stops short of the end of its bodies and keeps ordinary callers out.
+TEST_CASE("a body that has stalled gives way to the next request")
+{
+    const auto memory = std::make_shared<memory_account>(memory_limits { 64 * 1024, 20ms });
+    server_fixture test({}, memory);
+    std::vector<memory_measure> measures;
+    test.server.setMemoryObserver([&](const memory_event& taken) { measures.push_back(taken.measure); });
+    const std::string head = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 40000\r\n\r\n";
+    raw_socket stalled = test.connect();
+    stalled.send(head + "begin");
+    REQUIRE(runUntil(test.loop, [&] { return memory->held(memory_holder::reading) > 40000; }));
+    test.loop.runFor(30ms);
+    raw_socket next = test.connect();
+    next.send(head + std::string(40000, 'x'));
+    REQUIRE(test.waitForRequests(1));
+    CHECK(stalled.waitFor("memory_full"));
+    CHECK(stalled.received.starts_with("HTTP/1.1 503"));
+    CHECK(measures == std::vector { memory_measure::gaveWay });
+    CHECK(memory->held(memory_holder::reading) == 0);
+    test.requests.clear();
+    CHECK(memory->held(memory_holder::requests) == 0);
+}
+
+// Guards against chunked bodies, which announce no length, that grow beyond the memory together, and
+// against refused ones that keep what they hold.
+TEST_CASE("a chunked body that finds no room is refused and releases its room")
+{
+    const auto memory = std::make_shared<memory_account>(memory_limits { 64 * 1024, 1min });
+    server_fixture test({}, memory);
+    raw_socket caller = test.connect();
+    caller.send("POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n" + std::string(0xffff, 'x'));
+    CHECK(caller.waitFor("memory_full"));
+    CHECK(test.requests.empty());
+    CHECK(memory->held(memory_holder::reading) == 0);
+}
+
+// Guards against memory that is held by input which callers send behind a request in progress.
+TEST_CASE("input behind a running request is discarded while memory is scarce")
+{
+    const auto memory = std::make_shared<memory_account>(memory_limits { 64 * 1024, 1min });
+    server_fixture test({}, memory);
+    raw_socket caller = test.connect();
+    caller.send(get);
+    REQUIRE(test.waitForRequests(1));
+    memory->count(memory_holder::answers, 0, 40 * 1024);
+    caller.send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 30000\r\n\r\n" + std::string(30000, 'x'));
+    test.loop.runFor(30ms);
+    CHECK(memory->held(memory_holder::input) == 0);
+    test.answers[0]->reply({}, "first");
+    CHECK(caller.waitFor("first"));
+    CHECK(runUntil(test.loop, [&] { return test.server.connectionCount() == 0; }));
+    CHECK(test.requests.size() == 1);
+}
+
 // Guards against a pipelined request that overtakes a response in progress.
 TEST_CASE("a pipelined request waits for the answer before it")
 {
