--- a/lib/Rollout/RolloutCoordinator.cpp
+++ b/lib/Rollout/RolloutCoordinator.cpp
@@ -288,8 +288,8 @@
     const rollout::pending_commit done = *std::exchange(of.pending, std::nullopt);
     of.commitEndedAt = now;
     if (!outcome) {
-        const bool wasExecuted = outcome.error().kind != error_kind::unavailable && outcome.error().kind != error_kind::timeout;
-        of.mustRead = of.mustRead || wasExecuted;
+        const bool mayBeExecuted = outcome.error().kind != error_kind::unavailable && outcome.error().kind != error_kind::timeout;
+        of.mustRead = of.mustRead || mayBeExecuted;
         of.isCommitDue = true;
         of.notBefore = now + (outcome.error().kind == error_kind::conflict ? duration::zero() : retryDelay);
         drive(now, pool, of, false, actions);
--- a/unittests/Rollout/OwnershipTests.cpp
+++ b/unittests/Rollout/OwnershipTests.cpp
@@ -389,6 +389,31 @@
     }
 }
 
+// Guards against authority that is counted from the answer of a commit, or that does not end.
+TEST_CASE("an owner's authority ends with its lease, counted from the time it sent its commit")
+{
+    rollout_coordinator owner(vm_id("a"), incarnation(1), {});
+    owner.setReaders({ vm_id("a") }, 1);
+    owner.setServers(chat, 2, 2);
+    owner.onOrder(start, first, { chat, "v2", 12s });
+    SUBCASE("the answer is late")
+    {
+        owner.onCommitted(start + 1400ms, chat, revision(10));
+        CHECK(owner.permits(start + 1400ms).entries.empty());
+    }
+    SUBCASE("the owner was paused")
+    {
+        owner.onCommitted(start + 100ms, chat, revision(10));
+        CHECK(owner.permits(start + 1300ms).entries.size() == 1);
+        const rollout_actions actions = owner.onTick(start + 1400ms);
+        CHECK(owner.permits(start + 1400ms).entries.empty());
+        for (const rollout_action& action : actions) {
+            CHECK_FALSE(std::holds_alternative<commit_rollout>(action));
+            CHECK_FALSE(std::holds_alternative<rollout_event>(action));
+        }
+    }
+}
+
 // Guards against a write whose outcome is unknown and that is taken for done, undone, or repeated.
 TEST_CASE("a lost answer of a commit leaves one owner and one end")
 {
