Tests of roll-outs: fewer games of the large fleets

Cause: with sanitizers on a busy machine the program took 84 s of CTest's 120 s. Change: 15 games at 60 routers and 5 at 295, and fewer shares and starting times of faults.

--- a/lib/Rollout/RolloutCoordinator.cpp
+++ b/lib/Rollout/RolloutCoordinator.cpp
@@ -264,7 +264,7 @@
             continue;
         of.readSentAt = sentAt;
         of.mustRead = false;
-        const auto found = std::find_if(records->begin(), records->end(), [&](const auto& row) { return row.first.pool == pool; });
+        const auto found = std::find_if(records->begin(), records->end(), [&key = pool](const auto& row) { return row.first.pool == key; });
         if (found != records->end()) {
             learnRow(now, pool, of, found->first, found->second, actions);
         } else {
--- a/unittests/Rollout/JudgeTests.cpp
+++ b/unittests/Rollout/JudgeTests.cpp
@@ -160,8 +160,8 @@
     double perSecond;
     int games;
 };
-// The largest fleet takes most of the time.
-constexpr fleet_size sizes[] { { 8, 20, 30 }, { 8, 100, 30 }, { 60, 200, 30 }, { 295, 700, 8 } };
+// The largest fleets take most of the time.
+constexpr fleet_size sizes[] { { 8, 20, 30 }, { 8, 100, 30 }, { 60, 200, 15 }, { 295, 700, 5 } };
 
 // Plays a good version. A game is wrong if it is not completed in time.
 int wrongWithGood(traffic of)
@@ -286,7 +286,7 @@
 {
     for (const fleet_size& size : sizes) {
         for (const double faults : { 0.2, 0.5, 1.0 }) {
-            for (const double startsAt : { 0.2, 0.4, 0.5 })
+            for (const double startsAt : { 0.2, 0.5 })
                 playFaulty({ .faultShare = faults, .startsAt = startsAt }, size, 1 - startsAt);
         }
     }
@@ -298,7 +298,7 @@
     // Of the four fifths that are planned with, the trial may use two and the time after the brief step up to one.
     for (const fleet_size& size : sizes) {
         for (const double faults : { 0.2, 0.5, 1.0 }) {
-            for (const double share : { 0.05, 0.2, 0.5, 0.9 })
+            for (const double share : { 0.2, 0.5, 0.9 })
                 playFaulty({ .faultShare = faults, .aboveShare = share }, size, 0.25);
         }
     }
