Server speed: learn it, count unreadable load reports, keep it out of the estimates

Cause: constants of one deployment judge the engines of all, and a load report with a fourth figure was dropped whole without a trace.

Change: readers learn the speed of each pool and the slowness of each server from the responses of all routers (pool_speed, server_speed), and send them with the sums of usage in optional fields. Load reports of four and more figures are decoded, unreadable ones are counted and logged. selection_limits::usesServerSpeed, which is off, decides whether estimates use the learnt speeds and reports that state a slowness. Off, estimates and admission are those of before.

--- a/include/pimentoladder/Daemon/DispatchReport.h
+++ b/include/pimentoladder/Daemon/DispatchReport.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <optional>
+
 #include "pimentoladder/Daemon/CoreDriver.h"
 #include "pimentoladder/Dispatch/LinkMeter.h"
 #include "pimentoladder/Dispatch/OverloadGuard.h"
@@ -22,6 +24,9 @@
     /// request before it counts as lost.
     static constexpr duration stallThreshold = std::chrono::milliseconds(200);
 
+    /// Shortest time between two lines about unreadable load reports, which come with every response.
+    static constexpr duration unreadableLoadInterval = std::chrono::seconds(10);
+
     /// The references outlive the report.
     dispatch_report(dispatch_driver& driver, logger& log, metrics& values);
 
@@ -32,6 +37,8 @@
     void perform(const quarantine_trial& tried);
     void perform(const limit_change& changed);
     void perform(const hold_change& changed);
+    /// Counts each unreadable report; of those of one `unreadableLoadInterval` the first has a line.
+    void perform(const unreadable_load& received);
 
     /// Counts a caller's connection that the server closes. Writes a line if the caller loses
     /// a request or part of a response by it.
@@ -61,6 +68,7 @@
     logger& m_log;
     metrics& m_metrics;
     line_allowance m_allowance;
+    std::optional<time_point> m_unreadableLoadAt; ///< Of the last line about an unreadable load report.
 };
 
 }
--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -42,6 +42,7 @@
     bool isAuthentic = false; ///< Carries the server's signature.
     bool isEventStream = false; ///< A success whose body is a stream of events.
     std::optional<reported_load> load;
+    std::string unreadableLoad {}; ///< Report of the load that has no defined meaning, as received, if there is one.
     named_limit limit;
     bool isLeaving = false; ///< The server announces that it leaves.
     std::optional<duration> retryAfter {}; ///< Time for which a refusal asks for no further request.
@@ -189,9 +190,15 @@
     bool isOwn = true; ///< Seen in a response to this router; otherwise reported by another one.
 };
 
+/// Log record of a server's report of its load that cannot be read. What is known of its load holds.
+struct unreadable_load {
+    server_id server;
+    std::string text; ///< As received, shortened.
+};
+
 using dispatch_action = std::variant<open_dispatch, cancel_dispatch, forward_response_head, forward_response_bytes, end_response,
     abort_response, refuse_inbound, dispatch_decision, attempt_outcome, request_outcome, trait_change, quarantine_trial, limit_change,
-    retire_connections, hold_change>;
+    retire_connections, hold_change, unreadable_load>;
 using dispatch_actions = std::vector<dispatch_action>;
 
 }
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -122,6 +122,9 @@
     /// Evidence on lost servers and the traits of requests that it speaks against.
     const crash_attribution& crashes() const { return m_crashes; }
 
+    /// Learnt speed of the servers of each pool.
+    const std::map<pool_id, pool_speed>& speeds() const { return m_selector.speeds(); }
+
     void setRouters(std::vector<vm_id> routers);
 
     /// Sets the smoothed lag of this router's event loop, which delays each request several
--- a/include/pimentoladder/Dispatch/PromptAdmission.h
+++ b/include/pimentoladder/Dispatch/PromptAdmission.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <optional>
+
 #include "pimentoladder/Base/Time.h"
 #include "pimentoladder/Dispatch/WorkspaceShare.h"
 
@@ -17,10 +19,12 @@
     share_use share; ///< That the workspace has used.
     duration loopLag {}; ///< Lag of this router's event loop.
     bool isRequestLimited = false; ///< The server is short of requests rather than of time to read prompts.
+    duration baseTime {}; ///< Part of `expectedFirstEvent` that the server needs for any request.
+    std::optional<duration> ownTime {}; ///< Part of it that an idle server would need, with the base time; nothing: that of the usual speed.
 };
 
 /// Returns whether the request is to be sent. The first event must be expected within
-/// a fraction of the objective. A workspace that exceeds its share gets a smaller
+/// a fraction of the objective, apart from the base time. A workspace that exceeds its share gets a smaller
 /// fraction, and its requests go only to servers that have the shared parts of the
 /// prompt in their cache, or that take few requests. Thread-safe.
 bool shouldAdmitPrompt(const prompt_estimate& estimate);
--- a/include/pimentoladder/Dispatch/ServerCondition.h
+++ b/include/pimentoladder/Dispatch/ServerCondition.h
@@ -18,6 +18,7 @@
 #include "pimentoladder/Base/Time.h"
 #include "pimentoladder/Dispatch/FleetRate.h"
 #include "pimentoladder/Dispatch/SendWindow.h"
+#include "pimentoladder/Dispatch/ServerSpeed.h"
 #include "pimentoladder/Protocol/Messages.h"
 
 namespace pimentoladder {
@@ -40,6 +41,7 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    std::optional<double> slowness {}; ///< Time that work takes at this moment, as a multiple of the usual time, if it reports it.
 };
 
 /// What a response says about the request rate that its server takes.
@@ -62,13 +64,6 @@
 /// Number of this router's last requests to a server that a `fleet_rate` takes into account.
 inline constexpr std::size_t rateHistory = 4;
 
-/// Prompt tokens that an engine reads per millisecond; 51.1 is specified for the engines
-/// of the supported deployments.
-inline constexpr double prefillTokensPerMillisecond = 51.1;
-
-/// Returns the time an engine needs to read \p tokens. Thread-safe.
-duration prefillTime(double tokens);
-
 /// Returns the hashes of the prompt's prefixes: entry i identifies parts 0 to i.
 /// Thread-safe.
 std::vector<std::uint64_t> prefixHashes(const std::vector<prompt_part>& parts);
@@ -79,7 +74,7 @@
 class server_condition {
 public:
     /// Counts an attempt that is about to be sent.
-    /// \p uncachedTokens: prompt tokens that the server has to read for it.
+    /// \p uncachedTokens: prompt tokens that the server has to read for it; zero if it has no prompt.
     void started(time_point now, attempt_number attempt, double uncachedTokens);
 
     /// Records that the head of the response has arrived or, for a stream, its first event.
@@ -102,6 +97,9 @@
     /// router's, so that nothing is recorded.
     void unreachable(time_point now, time_point since);
 
+    /// Sets the speed of the server's pool; null: the defaults hold. \p speed outlives the condition.
+    void setPoolSpeed(const pool_speed* speed) { m_poolSpeed = speed; }
+
     /// Sets by how much a request that waits for a slot delays those behind it.
     void setDelayPerWaiting(duration delay) { m_delayPerWaiting = delay; }
 
@@ -113,7 +111,13 @@
     /// nothing if there is nothing new.
     std::optional<server_observation> takeObservation(time_point now, const server_id& server);
 
-    /// Applies the recent observations of all routers.
+    /// Returns the last response that tells the server's speed, without the names, or nothing if
+    /// there is none since the last call.
+    /// A response is left out if other routers report meanwhile that the server had a queue.
+    std::optional<speed_sample> takeSample(time_point now);
+
+    /// Applies the recent observations of all routers. Precondition: what was learnt of the server's
+    /// speed is of this incarnation.
     void observedByFleet(time_point now, const server_observation& seen);
 
     /// Sets the request limit that the server named in a response to an attempt that was
@@ -179,9 +183,14 @@
     bool limitSeenByFleet(time_point now, const server_rate_limit& seen);
 
     /// Returns the expected time until the first event of a request for which
-    /// the server reads \p uncachedTokens.
+    /// the server reads \p uncachedTokens; zero: a request without a prompt, which each
+    /// request in progress of this router delays.
     duration expectedFirstEvent(time_point now, double uncachedTokens) const;
 
+    /// Returns the part of `expectedFirstEvent` that the request would take if the server were idle;
+    /// without tokens, the part that any request takes.
+    duration ownTime(time_point now, double uncachedTokens) const;
+
     /// Returns the prompt tokens that the server has to read, assuming that it still caches
     /// the prefixes recorded for it. \p hashes are the prompt's `prefixHashes`.
     double uncachedTokens(const prompt_work& work, const std::vector<std::uint64_t>& hashes) const;
@@ -196,11 +205,20 @@
     struct running_attempt {
         time_point startedAt;
         double uncachedTokens = 0;
-        duration expected {};
+        server_work work;
+        duration expected {}; ///< Without the excess delay.
+        bool isTypical = false; ///< The server was neither cold nor known to have a queue, so that its response tells its speed.
         bool hasResponded = false;
     };
 
     bool applyLimit(time_point at, const named_limit& named, bool isOwn);
+    bool hasCurrentLoad(time_point now) const;
+    server_work workFor(time_point now, double uncachedTokens) const;
+    duration usualTime(const server_work& work) const;
+    double slowness(time_point now) const;
+    double momentarySlowness(time_point now) const;
+    duration waitingTime(time_point now) const;
+    bool hasReportedQueue(time_point now) const;
     double pendingTokens() const;
     double othersPending(time_point now) const;
     bool hasRecentSample(time_point now) const;
@@ -209,10 +227,14 @@
 
     std::unordered_map<attempt_number, running_attempt> m_attempts;
     std::unordered_set<std::uint64_t> m_cachedPrefixes; ///< Hashes of the prefixes that the server is assumed to cache.
+    const pool_speed* m_poolSpeed = nullptr;
+    server_speed m_speed;
+    std::optional<speed_sample> m_sample; ///< Without the names.
     std::optional<duration> m_delayPerWaiting;
     reported_load m_load;
     time_point m_loadAt; ///< When the server reported it.
     bool m_isLoadOwn = false; ///< It came with a response to this router.
+    time_point m_slownessAt; ///< When the server reported the slowness, which only its own responses carry.
     duration m_excessDelay {}; ///< Smoothed delay beyond the expected one, as of m_excessDelayAt.
     time_point m_excessDelayAt;
     duration m_fleetDelay {}; ///< Smoothed delay observed by all routers, as of m_fleetDelayAt.
--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -22,6 +22,10 @@
     data_centre_id ownDataCentre;
     vm_id self;
     std::size_t coldSenders = 8; ///< Number of routers that may send to one cold server.
+    /// Whether estimates use learnt speeds, and reports of servers that state a slowness. Off, they
+    /// are learnt and shown in the metrics only, and the defaults hold: on one of three deployments
+    /// the worth of a day was less by 0.02 to 0.03 (docs/measurements.md).
+    bool usesServerSpeed = false;
     duration maxRest = std::chrono::seconds(30); ///< Longest time for which a server that turned a request away is left alone.
     std::size_t coldShares = 12; ///< Number of parts into which a cold server's allowed request rate is split; more than coldSenders because the routers' views of the members may differ.
 };
@@ -52,6 +56,8 @@
 struct selected_server {
     server_id server;
     duration expectedFirstEvent {};
+    duration baseTime {}; ///< The part of it that any request takes.
+    duration ownTime {}; ///< The part of it that the request would take if the server were idle, with the base time.
     double uncachedTokens = 0;
     std::size_t candidates = 0; ///< Servers that were compared.
     bool isCold = false;
@@ -80,6 +86,9 @@
     /// much each request that waits for a slot delays those behind it.
     void recordRun(const pool_id& pool, duration occupied);
 
+    /// Returns the learnt speed of each pool that has had a server.
+    const std::map<pool_id, pool_speed>& speeds() const { return m_speeds; }
+
     /// Discards the state of a server that is new or has restarted, except the rest of one whose
     /// registration lapsed for a moment.
     void reset(const server_id& server);
@@ -115,6 +124,13 @@
     /// Returns this router's observations of servers since the last call.
     std::vector<server_observation> takeObservations(time_point now);
 
+    /// Returns a few of this router's responses since the last call that tell the speed of servers.
+    /// Without recent sums of the fleet there are none, since nothing is known of queues.
+    std::vector<speed_sample> takeSamples(time_point now);
+
+    /// Applies what all routers have learnt of the speed of pools.
+    void adoptSpeeds(const std::vector<pool_speed_entry>& speeds);
+
     /// Applies the observations of servers by all routers.
     void observedByFleet(time_point now, const std::vector<server_observation>& seen);
 
@@ -171,7 +187,7 @@
     void refreshKnown();
     bool hasWantedVersion(const server_id& server, const selection_request& wanted) const;
     std::vector<candidate> candidatesFor(time_point now, const selection_request& wanted, bool isEjectionIgnored);
-    selected_server assess(time_point now, const candidate& assessed, const selection_request& wanted, const std::vector<std::uint64_t>& hashes) const;
+    selected_server assess(time_point now, const candidate& assessed, const selection_request& wanted, const std::vector<std::uint64_t>& hashes, bool keepsSharedParts) const;
     std::optional<fleet_rate> coldRate(const pool_id& pool) const;
     bool isLeaving(const server_id& server) const;
     duration returnDelay(const server_id& server) const;
@@ -180,7 +196,8 @@
     const fleet_view& m_fleet;
     selection_limits m_limits;
     random_source m_random;
-    std::map<server_id, server_condition> m_conditions;
+    std::map<pool_id, pool_speed> m_speeds; ///< One for each pool that has had a server.
+    std::map<server_id, server_condition> m_conditions; ///< Refer to m_speeds.
     /// Incarnations that have announced that they leave. They are kept beyond their
     /// registration, which may come back from the store.
     std::map<server_id, departure> m_leaving;
@@ -188,6 +205,8 @@
     std::vector<known_server> m_known; ///< Points into m_conditions.
     std::optional<std::uint64_t> m_knownVersion; ///< Version of the access index that m_known was built from.
     std::vector<vm_id> m_routers;
+    std::size_t m_sampleOffset = 0;
+    std::optional<time_point> m_observedAt; ///< Of the last observations of all routers.
     std::map<pool_id, duration> m_runTimes; ///< Smoothed, of the requests of each pool.
 };
 
--- a/include/pimentoladder/Dispatch/WorkspaceShare.h
+++ b/include/pimentoladder/Dispatch/WorkspaceShare.h
@@ -12,6 +12,7 @@
 
 #include "pimentoladder/Base/Ids.h"
 #include "pimentoladder/Base/Time.h"
+#include "pimentoladder/Dispatch/ServerSpeed.h"
 #include "pimentoladder/Protocol/Messages.h"
 
 namespace pimentoladder {
@@ -100,13 +101,22 @@
         time_point loadAt;
     };
 
+    struct learnt_server {
+        incarnation start;
+        server_speed speed;
+        time_point learntAt;
+    };
+
     void observe(time_point now, const server_observation& seen);
+    void learn(time_point now, const speed_sample& sample);
     void forgetExcess(time_point now);
 
     usage_decay m_sums;
     time_point m_excessForgottenAt;
     std::map<member_ref, reporter> m_reporters;
     std::map<server_id, observed_server> m_servers;
+    std::map<pool_id, pool_speed> m_poolSpeeds;
+    std::map<server_id, learnt_server> m_serverSpeeds;
 };
 
 /// Computes how much of its fair share each workspace has used. It adds this
--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -277,6 +277,12 @@
     cost_units admitted = 0;
 };
 
+/// Learnt speed of one incarnation of a backend server.
+struct learnt_slowness {
+    incarnation start;
+    double slowness = 1; ///< Time that it takes, as a multiple of its pool's.
+};
+
 /// Recent performance of a backend server.
 struct server_observation {
     server_id server;
@@ -285,6 +291,24 @@
     std::uint32_t waiting = 0; ///< As reported by the server.
     double pendingTokens = 0; ///< Prompt tokens sent to the server that it has not processed yet.
     std::optional<duration> loadAge {}; ///< Of the server's report; nothing: the sender has no recent one.
+    std::optional<learnt_slowness> learnt {}; ///< Only in sums; nothing if it is not known.
+};
+
+/// First event of a request at a backend server that had no queue, and what the server did until then.
+struct speed_sample {
+    server_id server;
+    incarnation start; ///< Of the server.
+    pool_id pool;
+    double tokens = 0; ///< Prompt tokens that the server read.
+    double running = 0; ///< Requests that the server ran, as reported; zero if it was not known.
+    double plainInProgress = 0; ///< The sender's requests without a prompt that the server had not completed.
+    duration taken {}; ///< At the server's usual speed.
+};
+
+/// Learnt speed of the servers of one pool.
+struct pool_speed_entry {
+    pool_id pool;
+    std::vector<double> milliseconds; ///< By coefficient of `pool_speed`.
 };
 
 /// Model tokens that the sender's requests have asked for and received since its
@@ -293,6 +317,7 @@
 struct usage_report {
     std::vector<usage_entry> entries;
     std::vector<server_observation> observed;
+    std::vector<speed_sample> samples {}; ///< Of the time since the last report; a few, if there were many.
 };
 
 /// Model tokens of late, weighted by age, at all routers that report to the sender, and
@@ -301,6 +326,7 @@
     std::uint32_t routers = 0; ///< Number of routers that have reported lately.
     std::vector<usage_entry> entries;
     std::vector<server_observation> observed;
+    std::vector<pool_speed_entry> speeds {}; ///< Learnt from the samples of all routers.
 };
 
 /// What a response of a backend server says about the request rate that it takes.
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -1,7 +1,9 @@
 #include "pimentoladder/Daemon/DispatchReport.h"
 
+#include <array>
 #include <cmath>
 #include <sstream>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -17,6 +19,15 @@
     // Use of the link above which its traffic is logged.
     constexpr double busyLinkUse = 0.7;
 
+    // Label of each learnt time in the metrics.
+    constexpr std::array<std::pair<std::string_view, pool_speed::coefficient>, pool_speed::coefficients> speedNames { {
+        { "request", pool_speed::base },
+        { "thousand_tokens", pool_speed::perThousandTokens },
+        { "squared_thousand_tokens", pool_speed::perSquaredThousand },
+        { "running_request", pool_speed::perRunning },
+        { "plain_request", pool_speed::perPlainRequest },
+    } };
+
     // Two decimals suffice and keep the lines short.
     double roundToHundredths(double value)
     {
@@ -161,6 +172,18 @@
             { "source", source } });
 }
 
+void dispatch_report::perform(const unreadable_load& received)
+{
+    m_metrics.count("pimentoladder_unreadable_loads_total", {});
+    const time_point now = m_driver.loop().now();
+    const bool isRecent = m_unreadableLoadAt && now - *m_unreadableLoadAt < unreadableLoadInterval;
+    if (isRecent || !mayWrite())
+        return;
+    m_unreadableLoadAt = now;
+    m_log.write(log_level::warning, "server_load_unreadable",
+        { { "server", std::string_view(received.server.value()) }, { "text", std::string_view(received.text) } });
+}
+
 void dispatch_report::recordClose(const server_close& closing)
 {
     const std::string_view reason = serverCloseReasonName(closing.reason);
@@ -226,6 +249,11 @@
     m_metrics.set("pimentoladder_loop_lag_seconds", {}, std::chrono::duration<double>(m_driver.loopLag()).count());
     m_metrics.set("pimentoladder_log_lines_omitted", {}, static_cast<double>(m_allowance.totalOmitted()));
     m_metrics.set("pimentoladder_log_lines_dropped", {}, static_cast<double>(m_log.droppedLines()));
+    for (const auto& [pool, speed] : core.speeds()) {
+        const pool_speed::coefficient_values& learnt = speed.values();
+        for (const auto& [name, unit] : speedNames)
+            m_metrics.set("pimentoladder_pool_speed_seconds", { { "pool", pool.value() }, { "per", std::string(name) } }, std::chrono::duration<double>(std::chrono::duration<double, std::milli>(learnt[unit])).count());
+    }
     if (const auto age = core.fleet().basisAge(now))
         m_metrics.set("pimentoladder_basis_age_seconds", {}, std::chrono::duration<double>(*age).count());
     return m_metrics.text();
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -261,7 +261,7 @@
 {
     const std::vector<prompt_part>& parts = request.received.prompt->parts;
     const double ownTokens = parts.empty() ? best.uncachedTokens : parts.back().tokens;
-    return { request.target.objective, best.expectedFirstEvent, best.uncachedTokens, ownTokens, request.share, m_loopLag, best.isLimited };
+    return { request.target.objective, best.expectedFirstEvent, best.uncachedTokens, ownTokens, request.share, m_loopLag, best.isLimited, best.baseTime, best.ownTime };
 }
 
 bool dispatcher::isAdmissible(tracked_request& request, const selected_server& best)
@@ -380,8 +380,10 @@
         return out;
     server_condition& condition = m_selector.condition(request->server);
     condition.heard(now);
-    if (head.load)
+    if (head.load && (m_limits.selection.usesServerSpeed || !head.load->slowness))
         condition.setLoad(now, *head.load);
+    if (!head.unreadableLoad.empty())
+        out.push_back(unreadable_load { request->server, head.unreadableLoad });
     const bool isFromServer = head.isFromExpectedAttempt && !head.isMisdirected;
     if (isFromServer && condition.setLimit(now, head.limit, request->openedAt))
         out.push_back(limit_change { request->server, head.limit.notice, head.limit.perSecond, head.limit.text, true, {} });
@@ -880,6 +882,7 @@
 {
     usage_report taken = m_share.report();
     taken.observed = m_selector.takeObservations(now);
+    taken.samples = m_selector.takeSamples(now);
     for (const auto& [id, server] : m_fleet.servers())
         m_versions.use(now, server.pool, server.softwareVersion);
     return taken;
@@ -889,6 +892,7 @@
 {
     m_share.setFleet(now, totals);
     m_selector.observedByFleet(now, totals.observed);
+    m_selector.adoptSpeeds(totals.speeds);
 }
 
 dispatch_actions dispatcher::onServerLimits(time_point now, const server_rate_limits& received)
--- a/lib/Dispatch/PromptAdmission.cpp
+++ b/lib/Dispatch/PromptAdmission.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "pimentoladder/Dispatch/ServerCondition.h"
+#include "pimentoladder/Dispatch/ServerSpeed.h"
 
 namespace pimentoladder {
 
@@ -49,15 +49,17 @@
         : maxObjectiveFraction + (objectiveFraction - maxObjectiveFraction) * estimate.share.ofLargest;
     const double excess = std::max(1.0, estimate.share.ofServed / servedTolerance);
     const double fraction = usual / std::pow(excess, excessExponent);
-    const auto limit = std::chrono::duration<double>(estimate.objective) * fraction;
+    // No choice of a server and no shorter queue saves the base time, so it is no reason to refuse.
+    const auto limit = std::chrono::duration<double>(std::max(estimate.objective - estimate.baseTime, duration::zero())) * fraction;
     // Reading a large prompt alone takes most of the objective. Such a request is refused
     // only for the delay caused by other requests; otherwise it would never be served.
-    const std::chrono::duration<double> own = prefillTime(estimate.uncachedTokens);
+    const duration ownTime = estimate.ownTime.value_or(prefillTime(estimate.uncachedTokens));
+    const std::chrono::duration<double> own = ownTime - estimate.baseTime;
     // The lag of this router does not count for a workspace that was not served more than its
     // share, because it may come from refusing requests of other workspaces, or all of its own.
     const bool countsLag = isBeyondShare && estimate.share.ofServed > servedTolerance;
     const duration lateness = countsLag ? estimate.loopLag * loopTurnsPerRequest : duration::zero();
-    const std::chrono::duration<double> othersDelay = estimate.expectedFirstEvent - prefillTime(estimate.uncachedTokens) + lateness;
+    const std::chrono::duration<double> othersDelay = estimate.expectedFirstEvent - ownTime + lateness;
     return othersDelay + std::min(own, limit * maxOwnPromptFraction) <= limit;
 }
 
--- a/lib/Dispatch/ServerCondition.cpp
+++ b/lib/Dispatch/ServerCondition.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace pimentoladder {
 
@@ -16,8 +17,6 @@
     constexpr duration excessDelayHalfLife = 1s;
     // Delay by a request that waits for a slot, until the run time and the slots are known.
     constexpr duration usualDelayPerWaiting = 50ms;
-    // Each running request makes every step of the engine some tens of microseconds longer.
-    constexpr duration delayPerRunning = 300us;
     // Maximum age of a load report that is used.
     constexpr duration loadLifetime = 1s;
     // Average fraction of the pending tokens of other routers that is still to be read.
@@ -77,11 +76,6 @@
 
 }
 
-duration prefillTime(double tokens)
-{
-    return scaled(1ms, tokens / prefillTokensPerMillisecond);
-}
-
 std::vector<std::uint64_t> prefixHashes(const std::vector<prompt_part>& parts)
 {
     // Multiplier of the splitmix64 generator; spreads adjacent ids over all bits.
@@ -112,8 +106,11 @@
 
 void server_condition::started(time_point now, attempt_number attempt, double uncachedTokens)
 {
-    const duration expected = expectedFirstEvent(now, uncachedTokens);
-    m_attempts[attempt] = { now, uncachedTokens, expected - excessDelay(now), false };
+    const server_work work = workFor(now, uncachedTokens);
+    const duration waiting = waitingTime(now);
+    const bool hasQueue = waiting > duration::zero() || pendingTokens() > 0 || hasReportedQueue(now);
+    const bool isTypical = !isCold(now) && !hasQueue;
+    m_attempts[attempt] = { now, uncachedTokens, work, scaled(usualTime(work), slowness(now)) + waiting, isTypical, false };
     std::shift_right(m_lastStarts.begin(), m_lastStarts.end(), 1);
     m_lastStarts.front() = now;
 }
@@ -124,6 +121,8 @@
     if (found == m_attempts.end() || found->second.hasResponded)
         return;
     found->second.hasResponded = true;
+    if (const running_attempt& typical = found->second; typical.isTypical)
+        m_sample = speed_sample { {}, {}, {}, typical.work.tokens, typical.work.running, typical.work.plainInProgress, scaled(now - typical.startedAt, 1 / momentarySlowness(now)) };
     const duration sample = std::max(duration::zero(), now - found->second.startedAt - found->second.expected);
     m_excessDelay = scaled(decayed(m_excessDelay, now - m_excessDelayAt), 1 - excessDelayGain) + scaled(sample, excessDelayGain);
     m_excessDelayAt = now;
@@ -157,6 +156,8 @@
 {
     m_fleetDelay = seen.delay;
     m_fleetDelayAt = now;
+    if (seen.learnt)
+        m_speed.adopt(now, seen.learnt->slowness);
     m_othersPending = std::max(0.0, seen.pendingTokens - m_reportedPending) * unreadFractionOfPending;
     if (!seen.loadAge || now - *seen.loadAge <= m_loadAt)
         return;
@@ -218,6 +219,7 @@
 {
     m_load = load;
     m_loadAt = now;
+    m_slownessAt = now;
     m_isLoadOwn = true;
 }
 
@@ -351,12 +353,57 @@
     return std::max(seen, longestOverdue(now));
 }
 
+bool server_condition::hasCurrentLoad(time_point now) const
+{
+    return now - m_loadAt <= loadLifetime;
+}
+
+server_work server_condition::workFor(time_point now, double uncachedTokens) const
+{
+    const double running = hasCurrentLoad(now) ? m_load.running : 0;
+    const double plain = uncachedTokens > 0 ? 0 : static_cast<double>(m_attempts.size());
+    return { pendingTokens() + othersPending(now) + uncachedTokens, uncachedTokens, running, plain };
+}
+
+duration server_condition::usualTime(const server_work& work) const
+{
+    return m_poolSpeed ? m_poolSpeed->timeFor(work) : pool_speed().timeFor(work);
+}
+
+double server_condition::momentarySlowness(time_point now) const
+{
+    return expectedSlowness(m_load.slowness.value_or(1), now - m_slownessAt);
+}
+
+double server_condition::slowness(time_point now) const
+{
+    return m_speed.slowness(now) * momentarySlowness(now);
+}
+
+duration server_condition::waitingTime(time_point now) const
+{
+    return hasCurrentLoad(now) ? m_load.waiting * m_delayPerWaiting.value_or(usualDelayPerWaiting) : duration::zero();
+}
+
+bool server_condition::hasReportedQueue(time_point now) const
+{
+    return now - m_fleetDelayAt <= fleetLifetime && m_othersPending > 0;
+}
+
+std::optional<speed_sample> server_condition::takeSample(time_point now)
+{
+    const auto taken = std::exchange(m_sample, std::nullopt);
+    return hasReportedQueue(now) ? std::nullopt : taken;
+}
+
 duration server_condition::expectedFirstEvent(time_point now, double uncachedTokens) const
 {
-    duration expected = excessDelay(now) + prefillTime(pendingTokens() + othersPending(now) + uncachedTokens);
-    if (now - m_loadAt <= loadLifetime)
-        expected += m_load.waiting * m_delayPerWaiting.value_or(usualDelayPerWaiting) + m_load.running * delayPerRunning;
-    return expected;
+    return excessDelay(now) + scaled(usualTime(workFor(now, uncachedTokens)), slowness(now)) + waitingTime(now);
+}
+
+duration server_condition::ownTime(time_point now, double uncachedTokens) const
+{
+    return scaled(usualTime({ uncachedTokens, uncachedTokens, 0, 0 }), slowness(now));
 }
 
 double server_condition::uncachedTokens(const prompt_work& work, const std::vector<std::uint64_t>& hashes) const
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -17,8 +17,6 @@
     // Penalty for each rank in a prefix's rendezvous order, so that all routers overflow to
     // the same server.
     constexpr duration delayPerRank = 8ms;
-    // Expected delay that each request in progress adds at a service without prompts.
-    constexpr duration serviceTimePerRequest = 15ms;
 
     // After a server's rest the number of routers that may send to it doubles at this interval,
     // so that they do not all return at once.
@@ -27,6 +25,12 @@
     // Leaving servers that are remembered while they are not registered; each takes about 100 bytes.
     constexpr std::size_t maxUnregisteredLeaving = 4096;
 
+    // Samples of servers' speeds in one report. At 340 routers and three reports a second, readers
+    // get 4,000 a second, which teaches them each pool within a second.
+    constexpr std::size_t maxSamples = 4;
+    // Age of the fleet's observations up to which they tell which servers have a queue.
+    constexpr duration observationLifetime = 1s;
+
     // Weight of a request in the smoothed run time of its pool.
     constexpr double runTimeGain = 0.05;
 
@@ -138,6 +142,10 @@
     m_known.clear();
     for (const backend_server* each : access.servers()) {
         const registered_server* registered = m_fleet.findServer(each->id);
+        if (registered) {
+            const pool_speed& speed = m_speeds[registered->pool];
+            m_conditions[each->id].setPoolSpeed(m_limits.usesServerSpeed ? &speed : nullptr);
+        }
         m_known.push_back({ &m_conditions[each->id], hashName(each->id.value()), registered ? registered->slots : 0 });
     }
 }
@@ -159,11 +167,49 @@
     return taken;
 }
 
+std::vector<speed_sample> server_selector::takeSamples(time_point now)
+{
+    std::vector<speed_sample> taken;
+    const bool areQueuesKnown = m_observedAt && now - *m_observedAt <= observationLifetime;
+    for (auto& [id, condition] : m_conditions) {
+        auto sample = condition.takeSample(now);
+        const registered_server* registered = m_fleet.findServer(id);
+        if (!sample || !registered || !areQueuesKnown)
+            continue;
+        sample->server = id;
+        sample->start = registered->start;
+        sample->pool = registered->pool;
+        taken.push_back(std::move(*sample));
+    }
+    if (taken.size() > maxSamples) {
+        // Another part of the servers comes first each time.
+        m_sampleOffset = (m_sampleOffset + maxSamples) % taken.size();
+        std::rotate(taken.begin(), taken.begin() + static_cast<std::ptrdiff_t>(m_sampleOffset), taken.end());
+        taken.resize(maxSamples);
+    }
+    return taken;
+}
+
+void server_selector::adoptSpeeds(const std::vector<pool_speed_entry>& speeds)
+{
+    for (const pool_speed_entry& each : speeds) {
+        if (const auto known = m_speeds.find(each.pool); known != m_speeds.end())
+            known->second.adopt(each.milliseconds);
+    }
+}
+
 void server_selector::observedByFleet(time_point now, const std::vector<server_observation>& seen)
 {
+    m_observedAt = now;
     for (const server_observation& each : seen) {
-        if (m_fleet.findServer(each.server))
-            m_conditions[each.server].observedByFleet(now, each);
+        const registered_server* registered = m_fleet.findServer(each.server);
+        if (!registered)
+            continue;
+        server_observation current = each;
+        const bool isUsed = m_limits.usesServerSpeed && each.learnt && each.learnt->start == registered->start;
+        if (!isUsed)
+            current.learnt.reset();
+        m_conditions[each.server].observedByFleet(now, current);
     }
 }
 
@@ -330,19 +376,19 @@
     return found;
 }
 
-selected_server server_selector::assess(time_point now, const candidate& assessed, const selection_request& wanted, const std::vector<std::uint64_t>& hashes) const
+selected_server server_selector::assess(time_point now, const candidate& assessed, const selection_request& wanted, const std::vector<std::uint64_t>& hashes, bool keepsSharedParts) const
 {
-    selected_server result { assessed.server->id, {}, 0, 0, assessed.isCold, wanted.limited == limited_servers::only };
+    selected_server result { assessed.server->id, {}, {}, {}, 0, 0, assessed.isCold, wanted.limited == limited_servers::only };
     const auto runTime = m_runTimes.find(wanted.pool);
     if (runTime != m_runTimes.end() && assessed.slots > 0)
         assessed.condition->setDelayPerWaiting(runTime->second / assessed.slots);
-    if (wanted.prompt) {
+    if (wanted.prompt)
         result.uncachedTokens = assessed.condition->uncachedTokens(*wanted.prompt, hashes);
-        result.expectedFirstEvent = assessed.condition->expectedFirstEvent(now, result.uncachedTokens);
-    } else {
-        result.expectedFirstEvent = assessed.condition->expectedFirstEvent(now, 0)
-            + assessed.condition->inFlight() * serviceTimePerRequest;
-    }
+    if (keepsSharedParts)
+        result.uncachedTokens = std::min<double>(result.uncachedTokens, wanted.prompt->parts.back().tokens);
+    result.expectedFirstEvent = assessed.condition->expectedFirstEvent(now, result.uncachedTokens);
+    result.baseTime = assessed.condition->ownTime(now, 0);
+    result.ownTime = assessed.condition->ownTime(now, result.uncachedTokens);
     if (assessed.server->dataCentre != m_limits.ownDataCentre)
         result.expectedFirstEvent += otherDataCentreDelay;
     return result;
@@ -374,15 +420,9 @@
     std::optional<selected_server> best;
     duration bestCost {};
     for (std::size_t rank = 0; rank < candidates.size(); ++rank) {
-        selected_server assessed = assess(now, candidates[rank], wanted, hashes);
-        if (hasSharedPart && rank == 0) {
-            // The preferred server is assumed to cache the shared parts, whichever router sent
-            // them there.
-            const double own = wanted.prompt->parts.back().tokens;
-            const double kept = std::min(assessed.uncachedTokens, own);
-            assessed.expectedFirstEvent -= prefillTime(assessed.uncachedTokens - kept);
-            assessed.uncachedTokens = kept;
-        }
+        // The preferred server is assumed to cache the shared parts, whichever router sent
+        // them there.
+        const selected_server assessed = assess(now, candidates[rank], wanted, hashes, hasSharedPart && rank == 0);
         const duration cost = assessed.expectedFirstEvent + (hasSharedPart ? static_cast<int>(rank) * delayPerRank : duration::zero());
         if (!best || cost < bestCost) {
             best = assessed;
--- a/lib/Dispatch/WorkspaceShare.cpp
+++ b/lib/Dispatch/WorkspaceShare.cpp
@@ -22,6 +22,10 @@
     constexpr duration maxFleetAge = 10s;
     // Time after which a router that has not reported is forgotten.
     constexpr duration reporterLifetime = 4s;
+    // What was learnt of a server's speed is forgotten after this time without a sample.
+    constexpr duration serverSpeedLifetime = 60s;
+    // Pools whose speed is learnt; each takes some 300 bytes, and 100 in each message.
+    constexpr std::size_t maxPools = 64;
     // Sums below this part of what the ones before have decayed to are of a reader that has
     // just started; sums of different readers differ by the reports on the way.
     constexpr double minCompleteness = 0.7;
@@ -120,6 +124,9 @@
         observe(now, seen);
         found->second.pendingTokens[seen.server] = seen.pendingTokens;
     }
+    std::erase_if(m_serverSpeeds, [&](const auto& each) { return now - each.second.learntAt > serverSpeedLifetime; });
+    for (const speed_sample& sample : reported.samples)
+        learn(now, sample);
     for (const usage_entry& entry : reported.entries) {
         workspace_usage& counted = found->second.counted[entry.workspace];
         const workspace_usage grown { entry.asked - counted.asked, entry.admitted - counted.admitted };
@@ -141,6 +148,23 @@
         m_sums.forgetAdmittedBeyond(now, workspace, maxRememberedShares * shareOf(usage, workspace, served));
 }
 
+void usage_aggregator::learn(time_point now, const speed_sample& sample)
+{
+    if (!m_poolSpeeds.contains(sample.pool) && m_poolSpeeds.size() >= maxPools)
+        return;
+    learnt_server& server = m_serverSpeeds[sample.server];
+    // A router that has not heard of a restart still reports the former start.
+    if (sample.start < server.start)
+        return;
+    if (sample.start != server.start)
+        server = { sample.start, {}, now };
+    server.learntAt = now;
+    pool_speed& pool = m_poolSpeeds[sample.pool];
+    const server_work work { sample.tokens, sample.tokens, sample.running, sample.plainInProgress };
+    server.speed.record(now, work, sample.taken, pool);
+    pool.record(now, work, sample.taken);
+}
+
 void usage_aggregator::observe(time_point now, const server_observation& seen)
 {
     const auto [found, isNew] = m_servers.try_emplace(seen.server, observed_server { seen.delay, now, {}, {} });
@@ -177,8 +201,12 @@
         server_observation summed { id, server.delay, server.load.running, server.load.waiting, pending[id] };
         if (now - server.loadAt <= observationLifetime)
             summed.loadAge = now - server.loadAt;
+        if (const auto learnt = m_serverSpeeds.find(id); learnt != m_serverSpeeds.end() && learnt->second.speed.isKnown())
+            summed.learnt = learnt_slowness { learnt->second.start, learnt->second.speed.slowness(now) };
         all.observed.push_back(summed);
     }
+    for (const auto& [pool, speed] : m_poolSpeeds)
+        all.speeds.push_back({ pool, { speed.values().begin(), speed.values().end() } });
     return all;
 }
 
--- a/lib/Wire/MessageDecoder.cpp
+++ b/lib/Wire/MessageDecoder.cpp
@@ -198,7 +198,25 @@
     server_observation read(const wire::Observation& source, field_reader& fields)
     {
         return { fields.requiredName<server_id>(source.server(), "server"), std::chrono::microseconds(source.delay()), source.running(), source.waiting(),
-            fields.nonNegative(source.pending_tokens(), "pending_tokens"), optionalDuration(source.load_age()) };
+            fields.nonNegative(source.pending_tokens(), "pending_tokens"), optionalDuration(source.load_age()),
+            source.slowness() ? std::optional<learnt_slowness>({ incarnation(source.start()), fields.nonNegative(*source.slowness(), "slowness") }) : std::nullopt };
+    }
+
+    speed_sample read(const wire::SpeedSample& source, field_reader& fields)
+    {
+        return { fields.requiredName<server_id>(source.server(), "server"), incarnation(source.start()), fields.requiredName<pool_id>(source.pool(), "pool"),
+            fields.nonNegative(source.tokens(), "tokens"), fields.nonNegative(source.running(), "running"),
+            fields.nonNegative(source.plain_in_progress(), "plain_in_progress"), std::chrono::microseconds(source.taken()) };
+    }
+
+    pool_speed_entry read(const wire::PoolSpeed& source, field_reader& fields)
+    {
+        pool_speed_entry entry { fields.requiredName<pool_id>(source.pool(), "pool"), {} };
+        if (!source.milliseconds())
+            return entry;
+        for (const double each : *source.milliseconds())
+            entry.milliseconds.push_back(fields.nonNegative(each, "milliseconds"));
+        return entry;
     }
 
     server_rate_limit read(const wire::ServerRateLimit& source, field_reader& fields)
@@ -385,12 +403,12 @@
 
     message read(const wire::UsageReport& source, field_reader& fields)
     {
-        return usage_report { readList(source.entries(), fields), readList(source.observed(), fields) };
+        return usage_report { readList(source.entries(), fields), readList(source.observed(), fields), readList(source.samples(), fields) };
     }
 
     message read(const wire::UsageTotals& source, field_reader& fields)
     {
-        return usage_totals { source.routers(), readList(source.entries(), fields), readList(source.observed(), fields) };
+        return usage_totals { source.routers(), readList(source.entries(), fields), readList(source.observed(), fields), readList(source.speeds(), fields) };
     }
 
     message read(const wire::StreamOrigins& source, field_reader& fields)
--- a/lib/Wire/MessageEncoder.cpp
+++ b/lib/Wire/MessageEncoder.cpp
@@ -139,7 +139,21 @@
     Offset<wire::Observation> write(FlatBufferBuilder& builder, const server_observation& source)
     {
         return wire::CreateObservation(builder, writeName(builder, source.server), roundedUpMicroseconds(source.delay), source.running, source.waiting,
-            source.pendingTokens, optionalMicroseconds(source.loadAge));
+            source.pendingTokens, optionalMicroseconds(source.loadAge), source.learnt ? flatbuffers::Optional<float>(static_cast<float>(source.learnt->slowness)) : flatbuffers::nullopt,
+            source.learnt ? source.learnt->start.value() : 0);
+    }
+
+    Offset<wire::SpeedSample> write(FlatBufferBuilder& builder, const speed_sample& source)
+    {
+        const auto pool = writeName(builder, source.pool);
+        return wire::CreateSpeedSample(builder, writeName(builder, source.server), source.start.value(), pool, static_cast<float>(source.tokens),
+            static_cast<float>(source.running), static_cast<float>(source.plainInProgress), roundedUpMicroseconds(source.taken));
+    }
+
+    Offset<wire::PoolSpeed> write(FlatBufferBuilder& builder, const pool_speed_entry& source)
+    {
+        const auto pool = writeName(builder, source.pool);
+        return wire::CreatePoolSpeed(builder, pool, builder.CreateVector(source.milliseconds));
     }
 
     Offset<wire::Suspect> write(FlatBufferBuilder& builder, const crash_suspect& source)
@@ -303,13 +317,15 @@
     Offset<wire::UsageReport> write(FlatBufferBuilder& builder, const usage_report& source)
     {
         const auto entries = writeList(builder, source.entries);
-        return wire::CreateUsageReport(builder, entries, writeList(builder, source.observed));
+        const auto observed = writeList(builder, source.observed);
+        return wire::CreateUsageReport(builder, entries, observed, writeList(builder, source.samples));
     }
 
     Offset<wire::UsageTotals> write(FlatBufferBuilder& builder, const usage_totals& source)
     {
         const auto entries = writeList(builder, source.entries);
-        return wire::CreateUsageTotals(builder, source.routers, entries, writeList(builder, source.observed));
+        const auto observed = writeList(builder, source.observed);
+        return wire::CreateUsageTotals(builder, source.routers, entries, observed, writeList(builder, source.speeds));
     }
 
     Offset<wire::ServerLoss> write(FlatBufferBuilder& builder, const server_loss& source)
--- a/unittests/Dispatch/PromptAdmissionTests.cpp
+++ b/unittests/Dispatch/PromptAdmissionTests.cpp
@@ -31,6 +31,26 @@
     CHECK_FALSE(shouldAdmitPrompt(estimate));
 }
 
+// Guards against refusing at idle engines whose every request takes long: a workspace beyond its share
+// would be sent nothing, however idle they are.
+TEST_CASE("time that a server needs for any request is no reason to refuse")
+{
+    prompt_estimate estimate = typicalEstimate();
+    estimate.share = { 4, 1 };
+    estimate.baseTime = 125ms;
+    estimate.ownTime = 145ms;
+    estimate.expectedFirstEvent = 145ms;
+    CHECK(shouldAdmitPrompt(estimate));
+    estimate.expectedFirstEvent = 250ms;
+    CHECK_FALSE(shouldAdmitPrompt(estimate));
+    // What others delay has less room, since the objective does not grow with the base time.
+    estimate.share = { 1, 1 };
+    estimate.expectedFirstEvent = 125ms + 330ms;
+    CHECK(shouldAdmitPrompt(estimate));
+    estimate.expectedFirstEvent = 125ms + 360ms;
+    CHECK_FALSE(shouldAdmitPrompt(estimate));
+}
+
 // Guards against workspaces that do not get their share while others keep the engines
 // busy: in FAIR on scale-1, one got 0.55 of the 1.48 million tokens that it was entitled to.
 TEST_CASE("a workspace with most of its share left may wait for most of the objective")
--- a/unittests/PlatformAdapter/RequestHeadersTests.cpp
+++ b/unittests/PlatformAdapter/RequestHeadersTests.cpp
@@ -89,6 +89,42 @@
     CHECK_FALSE(describe(200, { { "X-Instance-Load", "3" } }).load);
 }
 
+// Guards against engines whose load nobody knows because their reports have one figure more, and
+// against reports that are dropped in silence.
+TEST_CASE("a report of a server's load is decoded, whatever its length, and named if it is unreadable")
+{
+    const platform::request_headers codec;
+    const auto describe = [&](const std::string& text) { return codec.describeHead({ 200, { { "X-Instance-Load", text } } }, makeRequest()); };
+    struct readable_load {
+        const char* text;
+        std::uint32_t running;
+        std::optional<double> slowness;
+    };
+    for (const readable_load& each : { readable_load { "3,1,8", 3, {} }, { "3, 1, 8, 100", 3, 1 }, { "3,1,8,170", 3, 1.7 }, { "3,1,8,100000", 3, 4 }, { "0,1,8,1", 0, 0.25 }, { "3,1,8,50,77,new", 3, 0.5 }, { "1000000,1,8", 1'000'000, {} } }) {
+        CAPTURE(each.text);
+        const served_head head = describe(each.text);
+        REQUIRE(head.load);
+        CHECK(head.load->running == each.running);
+        CHECK(head.load->waiting == 1);
+        CHECK(head.load->slots == 8);
+        CHECK(head.load->slowness == each.slowness);
+        CHECK(head.unreadableLoad.empty());
+    }
+    for (const char* text : { "", "3", "3,1", "3,,8", "-3,1,8", "3,1,x", "nan,1,8", "1.5,1,8", "3;1;8", "3,1,1000001", "99999999999999999999,1,8", "3,1,18446744073709551615,100" }) {
+        CAPTURE(text);
+        CHECK_FALSE(describe(text).load);
+        CHECK(describe(text).unreadableLoad == std::string("X-Instance-Load: ") + text);
+    }
+    for (const char* text : { "3,1,8,0", "3,1,8,-100", "3,1,8,slow", "3,1,8,1.7", "3,1,8,99999999999" }) {
+        CAPTURE(text);
+        REQUIRE(describe(text).load);
+        CHECK_FALSE(describe(text).load->slowness);
+        CHECK_FALSE(describe(text).unreadableLoad.empty());
+    }
+    CHECK(describe(std::string(5000, 'x')).unreadableLoad.size() < 100);
+    CHECK(codec.describeHead({ 200, {} }, makeRequest()).unreadableLoad.empty());
+}
+
 // Guards against a limit that is missed or misread, and against values without a defined meaning.
 TEST_CASE("a server's request limit is decoded, whatever its value")
 {
--- a/unittests/Wire/MessageCodecTests.cpp
+++ b/unittests/Wire/MessageCodecTests.cpp
@@ -1,5 +1,6 @@
 #include "pimentoladder/Wire/MessageCodec.h"
 
+#include <limits>
 #include <random>
 
 #include <doctest/doctest.h>
@@ -101,6 +102,31 @@
     CHECK(reported.entries.at(0).firstByteLatency == 41ms);
 }
 
+// Guards against speeds that are lost or swapped on the wire, or that are no numbers.
+TEST_CASE("samples of servers' speeds and what was learnt from them keep their fields")
+{
+    const usage_report report { {}, {}, { { server_id("i-1"), incarnation(3), pool_id("llm"), 1500, 7, 2, 160ms } } };
+    const auto samples = std::get<usage_report>(*decodeKnown(encodeMessage(report))).samples;
+    REQUIRE(samples.size() == 1);
+    CHECK(samples[0].server == server_id("i-1"));
+    CHECK(samples[0].start == incarnation(3));
+    CHECK(samples[0].pool == pool_id("llm"));
+    CHECK(samples[0].tokens == 1500);
+    CHECK(samples[0].running == 7);
+    CHECK(samples[0].plainInProgress == 2);
+    CHECK(samples[0].taken == 160ms);
+    usage_totals totals { 8, {}, { { server_id("i-1"), 20ms, 3, 1, 500, {}, learnt_slowness { incarnation(3), 1.5 } }, { server_id("i-2"), 20ms } }, { { pool_id("llm"), { 20.5, 17, 0, 0.3, 15 } } } };
+    const auto received = std::get<usage_totals>(*decodeKnown(encodeMessage(totals)));
+    REQUIRE(received.observed.at(0).learnt);
+    CHECK(received.observed.at(0).learnt->slowness == 1.5);
+    CHECK(received.observed.at(0).learnt->start == incarnation(3));
+    CHECK_FALSE(received.observed.at(1).learnt);
+    CHECK(received.speeds.at(0).pool == pool_id("llm"));
+    CHECK(received.speeds.at(0).milliseconds == totals.speeds.at(0).milliseconds);
+    totals.speeds.at(0).milliseconds.at(1) = std::numeric_limits<double>::quiet_NaN();
+    CHECK_FALSE(decodeKnown(encodeMessage(totals)));
+}
+
 // Guards against positions that lose their era on the wire, and against a peer of a version
 // without eras whose position is taken for one of the first era.
 TEST_CASE("positions of rows and tables keep their era")
