Permits do not go in circles; learnt speed of servers is a setting

Each router sent the permits that it held to the readers, which sent them back to their followers. The age of a permit does not count its transit, so one that goes in a circle looks younger with each hop. Only owners, and readers for final ones, now send permits to the readers (test of rollout_coordinator).

The budget of a roll-out counts the requests that reached a server, not those that were refused.

--- a/include/pimentoladder/Daemon/RolloutDriver.h
+++ b/include/pimentoladder/Daemon/RolloutDriver.h
@@ -68,6 +68,7 @@
     void perform(const rollout_event& step);
     void countServers();
     void applyPermits();
+    void tellReadersOfPermits();
     void reportFigures(const rollout_report& own);
 
     rollout_driver_parts m_parts;
--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -22,9 +22,8 @@
     data_centre_id ownDataCentre;
     vm_id self;
     std::size_t coldSenders = 8; ///< Number of routers that may send to one cold server.
-    /// Whether estimates use learnt speeds, and reports of servers that state a slowness. Off, they
-    /// are learnt and shown in the metrics only, and the defaults hold: on one of three deployments
-    /// the worth of a day was less by 0.02 to 0.03 (docs/measurements.md).
+    /// Whether speeds of servers are learnt and used in estimates, with reports of servers that
+    /// state a slowness. Off, the usual speed holds for all.
     bool usesServerSpeed = false;
     duration maxRest = std::chrono::seconds(30); ///< Longest time for which a server that turned a request away is left alone.
     std::size_t coldShares = 12; ///< Number of parts into which a cold server's allowed request rate is split; more than coldSenders because the routers' views of the members may differ.
--- a/include/pimentoladder/Rollout/RolloutCoordinator.h
+++ b/include/pimentoladder/Rollout/RolloutCoordinator.h
@@ -106,6 +106,11 @@
     /// Returns the newest permits, with their ages; those that have ended are left out.
     rollout_permits permits(time_point now) const;
 
+    /// Returns the permits that the other readers are to learn from this router: those of its own
+    /// roll-outs, and final ones if it is a reader. A permit that is passed on in a circle would
+    /// look younger with each hop, as its age does not count its transit.
+    rollout_permits permitsForReaders(time_point now) const;
+
     /// Returns whether there is an order whose roll-out is not final, so that evidence is to be reported.
     bool isActive() const;
 
--- a/include/pimentoladder/Settings/Settings.h
+++ b/include/pimentoladder/Settings/Settings.h
@@ -113,6 +113,7 @@
     freshness_bounds freshness;
     retry_bounds retries;
     rollout_bounds rollouts;
+    std::string serverSpeed = "usual"; ///< `usual` or `learnt`: on which speed of backend servers estimates rest.
     double cores = 1; ///< CPU cores available to this VM; may be a fraction.
     std::string logLevel = "info";
 };
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -80,6 +80,7 @@
         dispatch_limits limits;
         limits.selection.ownDataCentre = configured.dataCentre;
         limits.selection.self = configured.vm;
+        limits.selection.usesServerSpeed = configured.serverSpeed == "learnt";
         limits.selection.maxRest = configured.timeouts.serverRest;
         limits.rollout = rolloutLimits(configured);
         limits.retryShare = configured.retries.share * retryBudgetFraction;
--- a/lib/Daemon/RolloutDriver.cpp
+++ b/lib/Daemon/RolloutDriver.cpp
@@ -87,12 +87,18 @@
         m_parts.tellReaders(own);
         onReport(m_self, own);
     }
-    if (rollout_permits held = permits(); !held.entries.empty())
-        m_parts.tellReaders(std::move(held));
+    tellReadersOfPermits();
     applyPermits();
     reportFigures(own);
 }
 
+void rollout_driver::tellReadersOfPermits()
+{
+    rollout_permits known = m_core.permitsForReaders(m_parts.dispatch.loop().now());
+    if (!known.entries.empty())
+        m_parts.tellReaders(std::move(known));
+}
+
 rollout_permits rollout_driver::permits() const
 {
     return m_orders.empty() ? rollout_permits {} : m_core.permits(m_parts.dispatch.loop().now());
@@ -181,9 +187,9 @@
 
 void rollout_driver::perform(const permits_changed&)
 {
-    const rollout_permits held = permits();
-    m_parts.tellReaders(held);
-    m_parts.tellFollowers(held);
+    tellReadersOfPermits();
+    if (rollout_permits held = permits(); !held.entries.empty())
+        m_parts.tellFollowers(std::move(held));
     applyPermits();
 }
 
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -170,6 +170,8 @@
 std::vector<speed_sample> server_selector::takeSamples(time_point now)
 {
     std::vector<speed_sample> taken;
+    if (!m_limits.usesServerSpeed)
+        return taken;
     const bool areQueuesKnown = m_observedAt && now - *m_observedAt <= observationLifetime;
     for (auto& [id, condition] : m_conditions) {
         auto sample = condition.takeSample(now);
--- a/lib/Rollout/RolloutCoordinator.cpp
+++ b/lib/Rollout/RolloutCoordinator.cpp
@@ -353,6 +353,16 @@
     return known;
 }
 
+rollout_permits rollout_coordinator::permitsForReaders(time_point now) const
+{
+    rollout_permits known = permits(now);
+    std::erase_if(known.entries, [this](const rollout_permit& each) {
+        const rollout& of = m_rollouts.at(each.pool);
+        return !of.isOwner && !(of.final && isReader());
+    });
+    return known;
+}
+
 bool rollout_coordinator::isActive() const
 {
     return std::any_of(m_rollouts.begin(), m_rollouts.end(), [](const auto& entry) { return entry.second.isActive(); });
@@ -560,6 +570,8 @@
     of.isDoubted = of.isDoubted || (of.brief != brief_step::none && of.verdict.isSuspect);
     of.verdict.isSuspect = of.verdict.isSuspect || of.isDoubted;
     of.verdict.isSound = of.verdict.isSound && !of.isDoubted;
+    // Requests that were refused for want of room reach no server, so they do not add to the budget.
+    const std::uint64_t reached = std::min(totals.requests, totals.all.target.sent + totals.all.current.sent);
     const bool isRateKnown = known > std::min<duration>(rateTime, of.order->length / rateTimeDivisor);
     const rollout_progress progress {
         .length = of.order->length,
@@ -568,7 +580,7 @@
         .share = of.own.share,
         .trialShare = of.trialShare,
         .brief = of.brief,
-        .perSecond = isRateKnown ? static_cast<double>(totals.requests) / known.count() : 0,
+        .perSecond = isRateKnown ? static_cast<double>(reached) / known.count() : 0,
         .exposed = totals.all.target.sent,
         .answers = totals.all.target.answers,
         .inProgress = totals.inProgress,
--- a/lib/Settings/Settings.cpp
+++ b/lib/Settings/Settings.cpp
@@ -218,6 +218,7 @@
         readFreshness(root.section("freshness", false), target.freshness);
         readRetries(root.section("retries", false), target.retries);
         readRollouts(root.section("rollouts", false), target.rollouts);
+        assignIfSet(target.serverSpeed, root.choice("server_speed", { "usual", "learnt" }));
         assignIfSet(target.cores, root.decimal("cores", { 0.01, 1024 }));
         readLog(root.section("log", false), target);
         root.finish();
--- a/unittests/Rollout/PermitTests.cpp
+++ b/unittests/Rollout/PermitTests.cpp
@@ -119,3 +119,19 @@
     router.core.onRead(start, std::vector { std::pair(record, revision(20)) });
     CHECK(router.core.permits(start + 1h).entries.front().state == rollout_state::reverted);
 }
+
+// Guards against a permit that goes in a circle between routers and looks younger with each hop.
+TEST_CASE("a permit of another owner is not sent back to the readers, a final one is")
+{
+    follower router;
+    router.core.setReaders({ vm_id("reader") }, 3);
+    router.core.onPermits(start, { { permitOf(1, 1, 0.5) } });
+    CHECK(router.core.permits(start).entries.size() == 1);
+    CHECK(router.core.permitsForReaders(start).entries.empty());
+    rollout_permit final = permitOf(1, 2, 1);
+    final.state = rollout_state::completed;
+    router.core.onPermits(start, { { final } });
+    CHECK(router.core.permitsForReaders(start).entries.empty());
+    router.core.setReaders({ vm_id("reader"), vm_id("z") }, 3);
+    CHECK(router.core.permitsForReaders(start).entries.size() == 1);
+}
