--- a/unittests/Dispatch/ServerSpeedTests.cpp
+++ b/unittests/Dispatch/ServerSpeedTests.cpp
@@ -236,7 +236,7 @@
         report.observed = busy.takeObservations(now);
         report.samples = busy.takeSamples(now);
         reader.onReport(now, { vm_id("busy"), incarnation(1) }, report);
-        const usage_totals totals = reader.totals(now);
+        usage_totals totals = reader.totals(now);
         for (server_selector* each : { &busy, &idle, &without }) {
             each->select(now, { workspace_id("school"), pool_id("llm"), &prompt, {} });
             each->observedByFleet(now, totals.observed);
