A completed roll-out does not keep requests from a later release

The order's row stays after the roll-out. A router that knew it as completed sent requests to servers of the target version only, for good, so that the servers of the next release got none and, once the last server of the target had left, every request was refused. Found by reading before the landing; nothing of it had been in service.

The rule now ends 10 s after the completion, when the old servers' registrations have ended, and at once if no server of the target version is left. The new test fails without the change. The test of the completion asked for 60 s with old servers that are still registered; it asks for 9 s now, since they stop at once.

--- a/include/pimentoladder/Dispatch/RolloutSplit.h
+++ b/include/pimentoladder/Dispatch/RolloutSplit.h
@@ -68,7 +68,12 @@
     /// Returns whether no pool has an order.
     bool isEmpty() const { return m_pools.empty(); }
 
-    /// Returns what is allowed for the pool, or nothing if it has no order.
+    /// Time from the completion after which the versions of the pool are no longer told apart, so
+    /// that a later release can replace the target version.
+    static constexpr duration settledTime = std::chrono::seconds(10);
+
+    /// Returns what is allowed for the pool, or nothing if it has no order, or was completed
+    /// `settledTime` ago.
     std::optional<rollout_rule> ruleOf(time_point now, const pool_id& pool) const;
 
     /// Counts a request for a pool; those without an order are ignored.
@@ -111,6 +116,7 @@
     struct held_permit {
         rollout_permit permit;
         time_point confirmedAt;
+        time_point learntAt; ///< When this router first had it.
     };
 
     struct route_evidence {
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -350,8 +350,11 @@
     const auto rule = m_rollouts.isEmpty() ? std::nullopt : m_rollouts.ruleOf(now, request.pool);
     if (!rule)
         return std::nullopt;
-    if (rule->state == rollout_state::completed)
-        return rule->target();
+    if (rule->state == rollout_state::completed) {
+        selection_request target { request.workspace, request.pool, nullptr, {} };
+        target.versions = rule->target();
+        return m_selector.hasServer(target) ? target.versions : std::nullopt;
+    }
     if (rule->share >= 1)
         return std::nullopt;
     // A router that has missed the permits must not refuse everything once the old servers have stopped.
@@ -415,9 +418,8 @@
     if (request.origin)
         return !isOriginWithdrawn(now, request);
     const bool isTarget = currentVersion(request) == rule->version;
-    if (!isTarget)
-        return rule->state != rollout_state::completed;
-    if (rule->share > 0)
+    const bool isCompleted = rule->state == rollout_state::completed;
+    if (isTarget ? rule->share > 0 : !isCompleted)
         return true;
     const auto allowed = allowedVersions(now, request);
     return !allowed || allowed->allows(currentVersion(request));
--- a/lib/Dispatch/RolloutSplit.cpp
+++ b/lib/Dispatch/RolloutSplit.cpp
@@ -97,7 +97,7 @@
 void rollout_split::setPermits(time_point now, const rollout_permits& received)
 {
     for (const rollout_permit& each : received.entries) {
-        const held_permit permit { each, now - std::max(each.age, duration::zero()) };
+        const held_permit permit { each, now - std::max(each.age, duration::zero()), now };
         const auto found = m_pools.find(each.pool);
         if (found != m_pools.end() && found->second.order == each.order)
             keep(found->second.held, permit);
@@ -116,6 +116,8 @@
     if (!held)
         return rule;
     rule.state = held->permit.state;
+    if (rule.state == rollout_state::completed && now - held->learntAt >= settledTime)
+        return std::nullopt;
     if (isFinal(rule.state))
         rule.share = rule.state == rollout_state::completed ? 1 : 0;
     else if (now - held->confirmedAt < m_limits.permitLifetime && held->permit.share > 0)
--- a/unittests/Dispatch/RolloutSplitTests.cpp
+++ b/unittests/Dispatch/RolloutSplitTests.cpp
@@ -306,7 +306,7 @@
     CHECK_FALSE(fleet.core.mayStartSending(fleet.now, unsent->attempt));
     CHECK(fleet.versionOf(fleet.core.onAttemptEnded(fleet.now, unsent->attempt, { attempt_end_kind::notSent, false })) == "2");
     CHECK(fleet.versionOf(fleet.core.onAttemptEnded(fleet.now, waiting.attempt, { attempt_end_kind::resetAfterSent, true })) == "2");
-    fleet.now += 60s;
+    fleet.now += 9s;
     fleet.core.confirm(fleet.now);
     CHECK(fleet.targetsAmong(50, "/read/1") == 50);
     fleet.removeAll("1");
@@ -316,6 +316,38 @@
     CHECK(find<refuse_inbound>(fleet.request("/read/1"))->kind == refusal_kind::noEligibleServer);
 }
 
+// Guards against an order of the past that keeps requests from the servers of a later release.
+TEST_CASE("after a completed roll-out a later version takes requests")
+{
+    rollout_fleet fleet;
+    fleet.order("portal");
+    fleet.end("portal", rollout_state::completed);
+    fleet.removeAll("1");
+    for (std::size_t i = 0; i < newServers; ++i)
+        fleet.put("portal-newest-" + std::to_string(i), "portal", "3");
+    const auto newestAmong = [&](std::size_t requests) {
+        std::size_t newest = 0;
+        for (std::size_t i = 0; i < requests; ++i)
+            newest += fleet.serve("/read/1") == "3" ? 1 : 0;
+        return newest;
+    };
+    SUBCASE("beside the target version, once the roll-out is settled")
+    {
+        CHECK(newestAmong(100) == 0);
+        for (int i = 0; i < 30; ++i) {
+            fleet.now += 500ms;
+            fleet.core.confirm(fleet.now);
+            fleet.end("portal", rollout_state::completed);
+        }
+        CHECK(newestAmong(100) > 20);
+    }
+    SUBCASE("at once, if the target version has no server left")
+    {
+        fleet.removeAll("2");
+        CHECK(newestAmong(100) == 100);
+    }
+}
+
 // Guards against a router that has missed the permits and refuses everything once the old servers are gone.
 TEST_CASE("with no other version in service the target version takes requests without a permit")
 {
