--- a/tools/pimentoladder/Main.cpp
+++ b/tools/pimentoladder/Main.cpp
@@ -106,7 +106,7 @@
 
     int check()
     {
-        constexpr std::uint64_t mebibyte = 1024 * 1024;
+        constexpr std::uint64_t mebibyte = std::uint64_t { 1024 } * 1024;
         if (const std::string path = absl::GetFlag(FLAGS_configuration); !path.empty()) {
             const configuration_check_request request { path, absl::GetFlag(FLAGS_against), absl::GetFlag(FLAGS_format), absl::GetFlag(FLAGS_router_memory) * mebibyte };
             return checkConfiguration(request, std::cin, std::cout, std::cerr);
