--- a/review/lib-2/fleet2.py
+++ b/review/lib-2/fleet2.py
@@ -252,7 +252,7 @@
 
 def reset(writer):
     raw = writer.get_extra_info("socket")
-    if raw is not None:
+    if raw is not None and raw.fileno() >= 0:
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
     writer.transport.abort()
 
