--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # compiler: the syntax is checked, and that the interpreter has what they use.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - lib-2/*.py 6/*.py 8/*.py <<'CHECK'
+python3 - lib-2/*.py 6/*.py 8/*.py 9/*.py <<'CHECK'
 import ast
 import asyncio
 import sys
