--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,5 +1,5 @@
-"""The store turns a third of the routers away, among them the three that read it for the others. It serves four of them again
-after 9 s; these go on with an old configuration, although they could read the new one."""
+"""An outage of the store is over for long when half of the routers are killed at once. The others take their first read of
+their own for the end of the outage, and keep runners that have gone."""
 
 import asyncio
 import os
@@ -9,82 +9,74 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
 import fleet2
 
-ROUTERS = 20
-TURNED_AWAY = 7  # A share of 0.35, the three readers among them.
-AWAY_S = 9.0
-CHANGE_AFTER_S = 1.0  # From the end of the first disruption to the change of the configuration.
-CONFIG_S = fleet2.BOUNDS["config_apply_ms"] / 1000
-STABLE_S = fleet2.BOUNDS["stable_window_ms"] / 1000
+DRAIN_S = fleet2.BOUNDS["drain_ms"] / 1000
+OUTAGE_S = 4.5
+STABLE_S = 10.0  # From the end of the outage to the kill; `stable_window_ms` is 3 s.
+DOWN_S = 2.0  # How long the killed routers are down.
+GAP_S = 0.15  # Between two runners that leave.
+SERVES_ON_S = 4.0  # How long a runner that has left serves on.
 
 
-def configuration(version, service):
-    changed = fleet2.configuration(version)
-    changed["routes"][0]["service"] = service
-    changed["services"] = [dict(changed["services"][0], name=name) for name in ("portal", "portal2")]
-    return changed
+async def restart(routers):
+    await asyncio.sleep(DOWN_S)
+    for each in routers:
+        each.start()
 
 
 async def play(fleet, has_trouble):
-    await fleet.store.write("op", "config", configuration(7, "portal"))
-    for service in ("portal", "portal2"):
-        for i in range(4):
-            await fleet.add_runner(service, fleet2.ZONES[i % 3], slots=64)
-    for i in range(ROUTERS):
+    await fleet.store.write("op", "config", fleet2.configuration())
+    for i in range(8):
+        await fleet.add_runner("portal", fleet2.ZONES[i % 3])
+    for i in range(6):
         await fleet.add_router(fleet2.ZONES[i % 3])
     for each in fleet.routers:
         each.start()
     await fleet.until_ready()
-    await asyncio.sleep(5)
-    readers = [each for each in fleet.routers if not each.source()]
-    if len(readers) != 3:
-        raise RuntimeError(f"{len(readers)} routers read the store, 3 expected")
-    followers = [each for each in fleet.routers if each not in readers][: TURNED_AWAY - 3]
-    sent_at = {}
-
-    async def send(router):
-        at = fleet2.now()
-        attempt, _ = await fleet.request(router, "portal.example", "/read/x")
-        sent_at[attempt] = (at, router)
-
-    async def load(router):
-        tasks = set()
-        while True:
-            task = asyncio.create_task(send(router))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-            await asyncio.sleep(0.1)
+    await asyncio.sleep(4)
 
-    for each in followers:
-        fleet.clients.append(asyncio.create_task(load(each)))
     if has_trouble:
-        for each in readers + followers:
+        fleet.record.write("the store is down")
+        for each in fleet.routers:
             fleet.store.turn_away(each.name, "busy")
-        fleet.record.write("the store turns away " + ", ".join(each.name for each in readers + followers))
-    await asyncio.sleep(AWAY_S)
-    # The first disruption ends, and a second one of the same kind begins for the readers alone.
-    for each in followers:
-        fleet.store.turn_away(each.name, None)
-    served_at = fleet2.now()
-    fleet.record.write("the store serves all again but " + ", ".join(each.name for each in readers))
-    await asyncio.sleep(CHANGE_AFTER_S)
-    await fleet.store.write("op", "config", configuration(9, "portal2"))
-    accepted_at = fleet2.now()
-    fleet.record.write("store accepts: version 9 sends the route to portal2 in place of portal")
-    await asyncio.sleep(AWAY_S - CHANGE_AFTER_S - 0.5)
+        await asyncio.sleep(OUTAGE_S)
+        for each in fleet.routers:
+            fleet.store.turn_away(each.name, None)
+        fleet.record.write("the store is back")
+    senders = {}
+    for each in fleet.routers:
+        fleet.clients.append(asyncio.create_task(fleet.load(each, "portal.example", "/read/x", 30, senders)))
+    await asyncio.sleep(STABLE_S)
+
+    killed = [each for each in fleet.routers if not each.source()]
+    if len(killed) != 3:
+        raise RuntimeError(f"{len(killed)} routers read the store, 3 expected")
+    calm = [each for each in fleet.routers if each not in killed]
+    accepted = {}
+    restarting = None
+    for i, runner in enumerate(fleet.runners[:4]):
+        if i == 2 and has_trouble:
+            for each in killed:
+                each.process.kill()
+            for each in killed:
+                each.process.wait()
+                fleet.record.write(f"{each.name} is killed")
+            restarting = asyncio.create_task(restart(killed))
+        accepted[runner] = await runner.deregister()
+        await asyncio.sleep(GAP_S)
+    await asyncio.sleep(SERVES_ON_S)
+    if restarting:
+        await restarting
 
-    from_then = max(accepted_at + CONFIG_S, served_at + STABLE_S)
-    broken = {}
-    for runner in fleet.runners:
-        for _, attempt in runner.arrivals:
-            at, router = sent_at.get(attempt, (0, None))
-            if runner.service == "portal" and at > from_then:
-                broken.setdefault(router.name, []).append(at - accepted_at)
-    for name, late in broken.items():
-        text = f"{name}: {len(late)} requests run by the old service, sent up to {max(late):.2f} s after the store had accepted the new version"
-        fleet.record.write(text)
-        print(text)
-    print("CONFIG is broken" if broken else "CONFIG held")
-    return not broken
+    broken = 0
+    for runner, at in accepted.items():
+        late = [(when - at, senders[attempt].name) for when, attempt in runner.arrivals if when > at + DRAIN_S and senders.get(attempt) in calm]
+        broken += len(late)
+        if late:
+            text = f"{runner.id}: {len(late)} requests later than {DRAIN_S} s after the store had accepted that it is gone, the last after {late[-1][0]:.2f} s by {late[-1][1]}, which was not killed"
+            fleet.record.write(text)
+            print(text)
+    print("DRAIN is broken" if broken else "DRAIN held")
+    return broken == 0
 
 
 fleet2.main(FOLDER, play)
