--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,5 @@
-"""Half of the routers are killed at once while runners leave; the others never learn that some runners have gone."""
+"""Half of the routers are killed at once, and runners leave while these start again; the others never learn that some runners
+have gone."""
 
 import asyncio
 import os
@@ -9,8 +10,11 @@
 import fleet2
 
 DRAIN_S = fleet2.BOUNDS["drain_ms"] / 1000
-RESTART_S = 0.15  # A killed process is started again after a short delay.
-GAP_S = 0.12  # Between two runners that leave.
+RUNNERS = 32
+LEAVING = 4
+RESTART_S = 0.5  # A killed process is started again after a short delay.
+LEAVE_AFTER_S = 0.36  # From the kill to the first runner that leaves.
+GAP_S = 0.06  # Between two runners that leave.
 SERVES_ON_S = 9.0  # How long a runner that has left serves on.
 
 
@@ -22,7 +26,7 @@
 
 async def play(fleet, has_trouble):
     await fleet.store.write("op", "config", fleet2.configuration())
-    for i in range(8):
+    for i in range(RUNNERS):
         await fleet.add_runner("portal", fleet2.ZONES[i % 3])
     for i in range(6):
         await fleet.add_router(fleet2.ZONES[i % 3])
@@ -32,23 +36,24 @@
     await asyncio.sleep(4)
     senders = {}
     for each in fleet.routers:
-        fleet.clients.append(asyncio.create_task(fleet.load(each, "portal.example", "/read/x", 10, senders)))
+        fleet.clients.append(asyncio.create_task(fleet.load(each, "portal.example", "/read/x", 25, senders)))
     await asyncio.sleep(3)
 
     killed = [each for each in fleet.routers if not each.source()]
     if len(killed) != 3:
         raise RuntimeError(f"{len(killed)} routers read the store, 3 expected")
     calm = [each for each in fleet.routers if each not in killed]
-    accepted = {}
     restarting = None
-    for i, runner in enumerate(fleet.runners[:4]):
-        if i == 2 and has_trouble:
-            for each in killed:
-                each.process.kill()
-            for each in killed:
-                each.process.wait()
-                fleet.record.write(f"{each.name} is killed")
-            restarting = asyncio.create_task(restart(killed))
+    if has_trouble:
+        for each in killed:
+            each.process.kill()
+        for each in killed:
+            each.process.wait()
+            fleet.record.write(f"{each.name} is killed")
+        restarting = asyncio.create_task(restart(killed))
+    await asyncio.sleep(LEAVE_AFTER_S)
+    accepted = {}
+    for runner in fleet.runners[:LEAVING]:
         accepted[runner] = await runner.deregister()
         await asyncio.sleep(GAP_S)
     await asyncio.sleep(SERVES_ON_S)
