--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""The store turns a third of the routers away, among them the three that read it for the others. It serves four of them again
+"""The store turns a third of the routers away, among them the three that read it for the others. It serves six of them again
 after 9 s; these go on with an old configuration, although they could read the new one."""
 
 import asyncio
@@ -9,8 +9,8 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
 import fleet2
 
-ROUTERS = 20
-TURNED_AWAY = 7  # A share of 0.35, the three readers among them.
+ROUTERS = 28
+TURNED_AWAY = 9  # A share of 0.32, the three readers among them.
 AWAY_S = 9.0
 CHANGE_AFTER_S = 1.0  # From the end of the first disruption to the change of the configuration.
 CONFIG_S = fleet2.BOUNDS["config_apply_ms"] / 1000
