--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 cd "$(dirname "$0")"
-exec python3 case.py
+exec timeout --signal=TERM 118 python3 case.py
--- a/review/lib-2/fleet2.py
+++ b/review/lib-2/fleet2.py
@@ -457,9 +457,11 @@
 
 def main(case, play):
     """Runs `await play(fleet, has_trouble)`, which returns whether the rule held, and ends with 1 if it was broken, 0 if it
-    held and 2 if the case could not run."""
+    held and 2 if the case could not run or was told to end."""
 
     async def run():
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         fleet = Fleet(case)
         try:
             return 0 if await play(fleet, os.environ.get("TROUBLE", "1") != "0") else 1
@@ -467,6 +469,8 @@
             fleet.record.write(f"the case could not run: {failure}")
             print(f"the case could not run: {failure}")
             return 2
+        except asyncio.CancelledError:
+            return 2
         finally:
             fleet.end()
 
