Send followers the deletions before a reader's first read

Cause: row_replica set m_forgottenUpTo to 0 at its first complete table, as if it knew all deletions before it. The readers had been killed and started again after the deletions; a follower at an earlier position got changed rows only, and took its rows for complete. In a run with logs the followers were at position 233, the readers' first read at 235, and server_gone is missing for 234 and 235 at all of them. A delayed removal and a late read were ruled out: both end.

Now it is the position of that table, so that a follower at an earlier one gets the complete table. The same class in three more places: the first read was published as changes since position 0; an update from a reader that is behind brought back rows that the replica lacks; a second deletion in a row did not count as a change for peers. The log has complete_table_applied.

Before: "servers that leave while the readers restart are gone at all routers" failed at 9 of 12 routers, and the tests of row_replica failed.

--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -48,6 +48,9 @@
 /// A complete table has been applied, for the first time or after a gap.
 struct table_listed {
     followed_table table {};
+    vm_id source; ///< Router that sent the table; empty: read from the store.
+    store_position before;
+    store_position position;
 };
 
 /// A table of a later era of the store has been applied: the store was restored from a copy.
--- a/include/pimentoladder/Replica/RowReplica.h
+++ b/include/pimentoladder/Replica/RowReplica.h
@@ -109,7 +109,10 @@
         store_position changedAt; ///< Position of the last significant change.
     };
 
-    void applyRow(const published_row& row, row_changes& changes);
+    /// Applies rows that changed up to \p position. Up to \p completeUpTo, rows that this
+    /// replica lacks were deleted, although their deletions may have been forgotten.
+    row_changes applyRows(const std::vector<published_row>& rows, store_position position, store_position completeUpTo);
+    void applyRow(const published_row& row, store_position completeUpTo, row_changes& changes);
     row_changes enterEra(const std::vector<published_row>& rows, store_position position);
     bool isRetainedAgainst(const published_row& inForce, const published_row& copied) const;
     bool isDifferent(const published_row& left, const published_row& right) const;
@@ -122,7 +125,7 @@
     std::map<std::string, held_row> m_rows; ///< The store's rows; includes deleted rows until there are too many.
     std::map<std::string, published_row> m_retained; ///< Rows in force instead of the store's.
     store_position m_position;
-    store_position m_forgottenUpTo; ///< A peer at an earlier position needs the complete table, since deletions are missing.
+    store_position m_forgottenUpTo; ///< Deletions up to this position may be missing, so that a peer at an earlier one needs the complete table.
     bool m_isWhole = false;
 };
 
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -371,8 +371,11 @@
 
 void fleet_follower::perform(const table_listed& step)
 {
-    const store_era era = m_relay.replica(step.table).position().era;
-    m_parts.values.set("pimentoladder_store_era", { { "table", nameOf(step.table) } }, static_cast<double>(era.value()));
+    const std::string table = nameOf(step.table);
+    m_parts.values.set("pimentoladder_store_era", { { "table", table } }, static_cast<double>(step.position.era.value()));
+    m_parts.log.write(log_level::info, "complete_table_applied",
+        { { "table", std::string_view(table) }, { "source", step.source.isEmpty() ? std::string_view("store") : std::string_view(step.source.value()) },
+            { "position_before", step.before.at.value() }, { "position_after", step.position.at.value() } });
     if (step.table == followed_table::servers)
         m_parts.dispatch.core().markServersListed(m_driver.loop().now());
     if (step.table == followed_table::members)
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -280,7 +280,7 @@
         sendUnknown(now, table, out);
     for (const retained_rows& each : std::exchange(held.pending, {}))
         adopt(now, table, each, out);
-    out.push_back(table_listed { table });
+    out.push_back(table_listed { table, source, before, held.replica.position() });
     return changes;
 }
 
@@ -314,7 +314,8 @@
     read.failures = 0;
     read.readAt = read.sentAt;
     const store_position before = read.replica.position();
-    const bool isNewEra = read.replica.isWhole() && before.era < answer->era;
+    const bool wasWhole = read.replica.isWhole();
+    const bool isNewEra = wasWhole && before.era < answer->era;
     if (isNewEra && !read.isReadingWhole) {
         // The changes may continue another history than the one that this replica holds.
         read.needsOwnRead |= read.isReadingOwn;
@@ -327,6 +328,8 @@
     confirm(out);
     if (isNewEra)
         publishEra(now, table, before, out);
+    else if (!wasWhole) // Rows that followers hold may have been deleted before this read.
+        publish(now, read.replica.updateSince(before), out);
     else if (!changes.stored.empty())
         publish(now, { static_cast<std::uint32_t>(table), before, read.replica.position(), false, changes.stored }, out);
     return out;
--- a/lib/Replica/RowReplica.cpp
+++ b/lib/Replica/RowReplica.cpp
@@ -26,13 +26,18 @@
     return m_rules.isSignificant(m_table, left, right);
 }
 
-void row_replica::applyRow(const published_row& row, row_changes& changes)
+void row_replica::applyRow(const published_row& row, store_position completeUpTo, row_changes& changes)
 {
+    const bool isAbsent = row.position <= completeUpTo && !m_rows.contains(row.key);
+    if (isAbsent)
+        return;
     const auto [found, isNew] = m_rows.try_emplace(row.key);
     held_row& held = found->second;
     if (!isNew && row.position <= held.row.position)
         return;
-    const bool isChanged = isNew || isDifferent(held.row, row);
+    // A peer may hold the row that was written between the two deletions.
+    const bool isDeletedAgain = !isNew && held.row.isDeleted && row.isDeleted;
+    const bool isChanged = isNew || isDeletedAgain || isDifferent(held.row, row);
     std::string lastValue = std::move(held.row.value);
     held.row = row;
     if (row.isDeleted)
@@ -49,19 +54,25 @@
     changes.stored.push_back(row);
     if (isOlder)
         return;
-    if (!isRetained || isDifferent(retained->second, row))
+    const bool isInForceChanged = isRetained ? isDifferent(retained->second, row) : !isDeletedAgain;
+    if (isInForceChanged)
         changes.inForce.push_back(row);
     if (isRetained)
         m_retained.erase(retained);
 }
 
 row_changes row_replica::apply(const std::vector<published_row>& rows, store_position position)
+{
+    return applyRows(rows, position, m_isWhole ? m_position : store_position());
+}
+
+row_changes row_replica::applyRows(const std::vector<published_row>& rows, store_position position, store_position completeUpTo)
 {
     row_changes changes;
     if (position.era != m_position.era)
         return changes;
     for (const published_row& row : rows)
-        applyRow(row, changes);
+        applyRow(row, completeUpTo, changes);
     m_position = std::max(m_position, position);
     forgetDeleted();
     return changes;
@@ -71,7 +82,7 @@
 {
     if (!std::exchange(m_isWhole, true)) {
         m_position = { position.era, revision() };
-        m_forgottenUpTo = m_position;
+        m_forgottenUpTo = position;
     }
     if (position.era < m_position.era)
         return {};
@@ -85,7 +96,7 @@
         if (!held.row.isDeleted && !present.contains(key) && held.row.position < position)
             all.push_back({ key, {}, position, true });
     }
-    return apply(all, position);
+    return applyRows(all, position, position < m_position ? m_position : store_position());
 }
 
 bool row_replica::isRetainedAgainst(const published_row& inForce, const published_row& copied) const
--- a/unittests/Replica/RowRelayTests.cpp
+++ b/unittests/Replica/RowRelayTests.cpp
@@ -177,3 +177,56 @@
     CHECK(followersOfFirst() == 0);
     CHECK(all.at(first).relay.source() != vm_id());
 }
+
+// Guards against followers that keep servers that left while all readers were restarting: each reader
+// that has just started took the deletions before its first read for none (review/6).
+TEST_CASE("servers that leave while the readers restart are gone at all routers")
+{
+    fleet all(12);
+    for (int i = 0; i < 8; ++i)
+        all.store.put(followed_table::servers, "server-" + std::to_string(i), "1");
+    all.run(3s);
+    const std::vector<fleet_router> readers = all.routers.front()->relay.readers();
+    for (const fleet_router& each : readers) {
+        all.at(each.vm).isFrozen = true;
+        all.closeLinksTo(each.vm);
+    }
+    all.run(360ms);
+    for (int i = 0; i < 8; i += 2) {
+        all.store.remove(followed_table::servers, "server-" + std::to_string(i));
+        all.run(60ms);
+    }
+    for (std::size_t i = 0; i < all.routers.size(); ++i) {
+        if (all.routers[i]->isFrozen)
+            all.restart(i);
+    }
+    all.run(2s);
+    for (const auto& each : all.routers)
+        CHECK(each->servers.size() == 4);
+}
+
+// Guards against followers that take the first read of a reader for the changes since their own position.
+TEST_CASE("the first complete read of a reader reaches its followers as a complete table")
+{
+    const any_change rules;
+    const time_point now(100s);
+    const vm_id self("reader");
+    row_relay reader(self, data_centre_id("a"), rules, {}, 1);
+    reader.setMembers({ { self, incarnation(1), data_centre_id("a"), { "127.0.0.1", 1 } } });
+    reader.onTick(now);
+    follow_rows asked;
+    asked.sequence = 1;
+    asked.have.push_back({ static_cast<std::uint32_t>(followed_table::servers), at(3) });
+    reader.onMessage(now, { vm_id("follower"), incarnation(1) }, asked);
+    rows_page page;
+    page.newest = revision(5);
+    page.rows.push_back({ "server-1", "1", at(1), false });
+    std::vector<table_update> published;
+    for (const relay_action& action : reader.onRead(now, followed_table::servers, page)) {
+        if (const auto* sent = std::get_if<send_to_router>(&action))
+            published = std::get<rows_update>(sent->content).tables;
+    }
+    REQUIRE(published.size() == 1);
+    CHECK(published.front().isWhole);
+    CHECK(published.front().to == at(5));
+}
--- a/unittests/Replica/RowReplicaTests.cpp
+++ b/unittests/Replica/RowReplicaTests.cpp
@@ -56,3 +56,46 @@
     CHECK(update.to == at(4));
     CHECK(replica.updateSince({}).isWhole);
 }
+
+// Guards against a peer that never learns of a deletion before the first read of the router that it follows.
+TEST_CASE("a replica claims no knowledge of deletions before its first complete table")
+{
+    const any_change rules;
+    row_replica started(0, rules);
+    started.applyWhole({ makeRow("a", "1", 1) }, at(5));
+    CHECK(started.updateSince(at(3)).isWhole);
+    CHECK_FALSE(started.updateSince(at(5)).isWhole);
+    row_replica peer(0, rules);
+    peer.applyWhole({ makeRow("a", "1", 1), makeRow("b", "1", 2) }, at(3));
+    const table_update update = started.updateSince(peer.position());
+    peer.applyWhole(update.rows, update.to);
+    CHECK(peer.find("b") == nullptr);
+}
+
+// Guards against a deleted row that an older update brings back, although a complete table lacked it.
+TEST_CASE("a row that a complete table lacks does not come back with an older update")
+{
+    const any_change rules;
+    row_replica replica(0, rules);
+    replica.applyWhole({ makeRow("a", "1", 1) }, at(5));
+    CHECK(replica.apply({ makeRow("b", "1", 2) }, at(3)).inForce.empty());
+    CHECK(replica.applyWhole({ makeRow("a", "1", 1), makeRow("b", "1", 2) }, at(3)).inForce.empty());
+    CHECK(replica.find("b") == nullptr);
+    CHECK(replica.apply({ makeRow("b", "2", 6) }, at(6)).inForce.size() == 1);
+}
+
+// Guards against a peer that keeps a row written between two deletions, of which this replica saw only the deletions.
+TEST_CASE("a peer learns of a second deletion in a row")
+{
+    const any_change rules;
+    row_replica replica(0, rules);
+    replica.applyWhole({ makeRow("a", "1", 1) }, at(1));
+    replica.apply({ { "a", {}, at(2), true } }, at(2));
+    const row_changes again = replica.apply({ { "a", {}, at(4), true } }, at(4));
+    CHECK(again.inForce.empty());
+    CHECK(again.stored.size() == 1);
+    row_replica peer(0, rules);
+    peer.applyWhole({ makeRow("a", "2", 3) }, at(3));
+    peer.apply(replica.updateSince(at(3)).rows, at(4));
+    CHECK(peer.find("a") == nullptr);
+}
