Bound the pause between own reads while readers answer without rows

Cause: a router used the longest backoff, up to 9.6 s, while any reader had answered within 1.2 s; one that has lost the store answers too. Failing reads and confirmations of old rows were ruled out by the routers' logs.

Now each pause ends within 1.2 of the bound on the age of rows, counted from the start of the failed read. While readers answer it is 2.0 to 2.4 s from the first failure on. A router that has read a table lately retries it as a reader does, so that one failure costs 0.1 to 0.3 s. Known members are retried at the long pause, also by readers. dependency_regained tells how often reads had failed, and how long ago the last one began.

--- a/include/pimentoladder/Replica/RelayLimits.h
+++ b/include/pimentoladder/Replica/RelayLimits.h
@@ -21,10 +21,11 @@
 inline constexpr std::size_t followedTableCount = 3;
 
 /// Exponential backoff with jitter after failed reads: each further failure in a row
-/// doubles the pause.
+/// doubles the pause, which counts from the start of the failed read.
 struct retry_pauses {
     duration first {};
     duration longest {};
+    double jitter = 0; ///< Share of a pause by which it may be shorter or longer.
 };
 
 /// Configuration of the relay. The defaults are those of `relayLimitsFor` at 2 s.
@@ -42,9 +43,9 @@
     duration sourceCooldownWithoutStore = std::chrono::milliseconds(500); ///< How long a source that reports that it has lost the store is not followed again.
     duration restoredHold = std::chrono::seconds(60); ///< How long rows that were in force stay in force after the store was restored from a copy, unless they are written again.
     duration absentServerHold = std::chrono::milliseconds(1900); ///< The same for servers that the copy lacks; live ones have registered again by then.
-    retry_pauses readerRetry { std::chrono::milliseconds(200), std::chrono::milliseconds(400) }; ///< Backoff of readers and of routers with followers.
-    retry_pauses loneRetry { std::chrono::milliseconds(200), std::chrono::milliseconds(1600) }; ///< Backoff of a router that no reader answers, and that therefore notices the end of an outage by its own reads only.
-    retry_pauses otherRetry { std::chrono::milliseconds(1600), std::chrono::milliseconds(6400) }; ///< Backoff of any other router; longer, since hundreds of them would call a store that is down.
+    retry_pauses readerRetry { std::chrono::milliseconds(200), std::chrono::milliseconds(400), 0.5 }; ///< Backoff of readers, of routers with followers, and of any router that has read the table within `maxBasisAge`.
+    retry_pauses loneRetry { std::chrono::milliseconds(200), std::chrono::milliseconds(1600), 0.5 }; ///< Backoff of a router that no reader answers, and that therefore notices the end of an outage by its own reads only.
+    retry_pauses otherRetry { std::chrono::microseconds(2'181'818), std::chrono::microseconds(2'181'818), 0.1 }; ///< Backoff of any other router. Long from the start, since hundreds of them would call a store that is down, but bounded: a reader that answers need not have the store when this router has.
 };
 
 /// Returns limits under which the rows of a router are at most \p maxRowAge old while the
--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -85,6 +85,8 @@
 /// Reads of a table succeed again.
 struct table_reads_recovered {
     followed_table table {};
+    std::uint32_t failures = 0; ///< Failed reads in a row before.
+    duration sinceFailed {}; ///< From the start of the last failed read to that of this one.
 };
 
 /// This router follows another source, or none and reads the store itself. Reported when
@@ -122,8 +124,9 @@
 /// its rows are older than `relay_limits::maxBasisAge`, whatever the reason. A router that has
 /// followers reads the store whether or not it ranks as a reader, so the routers need not
 /// agree on the readers. A reader that has lost the store follows another one until its own
-/// reads succeed again. While no reader has the store, the other routers read only one table,
-/// at growing intervals.
+/// reads succeed again. While no reader has the store, each other router tries one table at
+/// intervals below the bound on the age of rows, since the store may serve it sooner than
+/// the readers.
 ///
 /// A store that was restored from a copy is in a later era. A router that learns of it,
 /// from a read or a message, confirms nothing more by data of the earlier era. Readers read
@@ -180,6 +183,7 @@
         std::vector<retained_rows> pending; ///< Retained rows of peers, until this replica is in their era.
         bool isFailing = false;
         std::uint32_t failures = 0; ///< Failed reads in a row.
+        time_point failedAt; ///< Start of the last failed read.
         time_point sentAt; ///< Start of the read in progress or the last one.
         time_point nextReadAt;
         std::optional<time_point> readAt; ///< Start of this router's last successful read.
@@ -213,7 +217,8 @@
     void confirm(relay_actions& out);
     bool mustReadStore(time_point now) const;
     bool hasRead(const table_state& table, time_point now) const;
-    duration retryPause(const table_state& failed, time_point now);
+    const retry_pauses& retryPauses(followed_table table, time_point now) const;
+    duration retryPause(followed_table table, time_point now);
     bool isStoreReachable(time_point now) const;
     bool isStoreFailing() const;
     bool isStale(time_point now) const;
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -425,7 +425,9 @@
 void fleet_follower::perform(const table_reads_recovered& step)
 {
     const std::string table = nameOf(step.table);
-    m_parts.log.write(log_level::info, "dependency_regained", { { "dependency", "store" }, { "table", std::string_view(table) } });
+    m_parts.log.write(log_level::info, "dependency_regained",
+        { { "dependency", "store" }, { "table", std::string_view(table) }, { "failures", std::uint64_t { step.failures } },
+            { "since_failed_ms", std::int64_t { std::chrono::duration_cast<std::chrono::milliseconds>(step.sinceFailed).count() } } });
 }
 
 void fleet_follower::perform(const source_changed& step)
--- a/lib/Replica/RelayLimits.cpp
+++ b/lib/Replica/RelayLimits.cpp
@@ -16,10 +16,11 @@
     constexpr double ownRead = 0.8;
     constexpr double shortRetry = 0.1;
     constexpr double readerRetry = 0.2;
-    // With jitter 1.2 of the bound: platforms judge the age of rows again after 1.25 of it or more
-    // have passed since the end of an outage.
-    constexpr double loneRetry = 0.8;
-    constexpr double longRetry = 3.2;
+    // Longest pause between two own reads, including its jitter: platforms judge the age of rows
+    // again after 1.25 of the bound or more have passed since the end of an outage.
+    constexpr double longestRetry = 1.2;
+    constexpr double retryJitter = 0.5;
+    constexpr double steadyRetryJitter = 0.1;
 
 }
 
@@ -35,9 +36,10 @@
     limits.hedgeDelay = part(hedgeDelay);
     limits.sourceTimeout = part(silence);
     limits.maxBasisAge = part(ownRead);
-    limits.readerRetry = { part(shortRetry), part(readerRetry) };
-    limits.loneRetry = { part(shortRetry), part(loneRetry) };
-    limits.otherRetry = { part(ownRead), part(longRetry) };
+    limits.readerRetry = { part(shortRetry), part(readerRetry), retryJitter };
+    limits.loneRetry = { part(shortRetry), part(longestRetry / (1 + retryJitter)), retryJitter };
+    const duration steady = part(longestRetry / (1 + steadyRetryJitter));
+    limits.otherRetry = { steady, steady, steadyRetryJitter };
     return limits;
 }
 
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -9,7 +9,6 @@
 
     using namespace std::chrono_literals;
 
-    constexpr double retryJitter = 0.5;
     // Minimum time to the next tick of a router whose rows are too old.
     constexpr duration staleInterval = 100ms;
     // Maximum time to the next tick.
@@ -117,14 +116,24 @@
     return !isProbing || table == allTables.front();
 }
 
-duration row_relay::retryPause(const table_state& failed, time_point now)
+const retry_pauses& row_relay::retryPauses(followed_table table, time_point now) const
 {
-    const retry_pauses& others = m_sources.hasAnswered(now) ? m_limits.otherRetry : m_limits.loneRetry;
-    const retry_pauses& pauses = mustReadStore(now) ? m_limits.readerRetry : others;
+    const table_state& failed = m_tables[static_cast<std::size_t>(table)];
+    // Known members may be older than the other rows.
+    const bool isUrgent = table != followed_table::members || !failed.replica.isWhole();
+    // A single failure must not make the rows too old at a router that reads them itself.
+    if (isUrgent && (mustReadStore(now) || hasRead(failed, now)))
+        return m_limits.readerRetry;
+    return m_sources.hasAnswered(now) ? m_limits.otherRetry : m_limits.loneRetry;
+}
+
+duration row_relay::retryPause(followed_table table, time_point now)
+{
+    const retry_pauses& pauses = retryPauses(table, now);
     duration pause = pauses.first;
-    for (std::uint32_t i = 1; i < failed.failures && pause < pauses.longest; ++i)
+    for (std::uint32_t i = 1; i < state(table).failures && pause < pauses.longest; ++i)
         pause *= 2;
-    return m_random.jittered(std::min(pause, pauses.longest), retryJitter);
+    return m_random.jittered(std::min(pause, pauses.longest), pauses.jitter);
 }
 
 void row_relay::reportSource(std::optional<std::string_view> reasonOfChange, relay_actions& out) const
@@ -249,8 +258,9 @@
 {
     table_state& read = state(table);
     ++read.failures;
+    read.failedAt = read.sentAt;
     read.needsOwnRead |= read.isReadingOwn;
-    read.nextReadAt = now + retryPause(read, now);
+    read.nextReadAt = std::max(now, read.sentAt + retryPause(table, now));
     // A gap in the history is not an outage: the complete table is read at once.
     if (reason.kind == error_kind::notFound) {
         read.needsWhole = true;
@@ -305,7 +315,7 @@
     }
     if (std::exchange(read.isFailing, false)) {
         m_returnedAt = now;
-        out.push_back(table_reads_recovered { table });
+        out.push_back(table_reads_recovered { table, read.failures, read.sentAt - read.failedAt });
         out.push_back(store_recovered { now });
         for (table_state& each : m_tables)
             each.nextReadAt = std::min(each.nextReadAt, now);
--- a/unittests/Replica/RowAgeTests.cpp
+++ b/unittests/Replica/RowAgeTests.cpp
@@ -189,3 +189,74 @@
     }
     CHECK(followers() == before);
 }
+
+// Guards against routers that wait for up to 9.6 s before they read the store again, because
+// readers that have no rows themselves still answer (review/8).
+TEST_CASE("rows are current three seconds after the store serves a router again although its readers are still rejected")
+{
+    for (const std::size_t size : { 28, 295 }) {
+        for (int rejectedFor = 40; rejectedFor <= 90; rejectedFor += 5) {
+            CAPTURE(size);
+            CAPTURE(rejectedFor);
+            fleet all(size, 3);
+            all.storeTime = 20ms;
+            all.run(3s);
+            for (const fleet_router& each : all.routers.front()->relay.readers())
+                apply(all, each.vm, reader_fault::refused);
+            std::set<vm_id> returning;
+            for (std::size_t i = 0; returning.size() < 6; ++i) {
+                if (all.routers[i]->access != store_access::answers)
+                    continue;
+                all.routers[i]->access = store_access::refuses;
+                returning.insert(all.routers[i]->vm);
+            }
+            all.run(rejectedFor * 100ms);
+            for (const vm_id& each : returning)
+                all.at(each).access = store_access::answers;
+            all.run(3s);
+            CHECK(oldestMissing(all, returning, 5s) < maxRowAge);
+        }
+    }
+}
+
+// Guards against a single rejected read, at a router whose readers have no rows, that is retried only
+// once the rows are too old.
+TEST_CASE("rows of a router that reads the store alone stay current when a read is rejected")
+{
+    fleet all(28, 3);
+    all.storeTime = 20ms;
+    all.run(3s);
+    for (const fleet_router& each : all.routers.front()->relay.readers())
+        apply(all, each.vm, reader_fault::refused);
+    all.run(4s);
+    for (int i = 0; i < 20; ++i) {
+        for (const auto& each : all.routers) {
+            if (each->access != store_access::answers)
+                continue;
+            each->access = store_access::refuses;
+            all.run(200ms);
+            each->access = store_access::answers;
+            CHECK(oldestMissing(all, { each->vm }, 2s) < maxRowAge);
+            break;
+        }
+        all.run(60ms);
+    }
+}
+
+// Guards against a bounded pause between own reads that the largest fleet pays for with calls.
+TEST_CASE("calls to a store that is down are less than a tenth of what it answers")
+{
+    fleet all(295, 6);
+    all.storeTime = 20ms;
+    all.run(3s);
+    for (const auto& each : all.routers) {
+        each->access = store_access::refuses;
+        each->reads = 0;
+    }
+    all.run(10s);
+    std::uint64_t reads = 0;
+    for (const auto& each : all.routers)
+        reads += each->reads;
+    // The store answers 2,000 calls a second.
+    CHECK(reads < 200 * 10);
+}
