Count the age of a starting router's rows from their confirmation

The time that a router has to connect to readers at its start was added to the age at which it reads the store itself, also once its rows had been confirmed. With a reader that had lost the store and others that were dark, rows were up to 2.36 s old, for a bound of 2 s; drawn histories of the relay found it. The time to connect now counts only until the first confirmation.

--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -95,7 +95,7 @@
 
 bool row_relay::isStale(time_point now) const
 {
-    const time_point from = std::max(m_basis.value_or(time_point()), m_startedAt.value_or(now) + m_limits.startGrace);
+    const time_point from = m_basis.value_or(m_startedAt.value_or(now) + m_limits.startGrace);
     return now - from > m_limits.maxBasisAge;
 }
 
--- a/unittests/Replica/RowAgeTests.cpp
+++ b/unittests/Replica/RowAgeTests.cpp
@@ -120,6 +120,33 @@
     });
 }
 
+// Guards against a router that has just started and whose reader has lost the store: it waited for
+// a dark one, since the time to connect to readers was added to the age of its rows.
+TEST_CASE("rows of a router that has just started are at most two seconds old")
+{
+    for (int phase = 0; phase < 40; ++phase) {
+        CAPTURE(phase);
+        fleet all(8, 4);
+        all.storeTime = 20ms;
+        all.run(3s);
+        const std::vector<fleet_router> readers = all.routers.front()->relay.readers();
+        std::size_t follower = 0;
+        while (std::any_of(readers.begin(), readers.end(), [&](const fleet_router& each) { return each.vm == all.routers[follower]->vm; }))
+            ++follower;
+        all.restart(follower);
+        const router& started = *all.routers[follower];
+        all.run(40ms + phase * 20ms);
+        for (const fleet_router& each : readers)
+            apply(all, each.vm, each.vm == started.relay.source() ? reader_fault::refused : reader_fault::dark);
+        duration oldest {};
+        for (const time_point end = all.now + 5s; all.now < end; all.run(20ms)) {
+            if (started.basis > started.startedAt - maxRowAge)
+                oldest = std::max(oldest, all.now - started.basis);
+        }
+        CHECK(oldest < maxRowAge);
+    }
+}
+
 // Guards against routers that wait for up to 9.6 s before they read the store again, because
 // their own reads failed in an outage and no reader is alive.
 TEST_CASE("rows are current three seconds after an outage although all readers are gone for good")
