Send complete tables to followers within a gap of their reader

A reader that has read a complete table instead of the changes, since the store has dropped its history, does not know of rows that were written and deleted in between. It published the difference as changes since its old position, and answered followers in the same way, so that one that had got such a row from another reader kept it.

The replica now remembers its last gap.

Before: "a replica that missed changes sends the complete table to peers that saw some of them" failed.

--- a/include/pimentoladder/Replica/RowReplica.h
+++ b/include/pimentoladder/Replica/RowReplica.h
@@ -125,7 +125,15 @@
     std::map<std::string, held_row> m_rows; ///< The store's rows; includes deleted rows until there are too many.
     std::map<std::string, published_row> m_retained; ///< Rows in force instead of the store's.
     store_position m_position;
+    /// Positions between which rows may have been written and deleted unseen, since a
+    /// complete table was applied instead of the changes.
+    struct unseen_span {
+        store_position from;
+        store_position to;
+    };
+
     store_position m_forgottenUpTo; ///< Deletions up to this position may be missing, so that a peer at an earlier one needs the complete table.
+    unseen_span m_gap; ///< The last one; earlier ones are part of `m_forgottenUpTo`.
     bool m_isWhole = false;
 };
 
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -393,7 +393,7 @@
         publishEra(now, table, before, out);
     else if (!wasWhole) // Rows that followers hold may have been deleted before this read.
         publish(now, read.replica.updateSince(before), out);
-    else if (!changes.stored.empty())
+    else if (!changes.stored.empty() && !read.isReadingWhole) // After a gap, what a follower needs depends on its position.
         publish(now, { static_cast<std::uint32_t>(table), before, read.replica.position(), false, changes.stored }, out);
     return out;
 }
--- a/lib/Replica/RowReplica.cpp
+++ b/lib/Replica/RowReplica.cpp
@@ -83,11 +83,17 @@
     if (!std::exchange(m_isWhole, true)) {
         m_position = { position.era, revision() };
         m_forgottenUpTo = position;
+        m_gap = { position, position };
     }
     if (position.era < m_position.era)
         return {};
     if (position.era > m_position.era)
         return enterEra(rows, position);
+    if (position > m_position && m_position.at != revision()) {
+        if (m_forgottenUpTo < m_gap.to)
+            m_forgottenUpTo = m_gap.to;
+        m_gap = { m_position, position };
+    }
     std::set<std::string_view> present;
     for (const published_row& row : rows)
         present.insert(row.key);
@@ -115,6 +121,7 @@
         before.try_emplace(key, std::move(held.row));
     m_position = position;
     m_forgottenUpTo = position;
+    m_gap = { position, position };
     for (const published_row& row : rows) {
         m_rows[row.key] = { row, row.position };
         const auto inForce = before.find(row.key);
@@ -135,7 +142,8 @@
 table_update row_replica::updateSince(store_position have) const
 {
     const bool isOtherEra = have.era != m_position.era;
-    const bool isWhole = isOtherEra || have.at == revision() || have < m_forgottenUpTo;
+    const bool isInGap = m_gap.from < have && have < m_gap.to;
+    const bool isWhole = isOtherEra || have.at == revision() || have < m_forgottenUpTo || isInGap;
     const store_position from = isOtherEra ? store_position { m_position.era, revision() } : have;
     table_update update { m_table, from, std::max(from, m_position), isWhole, {} };
     for (const auto& [key, held] : m_rows) {
--- a/unittests/Replica/RowReplicaTests.cpp
+++ b/unittests/Replica/RowReplicaTests.cpp
@@ -99,3 +99,22 @@
     peer.apply(replica.updateSince(at(3)).rows, at(4));
     CHECK(peer.find("a") == nullptr);
 }
+
+// Guards against a peer that keeps a row which was written and deleted while this replica missed the changes.
+TEST_CASE("a replica that missed changes sends the complete table to peers that saw some of them")
+{
+    const any_change rules;
+    row_replica replica(0, rules);
+    replica.applyWhole({ makeRow("a", "1", 1) }, at(2));
+    replica.apply({ makeRow("a", "2", 3) }, at(3));
+    replica.applyWhole({ makeRow("a", "2", 3) }, at(9));
+    CHECK(replica.updateSince(at(1)).isWhole);
+    CHECK_FALSE(replica.updateSince(at(2)).isWhole);
+    CHECK_FALSE(replica.updateSince(at(3)).isWhole);
+    CHECK(replica.updateSince(at(5)).isWhole);
+    CHECK_FALSE(replica.updateSince(at(9)).isWhole);
+    replica.applyWhole({ makeRow("a", "2", 3) }, at(20));
+    CHECK(replica.updateSince(at(5)).isWhole);
+    CHECK_FALSE(replica.updateSince(at(9)).isWhole);
+    CHECK(replica.updateSince(at(10)).isWhole);
+}
