Do not retain rows again whose retention has ended

Two routers that followed each other, for example readers that had lost the store after a restoration, passed retained rows to each other without end: each adopted from the other what it had accepted from the store a moment before, and told its followers.

A replica that has accepted the store's rows in an era no longer adopts retained ones; after the shorter hold of absent servers this applies to those.

Before: "rows whose retention has ended are not retained again" failed.

--- a/include/pimentoladder/Replica/RowReplica.h
+++ b/include/pimentoladder/Replica/RowReplica.h
@@ -64,7 +64,7 @@
     table_update updateSince(store_position have) const;
 
     /// Retains rows that a peer at position \p position retains, unless this replica has
-    /// newer ones. Returns the changed rows in force.
+    /// newer ones or has ended their retention in this era. Returns the changed rows in force.
     std::vector<published_row> adoptRetained(const std::vector<published_row>& rows, store_position position);
 
     /// Ends the retention of all rows. Returns the changed rows in force.
@@ -135,6 +135,8 @@
     store_position m_forgottenUpTo; ///< Deletions up to this position may be missing, so that a peer at an earlier one needs the complete table.
     unseen_span m_gap; ///< The last one; earlier ones are part of `m_forgottenUpTo`.
     bool m_isWhole = false;
+    bool m_hasAcceptedStored = false; ///< `acceptStored` was called in this era.
+    bool m_hasAcceptedAbsent = false; ///< `acceptAbsent` was called in this era.
 };
 
 }
--- a/lib/Replica/RowReplica.cpp
+++ b/lib/Replica/RowReplica.cpp
@@ -122,6 +122,8 @@
     m_position = position;
     m_forgottenUpTo = position;
     m_gap = { position, position };
+    m_hasAcceptedStored = false;
+    m_hasAcceptedAbsent = false;
     for (const published_row& row : rows) {
         m_rows[row.key] = { row, row.position };
         const auto inForce = before.find(row.key);
@@ -176,10 +178,11 @@
 std::vector<published_row> row_replica::adoptRetained(const std::vector<published_row>& rows, store_position position)
 {
     std::vector<published_row> changed;
-    if (!m_isWhole || position.era != m_position.era)
+    if (!m_isWhole || position.era != m_position.era || m_hasAcceptedStored)
         return changed;
     for (const published_row& row : rows) {
-        if (!isAdopted(row, position))
+        const bool isAcceptedAbsent = m_hasAcceptedAbsent && !row.isDeleted && !findStored(row.key);
+        if (isAcceptedAbsent || !isAdopted(row, position))
             continue;
         const published_row* before = find(row.key);
         const bool isChanged = before ? isDifferent(*before, row) : !row.isDeleted;
@@ -204,6 +207,7 @@
 
 std::vector<published_row> row_replica::acceptStored()
 {
+    m_hasAcceptedStored = true;
     std::vector<published_row> changed;
     for (const auto& [key, row] : std::exchange(m_retained, {}))
         accept(row, changed);
@@ -213,6 +217,7 @@
 
 std::vector<published_row> row_replica::acceptAbsent()
 {
+    m_hasAcceptedAbsent = true;
     std::vector<published_row> changed;
     for (auto each = m_retained.begin(); each != m_retained.end();) {
         published_row& row = each->second;
--- a/unittests/Replica/RestoredStoreTests.cpp
+++ b/unittests/Replica/RestoredStoreTests.cpp
@@ -167,6 +167,22 @@
     CHECK(replica.retained().empty());
 }
 
+// Guards against two routers that pass retained rows to each other for ever, each after it has accepted the store's.
+TEST_CASE("rows whose retention has ended are not retained again")
+{
+    const any_change rules;
+    row_replica replica(0, rules);
+    replica.applyWhole({ makeRow("config", "16", at(90, 1)), makeRow("lost", "1", at(91, 1)) }, at(100, 1));
+    replica.applyWhole({ makeRow("config", "13", at(60, 2)) }, at(70, 2));
+    replica.acceptAbsent();
+    CHECK(replica.adoptRetained({ makeRow("lost", "1", at(91, 1)) }, at(70, 2)).empty());
+    CHECK(replica.adoptRetained({ makeRow("config", "17", at(95, 1)) }, at(70, 2)).size() == 1);
+    replica.acceptStored();
+    CHECK(replica.adoptRetained({ makeRow("config", "17", at(95, 1)) }, at(70, 2)).empty());
+    CHECK(valueOf(replica, "config") == "13");
+    CHECK(replica.retained().empty());
+}
+
 // Guards against retained rows that are passed on as if the store held them.
 TEST_CASE("a peer of another era gets the store's complete table without retained rows")
 {
