Do not take an answer for whole that ended before the upload was received

A server may answer a long upload at once with a response without a length, send a part of the body and end its side of the connection.

Cause: the end of the connection ends such a response, whatever has become of the request. Whatever the router sends from then on makes the server reset the connection, too late to be seen.

--- a/lib/Net/HttpClientConnection.cpp
+++ b/lib/Net/HttpClientConnection.cpp
@@ -136,6 +136,7 @@
         m_begunAt = m_loop.now();
     m_hasAskedMaySend = false;
     m_hasDeliveredHead = false;
+    m_isRequestUndelivered = false;
     m_parser.reset(m_attempt->request.method);
     m_deadline.arm(m_pool.limits().connectTimeout);
     evhttp_request* request = makeRequest();
@@ -349,7 +350,8 @@
 {
     auto* self = static_cast<http_client_connection*>(context);
     const bool isWhole = request && evhttp_request_get_response_code(request) != 0;
-    if (isWhole)
+    self->noteUndeliveredRequest();
+    if (isWhole && !self->m_isRequestUndelivered)
         self->m_parser.feedEnd();
     const bool isComplete = isWhole && self->m_parser.progress() == http_progress::complete;
     self->end(isComplete ? attempt_end_kind::complete : self->incompleteEndKind());
@@ -359,10 +361,21 @@
 {
     auto* self = static_cast<http_client_connection*>(context);
     self->m_isClosed = true;
+    self->noteUndeliveredRequest();
     if (!self->m_attempt)
         self->m_finish.schedule();
 }
 
+/// A server that ends its response with the connection before it has received the request has
+/// given it up: the rest of the request makes its side reset the connection, so that the part
+/// of the response that has arrived need not be the whole one.
+void http_client_connection::noteUndeliveredRequest()
+{
+    const auto socket = bufferevent_getfd(m_channel);
+    if (m_attempt && m_parser.framing() == http_framing::untilClose && socket >= 0)
+        m_isRequestUndelivered = m_isRequestUndelivered || hasUndeliveredOutput(socket);
+}
+
 /// Ends the attempt. Its owner is notified after evhttp's callbacks have returned.
 void http_client_connection::end(attempt_end_kind kind)
 {
--- a/lib/Net/HttpClientConnection.h
+++ b/lib/Net/HttpClientConnection.h
@@ -95,6 +95,7 @@
     evhttp_request* makeRequest();
     void end(attempt_end_kind kind);
     attempt_end_kind incompleteEndKind() const;
+    void noteUndeliveredRequest();
     void finish();
     void deadlinePassed();
 
@@ -117,6 +118,7 @@
     bool m_hasAskedMaySend = false; ///< Whether `maySend` was called for this attempt.
     bool m_isSendDenied = false;
     bool m_hasDeliveredHead = false;
+    bool m_isRequestUndelivered = false; ///< The server has ended a response without a length before it had received the request.
     bool m_isEnding = false;
     bool m_isPaused = false;
     bool m_isClosed = false;
--- a/lib/Net/HttpSockets.cpp
+++ b/lib/Net/HttpSockets.cpp
@@ -7,8 +7,13 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#ifdef __linux__
+#include <linux/sockios.h>
+#endif
+
 namespace pimentoladder {
 
 bool toSocketAddress(const endpoint& location, sockaddr_storage& address)
@@ -84,6 +89,16 @@
     return peekSocket(socket) == 1;
 }
 
+bool hasUndeliveredOutput([[maybe_unused]] int socket)
+{
+    int bytes = 0;
+#ifdef SIOCOUTQ
+    if (ioctl(socket, SIOCOUTQ, &bytes) != 0)
+        return false;
+#endif
+    return bytes > 0;
+}
+
 bool hasWaitingConnection(int listeningSocket)
 {
     pollfd queried { listeningSocket, POLLIN, 0 };
--- a/lib/Net/HttpSockets.h
+++ b/lib/Net/HttpSockets.h
@@ -36,6 +36,10 @@
 /// block and consumes no bytes.
 bool hasUnreadInput(int socket);
 
+/// Returns whether bytes that were written to the connection have not reached the peer.
+/// False where the system does not tell.
+bool hasUndeliveredOutput(int socket);
+
 /// Returns whether a connection waits to be accepted. Does not block.
 bool hasWaitingConnection(int listeningSocket);
 
--- a/unittests/PlatformAdapter/RawBackend.h
+++ b/unittests/PlatformAdapter/RawBackend.h
@@ -26,12 +26,20 @@
     close,
     halfClose, ///< Ends its own direction only.
     reset,
+    closeUnread, ///< Closes beside input that has not been read, which resets the connection.
     endless, ///< Sends its last part again for as long as the connection takes it.
 };
 
 struct raw_reply {
     std::vector<std::string> parts; ///< Sent one after another, with a pause; `{id}` becomes the request's id.
     ending how = ending::keep;
+    duration delay {}; ///< From the request to the first part.
+};
+
+/// Which part of a request a server reads before it answers.
+enum class request_reading {
+    whole,
+    head, ///< Nothing after the first bytes, which hold the head.
 };
 
 /// Returns the value of a header of a raw request, or an empty string.
@@ -49,10 +57,15 @@
     using script = std::function<raw_reply(const std::string& request)>;
     static constexpr duration pause = std::chrono::milliseconds(30);
 
-    explicit raw_backend(script answers)
+    explicit raw_backend(script answers, request_reading reading = request_reading::whole)
         : m_listener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
         , m_script(std::move(answers))
+        , m_reading(reading)
     {
+        // A server that does not read a long request holds little of it.
+        const int receiveBufferBytes = 4096;
+        if (reading == request_reading::head)
+            setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -107,7 +120,13 @@
     void serve(connection& served)
     {
         char buffer[4096];
-        ssize_t count = recv(served.socket, buffer, sizeof buffer, 0);
+        const bool readsNoMore = m_reading == request_reading::head && !served.received.empty();
+        ssize_t count = readsNoMore ? -1 : recv(served.socket, buffer, sizeof buffer, 0);
+        if (m_reading == request_reading::head && count > 0) {
+            served.received.assign(buffer, static_cast<std::size_t>(count));
+            answer(served, served.received);
+            count = -1;
+        }
         for (; count > 0; count = recv(served.socket, buffer, sizeof buffer, 0))
             served.received.append(buffer, static_cast<std::size_t>(count));
         if (count == 0) {
@@ -147,7 +166,7 @@
         }
         served.unsent = std::move(reply.parts);
         served.how = reply.how;
-        served.dueAt = tools::bootTime();
+        served.dueAt = tools::bootTime() + reply.delay;
         served.isAnswering = true;
     }
 
@@ -168,6 +187,7 @@
 
     int m_listener;
     script m_script;
+    request_reading m_reading;
     std::vector<connection> m_connections;
 };
 
@@ -220,7 +240,7 @@
 struct raw_fleet : router_fixture {
     /// \p change is applied to the settings before the router starts.
     explicit raw_fleet(
-        const raw_backend::script& answers, std::size_t count = 2, const std::function<void(settings&)>& change = [](settings&) {})
+        const raw_backend::script& answers, std::size_t count = 2, const std::function<void(settings&)>& change = [](settings&) {}, request_reading reading = request_reading::whole)
     {
         change(configured);
         const auto route = [](const char* prefix, const char* type, bool isResumable) {
@@ -232,7 +252,7 @@
             { "services", { { { "name", "model" } } } }, { "tenants", { { { "name", "ws-0" }, { "api_keys", { "key" } } } } }, { "limits", nlohmann::json::object() } };
         writeRow("op", "config", plan.dump());
         for (std::size_t i = 0; i < count; ++i) {
-            servers.push_back(std::make_unique<raw_backend>(answers));
+            servers.push_back(std::make_unique<raw_backend>(answers, reading));
             const nlohmann::json row { { "service", "model" }, { "address", "127.0.0.1:" + std::to_string(servers.back()->port) }, { "zone", "dc-0" }, { "version", "1" },
                 { "slots", 8 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "born", 1 } };
             writeRow("servers", "r-" + std::to_string(i), row.dump());
--- a/unittests/PlatformAdapter/RouterFixture.h
+++ b/unittests/PlatformAdapter/RouterFixture.h
@@ -169,14 +169,14 @@
     }
 
     /// Sends a caller's request and returns the location that receives its response.
-    std::shared_ptr<std::optional<tools::client_answer>> begin(const std::string& path, const std::string& key = "key", std::vector<tools::http_header> headers = {})
+    std::shared_ptr<std::optional<tools::client_answer>> begin(const std::string& path, const std::string& key = "key", std::vector<tools::http_header> headers = {}, const std::string& body = "body")
     {
         headers.push_back({ "Host", "h" });
         headers.push_back({ "Api-Key", key });
         headers.push_back({ "X-Attempt-Id", "a" + std::to_string(++lastAttempt) });
         headers.push_back({ "X-Deadline-Ms", "3000" });
         auto answer = std::make_shared<std::optional<tools::client_answer>>();
-        client.send({ { "127.0.0.1", configured.listen.callers.port }, "POST", path, "body", std::move(headers) }, [answer](const tools::client_answer& ended) { *answer = ended; });
+        client.send({ { "127.0.0.1", configured.listen.callers.port }, "POST", path, body, std::move(headers) }, [answer](const tools::client_answer& ended) { *answer = ended; });
         return answer;
     }
 
