--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -88,7 +88,7 @@
     followed_table table {};
     vm_id source; ///< Router that confirmed the rows; empty: read from the store.
     std::uint32_t failures = 0; ///< Failed reads in a row before.
-    duration sinceFailed {}; ///< Since the start of the last failed read.
+    duration sinceFailed {}; ///< Since the start of the last failed read of any table.
 };
 
 /// This router follows another source, or none and reads the store itself. Reported when
@@ -108,7 +108,7 @@
 
 /// An outage ended at this time: nobody had confirmed the servers to this router for longer
 /// than `relay_limits::outageAge`, so that registrations may have expired. Reported before
-/// the rows that are removed, and again if the source knows the end more exactly.
+/// the rows that are removed, and again if another router knows the end more exactly.
 struct store_recovered {
     time_point at;
     duration outage {}; ///< Time without a confirmation; zero: unknown, or as reported before.
@@ -240,7 +240,7 @@
     std::vector<fleet_router> m_members;
     std::map<vm_id, time_point> m_followers; ///< Time of each follower's last message.
     std::optional<time_point> m_basis; ///< Time at which the tables `operators` and `servers` were both current.
-    std::optional<time_point> m_failedAt; ///< Start of the last failed read of any table.
+    std::optional<time_point> m_failedAt; ///< Start of the last read of any table that the store did not answer.
     std::optional<time_point> m_returnedAt; ///< When this router's reads succeeded again after they had failed.
     std::optional<time_point> m_recoveredAt; ///< When this router noticed the end of the last outage.
     std::optional<time_point> m_outageEnd; ///< End of the last outage, as in `store_recovered`.
--- a/include/pimentoladder/Replica/RowReplica.h
+++ b/include/pimentoladder/Replica/RowReplica.h
@@ -109,6 +109,13 @@
         store_position changedAt; ///< Position of the last significant change.
     };
 
+    /// Positions between which rows may have been written and deleted unseen, since a
+    /// complete table was applied instead of the changes.
+    struct unseen_span {
+        store_position from;
+        store_position to;
+    };
+
     /// Applies rows that changed up to \p position. Up to \p completeUpTo, rows that this
     /// replica lacks were deleted, although their deletions may have been forgotten.
     row_changes applyRows(const std::vector<published_row>& rows, store_position position, store_position completeUpTo);
@@ -125,13 +132,6 @@
     std::map<std::string, held_row> m_rows; ///< The store's rows; includes deleted rows until there are too many.
     std::map<std::string, published_row> m_retained; ///< Rows in force instead of the store's.
     store_position m_position;
-    /// Positions between which rows may have been written and deleted unseen, since a
-    /// complete table was applied instead of the changes.
-    struct unseen_span {
-        store_position from;
-        store_position to;
-    };
-
     store_position m_forgottenUpTo; ///< Deletions up to this position may be missing, so that a peer at an earlier one needs the complete table.
     unseen_span m_gap; ///< The last one; earlier ones are part of `m_forgottenUpTo`.
     bool m_isWhole = false;
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -292,10 +292,11 @@
 /// must read the store goes on to try it.
 void row_relay::forgetFailures(time_point now, const vm_id& source, relay_actions& out)
 {
+    if (readsStore(now))
+        return;
     for (const followed_table table : allTables) {
         table_state& each = state(table);
-        const bool isTried = each.needsOwnRead || each.isReading || readsStore(now);
-        if (each.failures == 0 || isTried)
+        if (each.failures == 0 || each.needsOwnRead || each.isReading)
             continue;
         if (std::exchange(each.isFailing, false))
             out.push_back(table_reads_recovered { table, source, each.failures, now - m_failedAt.value_or(now) });
@@ -308,7 +309,6 @@
 {
     table_state& read = state(table);
     ++read.failures;
-    m_failedAt = read.sentAt;
     read.needsOwnRead |= read.isReadingOwn;
     read.nextReadAt = std::max(now, read.sentAt + retryPause(table, now));
     // A gap in the history is not an outage: the complete table is read at once.
@@ -317,6 +317,7 @@
         read.nextReadAt = now;
         return;
     }
+    m_failedAt = read.sentAt;
     if (!std::exchange(read.isFailing, true))
         out.push_back(store_lost { table, std::move(reason) });
 }
--- a/lib/Replica/RowReplica.cpp
+++ b/lib/Replica/RowReplica.cpp
@@ -28,8 +28,8 @@
 
 void row_replica::applyRow(const published_row& row, store_position completeUpTo, row_changes& changes)
 {
-    const bool isAbsent = row.position <= completeUpTo && !m_rows.contains(row.key);
-    if (isAbsent)
+    const bool wasDeleted = row.position <= completeUpTo && !m_rows.contains(row.key);
+    if (wasDeleted)
         return;
     const auto [found, isNew] = m_rows.try_emplace(row.key);
     held_row& held = found->second;
