--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -128,9 +128,8 @@
 /// its rows are older than `relay_limits::maxBasisAge`, whatever the reason. A router that has
 /// followers reads the store whether or not it ranks as a reader, so the routers need not
 /// agree on the readers. A reader that has lost the store follows another one until its own
-/// reads succeed again. While no reader has the store, each other router tries one table at
-/// intervals below the bound on the age of rows, since the store may serve it sooner than
-/// the readers.
+/// reads succeed again. While no reader has the store, each other router tries one table as
+/// `otherRetry` and `loneRetry` say, since the store may serve it sooner than the readers.
 ///
 /// A store that was restored from a copy is in a later era. A router that learns of it,
 /// from a read or a message, confirms nothing more by data of the earlier era. Readers read
