Log what the expected first event rests on

A dispatch named the expected time and not what it was made of, so that a queue that other routers have made could not be told from an old report or a slow server. request_dispatched and request_ended now carry the reported queue, its age, what this router has sent since, the unread tokens and the smoothed delay; pimentoladder_first_event_late_seconds has the error itself.

--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -120,6 +120,7 @@
     revision planVersion;
     duration basisAge {};
     std::optional<duration> usageAge; ///< Of the fleet's sums of usage; nothing if there are none.
+    queue_estimate queue {}; ///< What the expected first event rests on.
     std::string_view rolloutSide {}; ///< Of the server's version in a roll-out: target or current; empty if the pool has no order.
 };
 
@@ -157,6 +158,8 @@
     std::optional<request_trait> quarantinedBy; ///< Trait for which the request was refused.
     hold_reason heldBy = hold_reason::none; ///< Of the server that would have taken it first, if no server took it.
     std::optional<duration> usageAge; ///< Of the fleet's sums of usage at the end; nothing if there are none.
+    server_id bestServer {}; ///< That the expected first event is of; empty if no server was compared.
+    queue_estimate queue {}; ///< What the expected first event rests on.
 };
 
 /// Log record of a request that is sent to find out whether a quarantined trait still
--- a/include/pimentoladder/Dispatch/ServerCondition.h
+++ b/include/pimentoladder/Dispatch/ServerCondition.h
@@ -44,6 +44,17 @@
     std::optional<double> slowness {}; ///< Time that work takes at this moment, as a multiple of the usual time, if it reports it.
 };
 
+/// What a server's expected first event rests on, beyond the request itself.
+struct queue_estimate {
+    std::uint32_t running = 0; ///< As in the newest report of the server's load.
+    std::uint32_t waiting = 0; ///< As in that report.
+    std::optional<duration> loadAge {}; ///< Of that report; nothing: it is too old to be used.
+    std::uint32_t ownSent = 0; ///< Requests that this router has sent since that report.
+    double ownTokens = 0; ///< Prompt tokens of this router's requests that have not begun.
+    double othersTokens = 0; ///< Prompt tokens of other routers' requests that are expected to be unread.
+    duration excessDelay {}; ///< Smoothed delay of first events beyond the expected one.
+};
+
 /// What a response says about the request rate that its server takes.
 enum class limit_notice {
     none, ///< The server takes any rate.
@@ -187,6 +198,9 @@
     /// request in progress of this router delays.
     duration expectedFirstEvent(time_point now, double uncachedTokens) const;
 
+    /// Returns what `expectedFirstEvent` rests on.
+    queue_estimate queue(time_point now) const;
+
     /// Returns the part of `expectedFirstEvent` that the request would take if the server were idle;
     /// without tokens, the part that any request takes.
     duration ownTime(time_point now, double uncachedTokens) const;
--- a/include/pimentoladder/Dispatch/ServerSelector.h
+++ b/include/pimentoladder/Dispatch/ServerSelector.h
@@ -75,6 +75,7 @@
     std::size_t candidates = 0; ///< Servers that were compared.
     bool isCold = false;
     bool isLimited = false; ///< Has a request limit, so that it is short of requests rather than of time.
+    queue_estimate queue {}; ///< What `expectedFirstEvent` rests on.
 };
 
 /// Longest time for which the reports of other routers make a server less preferred.
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -1,5 +1,6 @@
 #include "pimentoladder/Daemon/DispatchReport.h"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <sstream>
@@ -58,6 +59,12 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
     }
 
+    // Returns -1 if there is no value.
+    std::int64_t optionalMilliseconds(const std::optional<duration>& value)
+    {
+        return value ? milliseconds(*value) : -1;
+    }
+
 }
 
 dispatch_report::dispatch_report(dispatch_driver& driver, logger& log, metrics& values)
@@ -87,7 +94,10 @@
                 { "server", std::string_view(decided.server.value()) }, { "expected_ms", milliseconds(decided.expectedFirstEvent) },
                 { "unread_tokens", static_cast<std::int64_t>(decided.uncachedTokens) }, { "candidates", std::uint64_t { decided.candidates } },
                 { "runs_before", std::uint64_t { decided.attemptsSoFar } }, { "cold", decided.isCold }, { "share_fill", roundToHundredths(decided.shareUtilisation) }, { "served_fill", roundToHundredths(decided.servedUtilisation) }, { "entitled_fill", roundToHundredths(decided.entitledUtilisation) },
-                { "config_version", decided.planVersion.value() }, { "basis_age_ms", milliseconds(decided.basisAge) }, { "usage_age_ms", decided.usageAge ? milliseconds(*decided.usageAge) : -1 }, side... });
+                { "config_version", decided.planVersion.value() }, { "basis_age_ms", milliseconds(decided.basisAge) }, { "usage_age_ms", optionalMilliseconds(decided.usageAge) },
+                { "queue_running", std::uint64_t { decided.queue.running } }, { "queue_waiting", std::uint64_t { decided.queue.waiting } }, { "queue_age_ms", optionalMilliseconds(decided.queue.loadAge) },
+                { "queue_own_sent", std::uint64_t { decided.queue.ownSent } }, { "queue_own_tokens", static_cast<std::int64_t>(decided.queue.ownTokens) },
+                { "queue_others_tokens", static_cast<std::int64_t>(decided.queue.othersTokens) }, { "queue_excess_ms", milliseconds(decided.queue.excessDelay) }, side... });
     };
     if (decided.rolloutSide.empty())
         write();
@@ -115,6 +125,8 @@
     m_metrics.observe("pimentoladder_request_seconds", { { "route", ended.routeName }, { "result", std::string(ended.result) } }, ended.total);
     if (ended.firstEvent)
         m_metrics.observe("pimentoladder_first_event_seconds", { { "route", ended.routeName } }, *ended.firstEvent);
+    if (ended.firstEvent && ended.expectedFirstEvent > duration::zero())
+        m_metrics.observe("pimentoladder_first_event_late_seconds", { { "route", ended.routeName } }, std::max(*ended.firstEvent - ended.expectedFirstEvent, duration::zero()));
     if (ended.longestPause > duration::zero())
         m_metrics.observe("pimentoladder_longest_pause_seconds", { { "route", ended.routeName } }, ended.longestPause);
     if (!mayWrite())
@@ -126,7 +138,9 @@
             { "runs", std::uint64_t { ended.attempts } }, { "tokens", static_cast<std::int64_t>(ended.tokens) }, { "share_fill", roundToHundredths(ended.shareUtilisation) }, { "served_fill", roundToHundredths(ended.servedUtilisation) }, { "entitled_fill", roundToHundredths(ended.entitledUtilisation) }, { "expected_ms", milliseconds(ended.expectedFirstEvent) },
             { "first_event_ms", ended.firstEvent ? milliseconds(*ended.firstEvent) : -1 }, { "longest_pause_ms", milliseconds(ended.longestPause) },
             { "total_ms", milliseconds(ended.total) }, { "objective_ms", milliseconds(ended.objective) }, { "quarantined_by", std::string_view(quarantinedBy) },
-            { "held_by", holdReasonName(ended.heldBy) }, { "usage_age_ms", ended.usageAge ? milliseconds(*ended.usageAge) : -1 } });
+            { "held_by", holdReasonName(ended.heldBy) }, { "usage_age_ms", optionalMilliseconds(ended.usageAge) },
+            { "best_server", std::string_view(ended.bestServer.value()) }, { "queue_running", std::uint64_t { ended.queue.running } }, { "queue_waiting", std::uint64_t { ended.queue.waiting } },
+            { "queue_age_ms", optionalMilliseconds(ended.queue.loadAge) }, { "queue_excess_ms", milliseconds(ended.queue.excessDelay) } });
 }
 
 void dispatch_report::perform(const trait_change& changed)
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -298,6 +298,8 @@
 bool dispatcher::isAdmissible(tracked_request& request, const selected_server& best)
 {
     request.expectedFirstEvent = best.expectedFirstEvent;
+    request.bestServer = best.server;
+    request.queue = best.queue;
     return !request.received.prompt || shouldAdmitPrompt(estimateOf(request, best));
 }
 
@@ -490,7 +492,7 @@
     m_selector.condition(best->server).started(now, request->attempt, best->uncachedTokens);
     out.push_back(dispatch_decision { request->number, request->attempt, request->received.callerId, request->target.name,
         request->workspace, best->server, best->expectedFirstEvent, best->uncachedTokens, best->candidates, request->runs,
-        request->share.ofCapacity, request->share.ofServed, request->share.ofEntitled, best->isCold, m_fleet.plan().version, m_fleet.basisAge(now).value_or(duration::zero()), m_share.fleetAge(now), rolloutSide(now, *request) });
+        request->share.ofCapacity, request->share.ofServed, request->share.ofEntitled, best->isCold, m_fleet.plan().version, m_fleet.basisAge(now).value_or(duration::zero()), m_share.fleetAge(now), best->queue, rolloutSide(now, *request) });
     const workspace_id forwardedWorkspace = request->hasKey ? request->workspace : workspace_id();
     out.push_back(open_dispatch { request->number, request->attempt, best->server,
         server.location, forwardedWorkspace, request->deadline - now, request->lastEvent });
@@ -881,7 +883,7 @@
     m_requests.erase(request->number);
     out.push_back(request_outcome { request->number, request->received.callerId, request->target.name, request->workspace,
         result, reason, request->runs, request->tokens, request->share.ofCapacity, request->share.ofServed, request->share.ofEntitled, request->expectedFirstEvent, request->firstEvent, request->longestPause,
-        now - request->receivedAt, request->target.objective, request->quarantinedBy, request->heldBy, m_share.fleetAge(now) });
+        now - request->receivedAt, request->target.objective, request->quarantinedBy, request->heldBy, m_share.fleetAge(now), request->bestServer, request->queue });
 }
 
 dispatch_actions dispatcher::onCallerDisconnected(time_point now, request_number number)
--- a/lib/Dispatch/ServerCondition.cpp
+++ b/lib/Dispatch/ServerCondition.cpp
@@ -401,6 +401,21 @@
     return excessDelay(now) + scaled(usualTime(workFor(now, uncachedTokens)), slowness(now)) + waitingTime(now);
 }
 
+queue_estimate server_condition::queue(time_point now) const
+{
+    queue_estimate estimate;
+    estimate.ownTokens = pendingTokens();
+    estimate.othersTokens = othersPending(now);
+    estimate.excessDelay = excessDelay(now);
+    if (!hasCurrentLoad(now))
+        return estimate;
+    estimate.running = m_load.running;
+    estimate.waiting = m_load.waiting;
+    estimate.loadAge = now - m_loadAt;
+    estimate.ownSent = static_cast<std::uint32_t>(std::count_if(m_attempts.begin(), m_attempts.end(), [this](const auto& each) { return each.second.startedAt > m_loadAt; }));
+    return estimate;
+}
+
 duration server_condition::ownTime(time_point now, double uncachedTokens) const
 {
     return scaled(usualTime({ uncachedTokens, uncachedTokens, 0, 0 }), slowness(now));
--- a/lib/Dispatch/TrackedRequest.h
+++ b/lib/Dispatch/TrackedRequest.h
@@ -62,6 +62,8 @@
     std::optional<stream_origin> origin;
     duration longestPause {};
     duration expectedFirstEvent {};
+    server_id bestServer; ///< That the expected first event is of.
+    queue_estimate queue; ///< What the expected first event rests on.
     hold_reason heldBy = hold_reason::none; ///< Why no server took it.
     double uncachedTokens = 0;
     share_use share; ///< That the workspace has used.
