Reproduce a share that is lost behind queues of many routers

The emulated fleet ignored what the dispatcher does on a tick and when it gives an attempt up, so that an attempt that was moved stayed open for ever and its server looked overdue. It performs all actions now, keeps a queue at each engine, and can count what engines begin, as the platform does.

--- a/unittests/Dispatch/FairFleet.cpp
+++ b/unittests/Dispatch/FairFleet.cpp
@@ -15,6 +15,7 @@
     constexpr std::uint32_t outputTokens = 120;
     constexpr std::size_t requestsOfSlack = 3;
     constexpr std::int64_t spanSeconds = 6;
+    constexpr duration objective = 800ms; // Of the streams of makePlan.
 
     double tokensOf(const load_profile& load)
     {
@@ -149,40 +150,83 @@
     second.asked += tokensOf(load);
     request_number number;
     const dispatch_actions actions = to.core.onRequest(m_now, request, number);
-    const auto* opened = find<open_dispatch>(actions);
-    if (!opened) {
+    if (!find<open_dispatch>(actions)) {
         ++second.refused;
         return;
     }
-    second.got += tokensOf(load);
-    to.core.mayStartSending(m_now, opened->attempt);
-    engine& at = m_engines.at(opened->server.value());
-    const double unread = find<dispatch_decision>(actions)->uncachedTokens;
-    while (!at.ends.empty() && *at.ends.begin() <= m_now)
-        at.ends.erase(at.ends.begin());
-    time_point start = std::max(at.busyUntil, m_now);
-    if (at.ends.size() >= m_conditions.slots)
-        start = std::max(start, *std::next(at.ends.rbegin(), static_cast<std::ptrdiff_t>(m_conditions.slots) - 1));
-    at.busyUntil = start + std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(unread / tokensPerMillisecond));
-    at.ends.insert(at.busyUntil + m_conditions.answerTime);
-    at.readBySecond[secondNow()] += unread;
-    m_events.emplace(at.busyUntil, pending_event { index, opened->attempt, 0, load.workspace, tokensOf(load), opened->server.value() });
+    if (!m_conditions.countsBegun)
+        second.got += tokensOf(load);
+    m_asked[{ index, number }] = { load.workspace, tokensOf(load), m_now };
+    perform(index, actions);
+}
+
+void fair_fleet::perform(std::size_t at, const dispatch_actions& actions)
+{
+    double unread = 0;
+    for (const dispatch_action& each : actions) {
+        if (const auto* decided = std::get_if<dispatch_decision>(&each))
+            unread = decided->uncachedTokens;
+        if (const auto* opened = std::get_if<open_dispatch>(&each)) {
+            m_routers[at]->core.mayStartSending(m_now, opened->attempt);
+            m_attempts[{ at, opened->attempt }] = opened->request;
+            m_engines.at(opened->server.value()).queue.push_back({ { at, opened->attempt }, unread, m_now });
+        }
+        // An engine drops a request that it has not begun.
+        if (const auto* cancelled = std::get_if<cancel_dispatch>(&each))
+            m_attempts.erase({ at, cancelled->attempt });
+    }
+}
+
+/// Begins the attempts that wait at an engine, in their order, as far as it has time and slots.
+void fair_fleet::beginWaiting(const std::string& id, engine& at)
+{
+    while (!at.queue.empty()) {
+        const waiting_attempt next = at.queue.front();
+        if (!m_attempts.contains(next.key)) {
+            at.queue.pop_front();
+            continue;
+        }
+        time_point start = std::max(at.busyUntil, next.since);
+        const auto running = static_cast<std::size_t>(std::distance(at.ends.upper_bound(start), at.ends.end()));
+        if (running >= m_conditions.slots)
+            start = *std::next(at.ends.rbegin(), static_cast<std::ptrdiff_t>(m_conditions.slots) - 1);
+        if (start > m_now)
+            return;
+        at.queue.pop_front();
+        at.busyUntil = start + std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(next.unread / tokensPerMillisecond));
+        at.ends.erase(at.ends.begin(), at.ends.upper_bound(start));
+        at.ends.insert(at.busyUntil + m_conditions.answerTime);
+        at.readBySecond[secondNow()] += next.unread;
+        m_events.emplace(at.busyUntil, pending_event { next.key, 0, id });
+    }
 }
 
 reported_load fair_fleet::loadOf(const engine& reporting) const
 {
     const auto slots = static_cast<std::uint32_t>(m_conditions.slots);
-    const auto present = static_cast<std::uint32_t>(std::distance(reporting.ends.upper_bound(m_now), reporting.ends.end()));
-    return { std::min(present, slots), present - std::min(present, slots), slots };
+    const auto running = static_cast<std::uint32_t>(std::distance(reporting.ends.upper_bound(m_now), reporting.ends.end()));
+    return { std::min(running, slots), static_cast<std::uint32_t>(reporting.queue.size()), slots };
 }
 
 void fair_fleet::advance(const pending_event& due)
 {
-    dispatcher& core = m_routers[due.router]->core;
+    const auto [at, attempt] = due.key;
+    dispatcher& core = m_routers[at]->core;
+    const auto known = m_attempts.find(due.key);
+    if (known == m_attempts.end())
+        return;
+    const asked_request& asked = m_asked.at({ at, known->second });
     if (due.step == 1) {
-        core.onAttemptEnded(m_now, due.attempt, { attempt_end_kind::complete, true });
+        m_asked.erase({ at, known->second });
+        m_attempts.erase(known);
+        perform(at, core.onAttemptEnded(m_now, attempt, { attempt_end_kind::complete, true }));
         return;
     }
+    if (m_conditions.countsBegun) {
+        second_of_service& second = m_history[asked.workspace][secondNow()];
+        second.got += asked.tokens;
+        second.late += m_now - asked.at > objective ? 1 : 0;
+    }
     served_head head;
     head.status = 200;
     head.isAuthentic = true;
@@ -192,8 +236,8 @@
         head.limit = { limit_notice::limited, 2 };
     if (m_conditions.reportsLoad)
         head.load = loadOf(m_engines.at(due.server));
-    core.onHead(m_now, due.attempt, head);
-    core.onBytes(m_now, due.attempt, "event", { 1, 1 });
+    perform(at, core.onHead(m_now, attempt, head));
+    perform(at, core.onBytes(m_now, attempt, "event", { 1, 1 }));
     pending_event end = due;
     end.step = 1;
     m_events.emplace(m_now + m_conditions.answerTime, end);
@@ -203,9 +247,9 @@
 {
     const time_point end = m_now + length;
     while (m_now < end) {
-        for (const auto& each : m_routers) {
-            each->core.confirm(m_now);
-            each->core.onTick(m_now);
+        for (std::size_t i = 0; i < m_routers.size(); ++i) {
+            m_routers[i]->core.confirm(m_now);
+            perform(i, m_routers[i]->core.onTick(m_now));
         }
         while (!m_messages.empty() && m_messages.begin()->first <= m_now)
             deliver(m_messages.extract(m_messages.begin()).mapped());
@@ -214,42 +258,52 @@
         exchange();
         stallEngines();
         ask();
+        for (auto& [id, each] : m_engines)
+            beginWaiting(id, each);
         m_now += step;
     }
 }
 
+service_in_span fair_fleet::serviceInSpan(const std::string& workspace, std::int64_t from) const
+{
+    service_in_span span;
+    for (const auto& [each, seconds] : m_history) {
+        double got = 0;
+        for (const auto& [at, second] : seconds)
+            got += at >= from && at < from + spanSeconds ? second.got : 0;
+        if (got <= span.most)
+            continue;
+        span.most = got;
+        span.best = each;
+    }
+    const auto secondOf = [&](const std::string& of, std::int64_t at) {
+        const auto seconds = m_history.find(of);
+        if (seconds == m_history.end() || !seconds->second.contains(at))
+            return second_of_service {};
+        return seconds->second.at(at);
+    };
+    for (std::int64_t at = from; at < from + spanSeconds; ++at) {
+        const second_of_service mine = secondOf(workspace, at);
+        span.hasWaited = span.hasWaited && mine.refused + mine.late > 0;
+        span.owed += std::min(mine.asked, secondOf(span.best, at).got);
+        span.got += mine.got;
+    }
+    double largest = 0;
+    for (const load_profile& load : m_loads)
+        largest = std::max(largest, load.workspace == workspace ? tokensOf(load) : 0);
+    span.required = span.owed / 2 - requestsOfSlack * largest;
+    return span;
+}
+
 std::vector<std::string> fair_fleet::findUnfairSpans() const
 {
     std::vector<std::string> found;
     const std::int64_t last = secondNow() - spanSeconds;
     for (std::int64_t from = 0; from <= last; ++from) {
-        std::map<std::int64_t, double> best;
-        std::string bestName;
-        double most = 0;
-        for (const auto& [workspace, seconds] : m_history) {
-            double got = 0;
-            for (const auto& [at, second] : seconds)
-                got += at >= from && at < from + spanSeconds ? second.got : 0;
-            if (got <= most)
-                continue;
-            most = got;
-            bestName = workspace;
-        }
         for (const load_profile& load : m_loads) {
-            const auto& seconds = m_history.at(load.workspace);
-            double owed = 0;
-            double got = 0;
-            bool hasWaited = true;
-            for (std::int64_t at = from; at < from + spanSeconds; ++at) {
-                const auto own = seconds.find(at);
-                const auto other = m_history.at(bestName).find(at);
-                const second_of_service mine = own == seconds.end() ? second_of_service {} : own->second;
-                hasWaited = hasWaited && mine.refused > 0;
-                owed += std::min(mine.asked, other == m_history.at(bestName).end() ? 0 : other->second.got);
-                got += mine.got;
-            }
-            if (hasWaited && got < owed / 2 - requestsOfSlack * tokensOf(load))
-                found.push_back(load.workspace + " got " + std::to_string(std::llround(got)) + " of " + std::to_string(std::llround(owed)) + " from second " + std::to_string(from) + ", " + bestName + " " + std::to_string(std::llround(most)));
+            const service_in_span span = serviceInSpan(load.workspace, from);
+            if (span.hasWaited && span.got < span.required)
+                found.push_back(load.workspace + " got " + std::to_string(std::llround(span.got)) + " of " + std::to_string(std::llround(span.owed)) + " from second " + std::to_string(from) + ", " + span.best + " " + std::to_string(std::llround(span.most)));
         }
     }
     return found;
--- a/unittests/Dispatch/FairFleet.h
+++ b/unittests/Dispatch/FairFleet.h
@@ -5,6 +5,8 @@
 
 #pragma once
 
+#include <compare>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -41,6 +43,7 @@
     duration stall = 800ms;
     std::uint64_t seed = 11; ///< Of all that is drawn.
     bool reportsLoad = false; ///< Engines report their load in each response.
+    bool countsBegun = false; ///< What a workspace got counts when an engine begins it, and a first event after the objective as waiting.
     std::size_t slots = 64; ///< Requests that an engine runs at once; others wait for one of them to end.
 };
 
@@ -49,6 +52,17 @@
     double asked = 0;
     double got = 0;
     std::size_t refused = 0;
+    std::size_t late = 0; ///< Requests whose first event came after the objective, if that counts.
+};
+
+/// What one workspace got in a span of six seconds, in tokens.
+struct service_in_span {
+    double owed = 0; ///< Second by second what it asked for or the best served workspace got, whichever is less.
+    double required = 0; ///< Half of that, less three of its largest requests.
+    double got = 0;
+    bool hasWaited = true; ///< In every second.
+    std::string best; ///< Best served workspace.
+    double most = 0; ///< That it got.
 };
 
 class fair_fleet {
@@ -58,11 +72,14 @@
     /// Plays \p length in steps of 5 ms.
     void run(duration length);
 
-    /// Returns a description of each span of six seconds in which a workspace was refused in
+    /// Returns a description of each span of six seconds in which a workspace waited in
     /// every second and got less than half of what it asked for or the best served one got,
     /// whichever is less, less three of the largest requests.
     std::vector<std::string> findUnfairSpans() const;
 
+    /// Returns what a workspace got in the six seconds from second \p from on.
+    service_in_span serviceInSpan(const std::string& workspace, std::int64_t from) const;
+
     /// Returns the tokens of the requests of a workspace that engines began in [\p from, \p to).
     double served(const std::string& workspace, duration from, duration to) const;
 
@@ -80,18 +97,38 @@
         time_point reportAt;
     };
 
+    /// Identifies an attempt in the fleet.
+    struct attempt_key {
+        std::size_t router;
+        attempt_number attempt;
+
+        auto operator<=>(const attempt_key&) const = default;
+    };
+
+    /// A caller's request that a router has sent to an engine.
+    struct asked_request {
+        std::string workspace;
+        double tokens;
+        time_point at;
+    };
+
+    /// An attempt that waits at an engine.
+    struct waiting_attempt {
+        attempt_key key;
+        double unread;
+        time_point since;
+    };
+
     struct engine {
         time_point busyUntil;
+        std::deque<waiting_attempt> queue;
         std::map<std::int64_t, double> readBySecond;
         std::multiset<time_point> ends; ///< Of the requests that it runs.
     };
 
     struct pending_event {
-        std::size_t router;
-        attempt_number attempt;
+        attempt_key key;
         std::size_t step; ///< 0: first event, 1: end.
-        std::string workspace;
-        double tokens;
         std::string server;
     };
 
@@ -109,6 +146,8 @@
     reported_load loadOf(const engine& reporting) const;
     void ask();
     void sendRequest(const load_profile& load);
+    void perform(std::size_t at, const dispatch_actions& actions);
+    void beginWaiting(const std::string& id, engine& at);
     void advance(const pending_event& due);
 
     fleet_conditions m_conditions;
@@ -121,6 +160,8 @@
     std::map<std::size_t, usage_aggregator> m_readers;
     std::multimap<time_point, message_on_way> m_messages;
     std::multimap<time_point, pending_event> m_events;
+    std::map<std::pair<std::size_t, request_number>, asked_request> m_asked;
+    std::map<attempt_key, request_number> m_attempts; ///< That have not ended.
     std::map<std::string, double> m_due; ///< Requests that each workspace's callers still have to send.
     std::map<std::string, std::map<std::int64_t, second_of_service>> m_history;
     std::uint64_t m_sent = 0;
--- a/unittests/Dispatch/FairnessTests.cpp
+++ b/unittests/Dispatch/FairnessTests.cpp
@@ -96,6 +96,35 @@
     }
 }
 
+TEST_SUITE_BEGIN("unexpected queues");
+
+// Guards against a workspace that returns to queues which no router expects, since each knows only what it has sent itself.
+TEST_CASE("a workspace that asks again behind queues of many routers gets its share in that span")
+{
+    std::vector<std::size_t> all(18);
+    std::iota(all.begin(), all.end(), 0);
+    fleet_conditions conditions;
+    conditions.reportsLoad = true;
+    conditions.countsBegun = true;
+    conditions.slots = 16;
+    conditions.answerTime = 1300ms;
+    double got = 0;
+    double required = 0;
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        conditions.seed = seed;
+        fair_fleet fleet(all.size(), 23, conditions,
+            { { "first", all, 500, 3'720, {}, 60 }, { "second", all, 250, 3'720, {}, 60 }, { "returning", { 7 }, 1 }, { "returning", { 7 }, 40, 3'720, 10300ms } });
+        fleet.run(11s);
+        checkFair(fleet);
+        const service_in_span span = fleet.serviceInSpan("returning", 5);
+        got += span.got;
+        required += span.required;
+    }
+    CHECK(got > required);
+}
+
+TEST_SUITE_END();
+
 TEST_SUITE_BEGIN("harmed fleet");
 
 // Guards against shares that are only kept while the fleet's sums are new.
