Expect first events later by the error that most routers see

Callers of a workspace below its share were refused, or served after their objective, behind queues that no router expected. A router estimates the queue of an engine from a report of the past and its own requests, and sends to the engine with the earliest first event.

Each router smooths the error of its own first events for each pool and reports it with its usage; readers send the median over the routers, which is added to the estimate for admission. The choice among the engines is unchanged.

--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 
 #include "pimentoladder/Dispatch/DispatchActions.h"
+#include "pimentoladder/Dispatch/EstimateError.h"
 #include "pimentoladder/Dispatch/FleetView.h"
 #include "pimentoladder/Dispatch/LoadShedder.h"
 #include "pimentoladder/Dispatch/PromptAdmission.h"
@@ -182,8 +183,9 @@
     void recordSent(time_point now, const tracked_request& request);
     share_use shareUse(time_point now, const tracked_request& request);
     /// Precondition: the request has a prompt.
-    prompt_estimate estimateOf(const tracked_request& request, const selected_server& best) const;
-    bool isAdmissible(tracked_request& request, const selected_server& best);
+    prompt_estimate estimateOf(time_point now, const tracked_request& request, const selected_server& best) const;
+    duration expectedAt(time_point now, const tracked_request& request, const selected_server& best) const;
+    bool isAdmissible(time_point now, tracked_request& request, const selected_server& best);
     void applyNotices(time_point now, const tracked_request& request, const served_head& head, dispatch_actions& out);
     void withdrawUnsent(time_point now, const server_id& server, dispatch_actions& out);
     void failAttempt(time_point now, const tracked& request, bool mayHaveRun, std::string_view result, int status, dispatch_actions& out);
@@ -208,6 +210,7 @@
     fleet_view m_fleet;
     server_selector m_selector;
     workspace_share m_share;
+    estimate_error m_estimateError;
     retry_budget m_budget;
     crash_attribution m_crashes;
     stream_versions m_versions;
--- a/include/pimentoladder/Dispatch/WorkspaceShare.h
+++ b/include/pimentoladder/Dispatch/WorkspaceShare.h
@@ -87,6 +87,7 @@
         time_point heardAt;
         std::map<workspace_id, workspace_usage> counted;
         std::map<server_id, double> pendingTokens;
+        std::vector<pool_lateness> lateness;
     };
 
     struct observed_load {
--- a/include/pimentoladder/Protocol/Messages.h
+++ b/include/pimentoladder/Protocol/Messages.h
@@ -311,6 +311,12 @@
     std::vector<double> milliseconds; ///< By coefficient of `pool_speed`.
 };
 
+/// By how much first events from the servers of a pool come later than expected.
+struct pool_lateness {
+    pool_id pool;
+    duration late {}; ///< Negative: earlier.
+};
+
 /// Model tokens that the sender's requests have asked for and received since its
 /// start, which never decrease, and its observations of servers since its last
 /// report.
@@ -318,6 +324,7 @@
     std::vector<usage_entry> entries;
     std::vector<server_observation> observed;
     std::vector<speed_sample> samples {}; ///< Of the time since the last report; a few, if there were many.
+    std::vector<pool_lateness> lateness {}; ///< Smoothed, of the sender's requests.
 };
 
 /// Model tokens of late, weighted by age, at all routers that report to the sender, and
@@ -327,6 +334,7 @@
     std::vector<usage_entry> entries;
     std::vector<server_observation> observed;
     std::vector<pool_speed_entry> speeds {}; ///< Learnt from the samples of all routers.
+    std::vector<pool_lateness> lateness {}; ///< Medians over the routers.
 };
 
 /// What a response of a backend server says about the request rate that it takes.
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -97,7 +97,7 @@
                 { "config_version", decided.planVersion.value() }, { "basis_age_ms", milliseconds(decided.basisAge) }, { "usage_age_ms", optionalMilliseconds(decided.usageAge) },
                 { "queue_running", std::uint64_t { decided.queue.running } }, { "queue_waiting", std::uint64_t { decided.queue.waiting } }, { "queue_age_ms", optionalMilliseconds(decided.queue.loadAge) },
                 { "queue_own_sent", std::uint64_t { decided.queue.ownSent } }, { "queue_own_tokens", static_cast<std::int64_t>(decided.queue.ownTokens) },
-                { "queue_others_tokens", static_cast<std::int64_t>(decided.queue.othersTokens) }, { "queue_excess_ms", milliseconds(decided.queue.excessDelay) }, side... });
+                { "queue_others_tokens", static_cast<std::int64_t>(decided.queue.othersTokens) }, { "queue_excess_ms", milliseconds(decided.queue.excessDelay) }, { "queue_correction_ms", milliseconds(decided.queue.correction) }, side... });
     };
     if (decided.rolloutSide.empty())
         write();
@@ -140,7 +140,7 @@
             { "total_ms", milliseconds(ended.total) }, { "objective_ms", milliseconds(ended.objective) }, { "quarantined_by", std::string_view(quarantinedBy) },
             { "held_by", holdReasonName(ended.heldBy) }, { "usage_age_ms", optionalMilliseconds(ended.usageAge) },
             { "best_server", std::string_view(ended.bestServer.value()) }, { "queue_running", std::uint64_t { ended.queue.running } }, { "queue_waiting", std::uint64_t { ended.queue.waiting } },
-            { "queue_age_ms", optionalMilliseconds(ended.queue.loadAge) }, { "queue_excess_ms", milliseconds(ended.queue.excessDelay) } });
+            { "queue_age_ms", optionalMilliseconds(ended.queue.loadAge) }, { "queue_excess_ms", milliseconds(ended.queue.excessDelay) }, { "queue_correction_ms", milliseconds(ended.queue.correction) } });
 }
 
 void dispatch_report::perform(const trait_change& changed)
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -288,19 +288,24 @@
     return m_share.use(now, request.workspace, request.tokens, m_capacity, m_selector.routerCount());
 }
 
-prompt_estimate dispatcher::estimateOf(const tracked_request& request, const selected_server& best) const
+/// Returns the expected time to the first event at the server that has been chosen. The estimate is
+/// too short on average, because servers whose queue is underestimated are chosen.
+duration dispatcher::expectedAt(time_point now, const tracked_request& request, const selected_server& best) const
+{
+    return request.received.prompt ? best.expectedFirstEvent + m_estimateError.correction(now, request.pool) : best.expectedFirstEvent;
+}
+
+prompt_estimate dispatcher::estimateOf(time_point now, const tracked_request& request, const selected_server& best) const
 {
     const std::vector<prompt_part>& parts = request.received.prompt->parts;
     const double ownTokens = parts.empty() ? best.uncachedTokens : parts.back().tokens;
-    return { request.target.objective, best.expectedFirstEvent, best.uncachedTokens, ownTokens, request.share, m_loopLag, best.isLimited, best.baseTime, best.ownTime };
+    return { request.target.objective, expectedAt(now, request, best), best.uncachedTokens, ownTokens, request.share, m_loopLag, best.isLimited, best.baseTime, best.ownTime };
 }
 
-bool dispatcher::isAdmissible(tracked_request& request, const selected_server& best)
+bool dispatcher::isAdmissible(time_point now, tracked_request& request, const selected_server& best)
 {
-    request.expectedFirstEvent = best.expectedFirstEvent;
-    request.bestServer = best.server;
-    request.queue = best.queue;
-    return !request.received.prompt || shouldAdmitPrompt(estimateOf(request, best));
+    request.expectedFirstEvent = expectedAt(now, request, best);
+    return !request.received.prompt || shouldAdmitPrompt(estimateOf(now, request, best));
 }
 
 /// Returns the server for the next attempt. A server with a request limit is short of
@@ -308,7 +313,7 @@
 /// only if the servers without a limit cannot take them.
 std::optional<selected_server> dispatcher::choose(time_point now, tracked_request& request, selection_request& wanted, bool isFirst)
 {
-    const auto isUsable = [&](const std::optional<selected_server>& chosen) { return chosen && (!isFirst || isAdmissible(request, *chosen)); };
+    const auto isUsable = [&](const std::optional<selected_server>& chosen) { return chosen && (!isFirst || isAdmissible(now, request, *chosen)); };
     const auto selectLimited = [&](double tolerance) {
         wanted.limited = limited_servers::only;
         wanted.limitTolerance = std::min(tolerance, std::max(1 - request.share.ofCapacity, minLimitTolerance));
@@ -374,7 +379,7 @@
         among.subset = subset;
         auto chosen = choose(now, request, among, true);
         // An ejected server of the subset may be unreachable while others of the version are not.
-        const bool isUsable = chosen && isAdmissible(request, *chosen) && !(subset && m_selector.condition(chosen->server).isEjected(now));
+        const bool isUsable = chosen && isAdmissible(now, request, *chosen) && !(subset && m_selector.condition(chosen->server).isEjected(now));
         return isUsable ? chosen : std::nullopt;
     };
     if (const auto subset = m_rollouts.firstServers(request.pool, rule.share)) {
@@ -461,8 +466,11 @@
             refuse(now, request, request->runs == 0 ? refusal_kind::noEligibleServer : refusal_kind::serverFailed, earliest.opensAt.value_or(now) - now, out);
         return;
     }
-    if (isFirst && !isAdmissible(*request, *best) && !shouldAdmitLatePrompt(estimateOf(*request, *best))) {
-        refuse(now, request, refusal_kind::queueFull, best->expectedFirstEvent, out);
+    request->bestServer = best->server;
+    request->queue = best->queue;
+    request->queue.correction = prompt ? m_estimateError.correction(now, request->pool) : duration::zero();
+    if (isFirst && !isAdmissible(now, *request, *best) && !shouldAdmitLatePrompt(estimateOf(now, *request, *best))) {
+        refuse(now, request, refusal_kind::queueFull, request->expectedFirstEvent, out);
         return;
     }
     if (isFirst && prompt)
@@ -491,8 +499,8 @@
     m_byAttempt[request->attempt] = request->number;
     m_selector.condition(best->server).started(now, request->attempt, best->uncachedTokens);
     out.push_back(dispatch_decision { request->number, request->attempt, request->received.callerId, request->target.name,
-        request->workspace, best->server, best->expectedFirstEvent, best->uncachedTokens, best->candidates, request->runs,
-        request->share.ofCapacity, request->share.ofServed, request->share.ofEntitled, best->isCold, m_fleet.plan().version, m_fleet.basisAge(now).value_or(duration::zero()), m_share.fleetAge(now), best->queue, rolloutSide(now, *request) });
+        request->workspace, best->server, expectedAt(now, *request, *best), best->uncachedTokens, best->candidates, request->runs,
+        request->share.ofCapacity, request->share.ofServed, request->share.ofEntitled, best->isCold, m_fleet.plan().version, m_fleet.basisAge(now).value_or(duration::zero()), m_share.fleetAge(now), request->queue, rolloutSide(now, *request) });
     const workspace_id forwardedWorkspace = request->hasKey ? request->workspace : workspace_id();
     out.push_back(open_dispatch { request->number, request->attempt, best->server,
         server.location, forwardedWorkspace, request->deadline - now, request->lastEvent });
@@ -668,8 +676,10 @@
             m_crashes.onBegun(now, request->traits);
         if (!request->firstEvent) {
             request->firstEvent = now - request->receivedAt;
-            if (request->received.prompt)
+            if (request->received.prompt) {
                 condition.recordCachedPrefixes(prefixHashes(request->received.prompt->parts));
+                m_estimateError.record(now, request->pool, now - request->openedAt - request->expectedAnswer);
+            }
         } else {
             request->longestPause = std::max(request->longestPause, now - request->progressAt);
         }
@@ -1039,6 +1049,7 @@
     usage_report taken = m_share.report();
     taken.observed = m_selector.takeObservations(now);
     taken.samples = m_selector.takeSamples(now);
+    taken.lateness = m_estimateError.own(now);
     for (const auto& [id, server] : m_fleet.servers())
         m_versions.use(now, server.pool, server.softwareVersion);
     return taken;
@@ -1049,6 +1060,7 @@
     m_share.setFleet(now, totals);
     m_selector.observedByFleet(now, totals.observed);
     m_selector.adoptSpeeds(totals.speeds);
+    m_estimateError.setFleet(now, totals.lateness);
 }
 
 dispatch_actions dispatcher::onServerLimits(time_point now, const server_rate_limits& received)
--- a/lib/Dispatch/WorkspaceShare.cpp
+++ b/lib/Dispatch/WorkspaceShare.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
+
+#include "pimentoladder/Dispatch/EstimateError.h"
 
 namespace pimentoladder {
 
@@ -119,6 +122,7 @@
     const auto [found, isNew] = m_reporters.try_emplace(from);
     found->second.heardAt = now;
     std::erase_if(m_servers, [&](const auto& each) { return now - each.second.seenAt > reporterLifetime; });
+    found->second.lateness = reported.lateness;
     found->second.pendingTokens.clear();
     for (const server_observation& seen : reported.observed) {
         observe(now, seen);
@@ -189,11 +193,14 @@
     for (const auto& [workspace, used] : m_sums.sums(now))
         all.entries.push_back({ workspace, std::max(used.asked, 0.0), std::max(used.admitted, 0.0) });
     std::map<server_id, double> pending;
+    std::map<pool_id, std::vector<duration>> lateness;
     for (const auto& [from, each] : m_reporters) {
         if (now - each.heardAt > observationLifetime)
             continue;
         for (const auto& [server, tokens] : each.pendingTokens)
             pending[server] += tokens;
+        for (const pool_lateness& late : each.lateness)
+            lateness[late.pool].push_back(late.late);
     }
     for (const auto& [id, server] : m_servers) {
         if (now - server.seenAt > observationLifetime)
@@ -205,6 +212,8 @@
             summed.learnt = learnt_slowness { learnt->second.start, learnt->second.speed.slowness(now) };
         all.observed.push_back(summed);
     }
+    for (auto& [pool, values] : lateness)
+        all.lateness.push_back({ pool, lowerMedian(std::move(values)) });
     for (const auto& [pool, speed] : m_poolSpeeds)
         all.speeds.push_back({ pool, { speed.values().begin(), speed.values().end() } });
     return all;
--- a/lib/Wire/MessageDecoder.cpp
+++ b/lib/Wire/MessageDecoder.cpp
@@ -202,6 +202,11 @@
             source.slowness() ? std::optional<learnt_slowness>({ incarnation(source.start()), fields.nonNegative(*source.slowness(), "slowness") }) : std::nullopt };
     }
 
+    pool_lateness read(const wire::PoolLateness& source, field_reader& fields)
+    {
+        return { fields.requiredName<pool_id>(source.pool(), "pool"), std::chrono::microseconds(source.late()) };
+    }
+
     speed_sample read(const wire::SpeedSample& source, field_reader& fields)
     {
         return { fields.requiredName<server_id>(source.server(), "server"), incarnation(source.start()), fields.requiredName<pool_id>(source.pool(), "pool"),
@@ -425,12 +430,12 @@
 
     message read(const wire::UsageReport& source, field_reader& fields)
     {
-        return usage_report { readList(source.entries(), fields), readList(source.observed(), fields), readList(source.samples(), fields) };
+        return usage_report { readList(source.entries(), fields), readList(source.observed(), fields), readList(source.samples(), fields), readList(source.lateness(), fields) };
     }
 
     message read(const wire::UsageTotals& source, field_reader& fields)
     {
-        return usage_totals { source.routers(), readList(source.entries(), fields), readList(source.observed(), fields), readList(source.speeds(), fields) };
+        return usage_totals { source.routers(), readList(source.entries(), fields), readList(source.observed(), fields), readList(source.speeds(), fields), readList(source.lateness(), fields) };
     }
 
     rollout_evidence read(const wire::RolloutEvidence& source, field_reader& fields)
--- a/lib/Wire/MessageEncoder.cpp
+++ b/lib/Wire/MessageEncoder.cpp
@@ -143,6 +143,13 @@
             source.learnt ? source.learnt->start.value() : 0);
     }
 
+    Offset<wire::PoolLateness> write(FlatBufferBuilder& builder, const pool_lateness& source)
+    {
+        const auto count = std::chrono::floor<std::chrono::microseconds>(source.late).count();
+        using limits = std::numeric_limits<std::int32_t>;
+        return wire::CreatePoolLateness(builder, writeName(builder, source.pool), static_cast<std::int32_t>(std::clamp<std::int64_t>(count, limits::min(), limits::max())));
+    }
+
     Offset<wire::SpeedSample> write(FlatBufferBuilder& builder, const speed_sample& source)
     {
         const auto pool = writeName(builder, source.pool);
@@ -348,14 +355,16 @@
     {
         const auto entries = writeList(builder, source.entries);
         const auto observed = writeList(builder, source.observed);
-        return wire::CreateUsageReport(builder, entries, observed, writeList(builder, source.samples));
+        const auto samples = writeList(builder, source.samples);
+        return wire::CreateUsageReport(builder, entries, observed, samples, writeList(builder, source.lateness));
     }
 
     Offset<wire::UsageTotals> write(FlatBufferBuilder& builder, const usage_totals& source)
     {
         const auto entries = writeList(builder, source.entries);
         const auto observed = writeList(builder, source.observed);
-        return wire::CreateUsageTotals(builder, source.routers, entries, observed, writeList(builder, source.speeds));
+        const auto speeds = writeList(builder, source.speeds);
+        return wire::CreateUsageTotals(builder, source.routers, entries, observed, speeds, writeList(builder, source.lateness));
     }
 
     Offset<wire::ServerLoss> write(FlatBufferBuilder& builder, const server_loss& source)
--- a/unittests/Wire/MessageCodecTests.cpp
+++ b/unittests/Wire/MessageCodecTests.cpp
@@ -104,6 +104,23 @@
     CHECK(reported.entries.at(0).firstByteLatency == 41ms);
 }
 
+// Guards against a lateness that loses its sign or its pool on the wire.
+TEST_CASE("the lateness of first events keeps its fields")
+{
+    usage_report report;
+    report.lateness = { { pool_id("llm"), -20ms }, { pool_id("other"), 1500ms } };
+    usage_totals totals;
+    totals.lateness = report.lateness;
+    for (const auto& received : { std::get<usage_report>(*decodeKnown(encodeMessage(report))).lateness, std::get<usage_totals>(*decodeKnown(encodeMessage(totals))).lateness }) {
+        REQUIRE(received.size() == 2);
+        CHECK(received[0].pool == pool_id("llm"));
+        CHECK(received[0].late == -20ms);
+        CHECK(received[1].late == 1500ms);
+    }
+    report.lateness.at(0).pool = {};
+    CHECK_FALSE(decodeKnown(encodeMessage(report)));
+}
+
 // Guards against speeds that are lost or swapped on the wire, or that are no numbers.
 TEST_CASE("samples of servers' speeds and what was learnt from them keep their fields")
 {
