Count the requests of a burst in what their workspace is owed

A workspace that the sums do not contain yet had no claim at all. What this router was asked and has admitted since the sums now counts.

The new case of ShareTests fails on the code before (1 in place of 0.02).

--- a/lib/Dispatch/WorkspaceShare.cpp
+++ b/lib/Dispatch/WorkspaceShare.cpp
@@ -315,19 +315,21 @@
 {
     const bool hasSums = m_fleetAt && now - *m_fleetAt <= maxFleetAge;
     const workspace_usages usage = hasSums ? m_sums : m_local.sums(now);
-    const auto own = usage.find(workspace);
-    if (own == usage.end())
+    // The requests of a burst come before the sums that contain them.
+    const workspace_usages& latest = hasSums ? m_fleet : usage;
+    const auto current = latest.find(workspace);
+    if (current == latest.end())
         return;
     // The sums change only when they are received.
     const auto known = hasSums ? m_servedShares.find(workspace) : m_servedShares.end();
     const double share = known == m_servedShares.end() ? shareOf(usage, workspace, admittedOf(usage)) : known->second;
     if (hasSums)
         m_servedShares[workspace] = share;
-    const double admitted = own->second.admitted;
-    result.ofServed = admitted / std::max(share + burstRequests * tokens, 1.0);
-    const double entitled = std::min(own->second.asked, share);
+    if (const auto own = usage.find(workspace); own != usage.end())
+        result.ofServed = own->second.admitted / std::max(share + burstRequests * tokens, 1.0);
+    const double entitled = std::min(current->second.asked, share);
     if (entitled > minEntitledRequests * tokens)
-        result.ofEntitled = std::min(admitted / entitled, 1.0);
+        result.ofEntitled = std::min(current->second.admitted / entitled, 1.0);
 }
 
 }
--- a/unittests/Dispatch/FairnessTests.cpp
+++ b/unittests/Dispatch/FairnessTests.cpp
@@ -96,8 +96,6 @@
     }
 }
 
-TEST_SUITE_BEGIN("unexpected queues");
-
 // Guards against a workspace that returns to queues which no router expects, since each knows only what it has sent itself.
 TEST_CASE("a workspace that asks again behind queues of many routers gets its share in that span")
 {
@@ -123,8 +121,6 @@
     CHECK(got > required);
 }
 
-TEST_SUITE_END();
-
 TEST_SUITE_BEGIN("harmed fleet");
 
 // Guards against shares that are only kept while the fleet's sums are new.
--- a/unittests/Dispatch/ShareTests.cpp
+++ b/unittests/Dispatch/ShareTests.cpp
@@ -86,6 +86,25 @@
     }
 }
 
+// Guards against a burst of which every request is judged by the sums from before it.
+TEST_CASE("what a workspace has just asked for counts in what it is owed")
+{
+    const time_point now { 100s };
+    const workspace_id returning("returning");
+    workspace_share share;
+    share.setFleet(now, { 2, { { workspace_id("often"), 50'000, 20'000 }, { returning, 100, 100 } }, {} });
+    CHECK(share.use(now, returning, 10, 0, 2).ofEntitled == 1);
+    share.recordAsked(now, returning, 5'000);
+    CHECK(share.use(now, returning, 10, 0, 2).ofEntitled == doctest::Approx(100.0 / 5'100));
+    share.recordAdmitted(now, returning, 4'900);
+    CHECK(share.use(now, returning, 10, 0, 2).ofEntitled == doctest::Approx(5'000.0 / 5'100));
+    // So does one that has never asked before.
+    const workspace_id first("first");
+    CHECK(share.use(now, first, 10, 0, 2).ofEntitled == 1);
+    share.recordAsked(now, first, 5'000);
+    CHECK(share.use(now, first, 10, 0, 2).ofEntitled == 0);
+}
+
 // Guards against refusing a workspace that nobody else competes with, or that a router knows
 // before the others: it was held at exactly its share, and a hair above that refused all
 // of its requests with an unread shared part.
