--- a/lib/Dispatch/EstimateError.cpp
+++ b/lib/Dispatch/EstimateError.cpp
@@ -17,6 +17,9 @@
     // Half-life of the smoothed error between first events: few of them say little, and without
     // any the queue has been served.
     constexpr duration errorHalfLife = 2s;
+    // Error that needs no correction: connections and the way there and back take time that no
+    // queue causes, and a request is sent while its first event is expected in half of its objective.
+    constexpr duration toleratedError = 50ms;
     // Time after the last first event for which the error is reported, and for which the fleet's
     // medians are used.
     constexpr duration errorLifetime = 2s;
@@ -65,11 +68,12 @@
 duration estimate_error::correction(time_point now, const pool_id& pool) const
 {
     const bool isFleetKnown = m_fleetAt && now - *m_fleetAt <= errorLifetime;
-    const auto fleet = m_fleet.find(pool);
-    if (isFleetKnown)
-        return fleet == m_fleet.end() ? duration::zero() : std::max(fleet->second, duration::zero());
-    const auto own = m_own.find(pool);
-    return own == m_own.end() ? duration::zero() : std::max(decayed(now, own->second), duration::zero());
+    duration error {};
+    if (const auto fleet = m_fleet.find(pool); isFleetKnown && fleet != m_fleet.end())
+        error = fleet->second;
+    if (const auto own = m_own.find(pool); !isFleetKnown && own != m_own.end())
+        error = decayed(now, own->second);
+    return std::max(error - toleratedError, duration::zero());
 }
 
 }
