--- a/unittests/Dispatch/FairnessTests.cpp
+++ b/unittests/Dispatch/FairnessTests.cpp
@@ -121,6 +121,18 @@
     CHECK(got > required);
 }
 
+// Guards against a workspace that pays for the time in which it was idle, and against one that
+// keeps the others out by a flood.
+TEST_CASE("a workspace that returns from idle and one that floods get their shares")
+{
+    std::vector<load_profile> loads = unevenLoads();
+    loads.push_back({ "returning", { 40 }, 150, 3'720, 5s });
+    loads.push_back({ "flood", allRouters(), 600, 3'720, 8s });
+    fair_fleet fleet(routers, engines, {}, loads);
+    fleet.run(16s);
+    checkFair(fleet);
+}
+
 TEST_SUITE_BEGIN("harmed fleet");
 
 // Guards against shares that are only kept while the fleet's sums are new.
@@ -135,19 +147,3 @@
 }
 
 TEST_SUITE_END();
-
-TEST_SUITE_BEGIN("returning workspace");
-
-// Guards against a workspace that pays for the time in which it was idle, and against one that
-// keeps the others out by a flood.
-TEST_CASE("a workspace that returns from idle and one that floods get their shares")
-{
-    std::vector<load_profile> loads = unevenLoads();
-    loads.push_back({ "returning", { 40 }, 150, 3'720, 5s });
-    loads.push_back({ "flood", allRouters(), 600, 3'720, 8s });
-    fair_fleet fleet(routers, engines, {}, loads);
-    fleet.run(16s);
-    checkFair(fleet);
-}
-
-TEST_SUITE_END();
