Describe the queue of the chosen server only

The description was made for each server that was compared, which walks the server's attempts three times; only that of the chosen one is logged. The decisions are unchanged.

--- a/include/pimentoladder/Dispatch/ServerCondition.h
+++ b/include/pimentoladder/Dispatch/ServerCondition.h
@@ -53,7 +53,7 @@
     double ownTokens = 0; ///< Prompt tokens of this router's requests that have not begun.
     double othersTokens = 0; ///< Prompt tokens of other routers' requests that are expected to be unread.
     duration excessDelay {}; ///< Smoothed delay of first events beyond the expected one.
-    duration correction {}; ///< By how much first events from the pool come later than estimated, at most routers.
+    duration correction {}; ///< Added to the estimate, since first events from the pool come later at most routers.
 };
 
 /// What a response says about the request rate that its server takes.
--- a/lib/Dispatch/ServerSelector.cpp
+++ b/lib/Dispatch/ServerSelector.cpp
@@ -400,7 +400,6 @@
     if (keepsSharedParts)
         result.uncachedTokens = std::min<double>(result.uncachedTokens, wanted.prompt->parts.back().tokens);
     result.expectedFirstEvent = assessed.condition->expectedFirstEvent(now, result.uncachedTokens);
-    result.queue = assessed.condition->queue(now);
     result.baseTime = assessed.condition->ownTime(now, 0);
     result.ownTime = assessed.condition->ownTime(now, result.uncachedTokens);
     if (assessed.server->dataCentre != m_limits.ownDataCentre)
@@ -444,6 +443,7 @@
         }
     }
     best->candidates = candidates.size();
+    best->queue = m_conditions[best->server].queue(now);
     return best;
 }
 
