--- a/include/pimentoladder/Dispatch/EstimateError.h
+++ b/include/pimentoladder/Dispatch/EstimateError.h
@@ -31,8 +31,7 @@
     std::vector<pool_lateness> own(time_point now) const;
 
     /// Returns by how much the first event of a request to the pool is to be expected later than
-    /// the estimate for its server; zero if first events come earlier, or later by a time that no
-    /// queue causes.
+    /// the estimate for its server; zero if first events come earlier.
     duration correction(time_point now, const pool_id& pool) const;
 
 private:
--- a/lib/Dispatch/EstimateError.cpp
+++ b/lib/Dispatch/EstimateError.cpp
@@ -17,9 +17,6 @@
     // Half-life of the smoothed error between first events: few of them say little, and without
     // any the queue has been served.
     constexpr duration errorHalfLife = 2s;
-    // Error that needs no correction: connections and the way there and back take time that no
-    // queue causes, and a request is sent while its first event is expected in half of its objective.
-    constexpr duration toleratedError = 50ms;
     // Time after the last first event for which the error is reported, and for which the fleet's
     // medians are used.
     constexpr duration errorLifetime = 2s;
@@ -73,7 +70,7 @@
         error = fleet->second;
     if (const auto own = m_own.find(pool); !isFleetKnown && own != m_own.end())
         error = decayed(now, own->second);
-    return std::max(error - toleratedError, duration::zero());
+    return std::max(error, duration::zero());
 }
 
 }
