--- a/include/pimentoladder/Daemon/DispatchReport.h
+++ b/include/pimentoladder/Daemon/DispatchReport.h
@@ -39,6 +39,7 @@
     void perform(const hold_change& changed);
     /// Counts each unreadable report; of those of one `unreadableLoadInterval` the first has a line.
     void perform(const unreadable_load& received);
+    void perform(const removed_server& removed);
 
     /// Counts a caller's connection that the server closes. Writes a line if the caller loses
     /// a request or part of a response by it.
--- a/include/pimentoladder/Daemon/FleetFollower.h
+++ b/include/pimentoladder/Daemon/FleetFollower.h
@@ -87,6 +87,7 @@
     void perform(const store_era_changed& step);
     void perform(const restored_rows_accepted& step);
     void perform(const rows_overdue& step);
+    void perform(const reader_answered& step);
 
     std::string nameOf(followed_table table) const;
     void applyOperatorRow(const published_row& row, bool mayBeOlder);
--- a/include/pimentoladder/Dispatch/DispatchActions.h
+++ b/include/pimentoladder/Dispatch/DispatchActions.h
@@ -12,6 +12,7 @@
 
 #include "pimentoladder/Base/Ids.h"
 #include "pimentoladder/Base/Time.h"
+#include "pimentoladder/Dispatch/FleetView.h"
 #include "pimentoladder/Dispatch/SendWindow.h"
 #include "pimentoladder/Dispatch/ServerCondition.h"
 #include "pimentoladder/Dispatch/ServingPlan.h"
@@ -202,7 +203,7 @@
 
 using dispatch_action = std::variant<open_dispatch, cancel_dispatch, forward_response_head, forward_response_bytes, end_response,
     abort_response, refuse_inbound, dispatch_decision, attempt_outcome, request_outcome, trait_change, quarantine_trial, limit_change,
-    retire_connections, hold_change, unreadable_load>;
+    retire_connections, hold_change, unreadable_load, removed_server>;
 using dispatch_actions = std::vector<dispatch_action>;
 
 }
--- a/include/pimentoladder/Dispatch/Dispatcher.h
+++ b/include/pimentoladder/Dispatch/Dispatcher.h
@@ -89,7 +89,9 @@
     bool applyPlan(serving_plan plan, bool mayBeOlder = false);
     void setOutOfService(time_point now, std::set<data_centre_id> dataCentres);
     void putServer(time_point now, const registered_server& server);
-    void removeServer(time_point now, const server_id& server);
+
+    /// Returns for how long the removal is delayed (see `fleet_view::removeServer`).
+    duration removeServer(time_point now, const server_id& server);
 
     /// Starts or replaces the roll-out of the order's pool; \p at: revision of the order's row.
     void setRollout(time_point now, revision at, const rollout_order& order);
--- a/include/pimentoladder/Dispatch/FleetView.h
+++ b/include/pimentoladder/Dispatch/FleetView.h
@@ -39,6 +39,12 @@
     const workspace_keys* holder = nullptr; ///< Null unless the key is held. Valid until the next configuration is applied.
 };
 
+/// A server that is out of service since its registration ended.
+struct removed_server {
+    server_id id;
+    duration delay {}; ///< From when the end of the registration was learnt.
+};
+
 /// Indexes the platform's rows for lookups of routes, keys and servers.
 ///
 /// A confirmation is a successful read of the store. Its age counts from the time at
@@ -62,15 +68,15 @@
     bool putServer(const registered_server& server);
 
     /// Removes a server whose registration has ended. Shortly after an outage of the
-    /// store, the removal is delayed until `returnGrace` has passed.
-    void removeServer(const server_id& id, time_point now);
+    /// store, the removal is delayed until `returnGrace` has passed. Returns the delay.
+    duration removeServer(const server_id& id, time_point now);
 
     /// Records that an outage of the store ended at \p at. Removals that are still delayed
     /// are delayed until `returnGrace` has passed since then.
     void onStoreRecovered(time_point at);
 
-    /// Performs delayed removals that are due. Returns whether a server was removed.
-    bool onTick(time_point now);
+    /// Performs delayed removals that are due, and returns them.
+    std::vector<removed_server> onTick(time_point now);
 
     /// Returns when the next delayed removal is due.
     std::optional<time_point> nextRemoval() const;
@@ -103,6 +109,11 @@
     static const workspace_id& anonymous();
 
 private:
+    struct pending_removal {
+        time_point learntAt;
+        time_point due;
+    };
+
     void invalidate()
     {
         m_access.reset();
@@ -115,7 +126,7 @@
     route_table m_routes;
     std::unordered_map<std::string_view, const workspace_keys*> m_byKey;
     std::map<server_id, registered_server> m_servers;
-    std::map<server_id, time_point> m_removals; ///< When each server whose registration ended is removed.
+    std::map<server_id, pending_removal> m_removals; ///< Servers whose registration ended and that are still in service.
     std::set<data_centre_id> m_outOfService;
     std::optional<time_point> m_confirmedAt;
     std::optional<time_point> m_returnedAt;
--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -110,12 +110,19 @@
 /// than `relay_limits::outageAge`, so that registrations may have expired. Reported before
 /// the rows that are removed, and again if another router knows the end more exactly.
 struct store_recovered {
+    vm_id source; ///< Router whose message told so; empty: an own read of the store.
     time_point at;
     duration outage {}; ///< Time without a confirmation; zero: unknown, or as reported before.
 };
 
+/// A reader has answered a question.
+struct reader_answered {
+    vm_id from;
+    duration after {}; ///< Since the question was sent.
+};
+
 using relay_action = std::variant<read_table, send_to_router, row_changed, table_listed, basis_confirmed,
-    store_lost, table_reads_recovered, source_changed, store_recovered, store_era_changed, restored_rows_accepted, rows_overdue>;
+    store_lost, table_reads_recovered, source_changed, store_recovered, store_era_changed, restored_rows_accepted, rows_overdue, reader_answered>;
 using relay_actions = std::vector<relay_action>;
 
 /// Keeps this router's replicas of the tables current, from the store or from another
@@ -204,18 +211,18 @@
     void onAnswer(time_point now, const vm_id& from, const rows_update& received, time_point askedAt, bool hasGap, relay_actions& out);
     void publish(time_point now, table_update update, relay_actions& out);
     static void report(followed_table table, const std::vector<published_row>& changed, bool mayBeOlder, relay_actions& out);
-    void noticeOutageEnd(time_point current, time_point end, relay_actions& out);
-    void learnReturn(time_point returnedAt, relay_actions& out);
+    void noticeOutageEnd(time_point current, time_point end, const vm_id& source, relay_actions& out);
+    void learnReturn(time_point returnedAt, const vm_id& source, relay_actions& out);
     void forgetFailures(time_point now, const vm_id& source, relay_actions& out);
     void onReadFailed(time_point now, followed_table table, error reason, relay_actions& out);
     row_changes applyRows(time_point now, followed_table table, const rows_page& page, bool isWhole, const vm_id& source, relay_actions& out);
     bool applyTable(time_point now, const vm_id& source, const table_update& update, relay_actions& out);
-    void learnEra(time_point now, store_era era, relay_actions& out);
+    void learnEra(time_point now, const vm_id& source, store_era era, relay_actions& out);
     store_era basisEra() const;
     void sendRetained(time_point now, const vm_id& to, std::span<const followed_table> tables, relay_actions& out) const;
     void sendUnknown(time_point now, followed_table table, relay_actions& out) const;
     void publishEra(time_point now, followed_table table, store_position before, relay_actions& out);
-    void receiveRetained(time_point now, const retained_rows& received, relay_actions& out);
+    void receiveRetained(time_point now, const vm_id& from, const retained_rows& received, relay_actions& out);
     void adopt(time_point now, followed_table table, const retained_rows& received, relay_actions& out);
     void endRetention(time_point now, relay_actions& out);
     time_point nextRetentionEnd() const;
--- a/lib/Daemon/DispatchProcess.cpp
+++ b/lib/Daemon/DispatchProcess.cpp
@@ -211,6 +211,7 @@
         void operator()(const limit_change& step) const { to.report.perform(step); }
         void operator()(const hold_change& step) const { to.report.perform(step); }
         void operator()(const unreadable_load& step) const { to.report.perform(step); }
+        void operator()(const removed_server& step) const { to.report.perform(step); }
         void operator()(const retire_connections& step) const { to.front.perform(step); }
         void operator()(const open_dispatch& step) const { to.front.perform(step); }
         void operator()(const cancel_dispatch& step) const { to.front.perform(step); }
--- a/lib/Daemon/DispatchReport.cpp
+++ b/lib/Daemon/DispatchReport.cpp
@@ -192,6 +192,12 @@
             { "source", source } });
 }
 
+void dispatch_report::perform(const removed_server& removed)
+{
+    m_metrics.observe("pimentoladder_removal_delay_seconds", {}, removed.delay);
+    m_log.write(log_level::info, "server_removed", { { "server", std::string_view(removed.id.value()) }, { "delayed_ms", milliseconds(removed.delay) } });
+}
+
 void dispatch_report::perform(const unreadable_load& received)
 {
     m_metrics.count("pimentoladder_unreadable_loads_total", {});
--- a/lib/Daemon/FleetFollower.cpp
+++ b/lib/Daemon/FleetFollower.cpp
@@ -24,6 +24,14 @@
 
     constexpr const char* memberTable = "pimentoladder-members";
 
+    // Time after which the answer of a reader is logged.
+    constexpr duration lateAnswer = 1s;
+
+    std::int64_t toMilliseconds(duration value)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+    }
+
     peer_link_settings linkSettings(const fleet_router& self)
     {
         peer_link_settings link;
@@ -389,9 +397,9 @@
 
 void fleet_follower::perform(const store_recovered& step)
 {
-    const auto toMs = [](duration each) { return std::int64_t { std::chrono::duration_cast<std::chrono::milliseconds>(each).count() }; };
     m_parts.log.write(log_level::info, "store_outage_ended",
-        { { "outage_ms", toMs(step.outage) }, { "ended_ms_ago", toMs(m_driver.loop().now() - step.at) } });
+        { { "source", step.source.isEmpty() ? std::string_view("store") : std::string_view(step.source.value()) },
+            { "outage_ms", toMilliseconds(step.outage) }, { "ended_ms_ago", toMilliseconds(m_driver.loop().now() - step.at) } });
     m_parts.dispatch.core().onStoreRecovered(step.at);
 }
 
@@ -414,7 +422,14 @@
 {
     m_parts.values.count("pimentoladder_rows_overdue_total", {});
     m_parts.log.write(log_level::warning, "rows_overdue",
-        { { "source", std::string_view(step.source.value()) }, { "age_ms", std::int64_t { std::chrono::duration_cast<std::chrono::milliseconds>(step.age).count() } } });
+        { { "source", std::string_view(step.source.value()) }, { "age_ms", toMilliseconds(step.age) } });
+}
+
+void fleet_follower::perform(const reader_answered& step)
+{
+    m_parts.values.observe("pimentoladder_row_answer_seconds", {}, step.after);
+    if (step.after >= lateAnswer)
+        m_parts.log.write(log_level::info, "row_answer_late", { { "source", std::string_view(step.from.value()) }, { "after_ms", toMilliseconds(step.after) } });
 }
 
 void fleet_follower::perform(const store_lost& step)
@@ -430,7 +445,7 @@
     const std::string table = nameOf(step.table);
     m_parts.log.write(log_level::info, "dependency_regained",
         { { "dependency", "store" }, { "table", std::string_view(table) }, { "source", step.source.isEmpty() ? std::string_view("store") : std::string_view(step.source.value()) }, { "failures", std::uint64_t { step.failures } },
-            { "since_failed_ms", std::int64_t { std::chrono::duration_cast<std::chrono::milliseconds>(step.sinceFailed).count() } } });
+            { "since_failed_ms", toMilliseconds(step.sinceFailed) } });
 }
 
 void fleet_follower::perform(const source_changed& step)
@@ -515,9 +530,10 @@
     const server_id id(row.key);
     const registered_server* known = core.fleet().findServer(id);
     if (row.isDeleted) {
-        if (known)
-            m_parts.log.write(log_level::info, "server_gone", { { "server", std::string_view(row.key) }, { "row_revision", row.position.at.value() } });
-        core.removeServer(now, id);
+        const bool wasKnown = known != nullptr;
+        const duration delay = core.removeServer(now, id);
+        if (wasKnown)
+            m_parts.log.write(log_level::info, "server_gone", { { "server", std::string_view(row.key) }, { "row_revision", row.position.at.value() }, { "delay_ms", toMilliseconds(delay) } });
         return;
     }
     const auto decoded = m_parts.codec.decodeServer(row.key, row.value);
--- a/lib/Dispatch/Dispatcher.cpp
+++ b/lib/Dispatch/Dispatcher.cpp
@@ -997,8 +997,11 @@
 dispatch_actions dispatcher::onTick(time_point now)
 {
     dispatch_actions out;
-    if (m_fleet.onTick(now))
+    std::vector<removed_server> removed = m_fleet.onTick(now);
+    if (!removed.empty())
         m_selector.retain(m_fleet.servers());
+    for (removed_server& each : removed)
+        out.push_back(std::move(each));
     m_rollouts.onTick(now);
     evaluateCrashes(now, out);
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
@@ -1128,10 +1131,11 @@
         m_selector.condition(server.id).setCold(now + server.remainingColdTime + coldMargin);
 }
 
-void dispatcher::removeServer(time_point now, const server_id& server)
+duration dispatcher::removeServer(time_point now, const server_id& server)
 {
-    m_fleet.removeServer(server, now);
+    const duration delay = m_fleet.removeServer(server, now);
     m_selector.retain(m_fleet.servers());
+    return delay;
 }
 
 }
--- a/lib/Dispatch/FleetView.cpp
+++ b/lib/Dispatch/FleetView.cpp
@@ -69,44 +69,46 @@
     return isNew;
 }
 
-void fleet_view::removeServer(const server_id& id, time_point now)
+duration fleet_view::removeServer(const server_id& id, time_point now)
 {
     if (!m_servers.contains(id))
-        return;
+        return duration::zero();
     const bool isReturning = m_returnedAt && now < *m_returnedAt + m_limits.returnGrace;
-    m_removals.try_emplace(id, isReturning ? *m_returnedAt + m_limits.returnGrace : now);
+    const auto added = m_removals.try_emplace(id, pending_removal { now, isReturning ? *m_returnedAt + m_limits.returnGrace : now }).first;
+    const duration delay = std::max(added->second.due - now, duration::zero());
     onTick(now);
+    return delay;
 }
 
 void fleet_view::onStoreRecovered(time_point at)
 {
     m_returnedAt = at;
-    for (auto& [id, due] : m_removals)
-        due = std::max(due, at + m_limits.returnGrace);
+    for (auto& [id, removal] : m_removals)
+        removal.due = std::max(removal.due, at + m_limits.returnGrace);
 }
 
-bool fleet_view::onTick(time_point now)
+std::vector<removed_server> fleet_view::onTick(time_point now)
 {
-    bool hasRemoved = false;
+    std::vector<removed_server> removed;
     for (auto each = m_removals.begin(); each != m_removals.end();) {
-        if (each->second > now) {
+        if (each->second.due > now) {
             ++each;
             continue;
         }
+        removed.push_back({ each->first, now - each->second.learntAt });
         m_servers.erase(each->first);
         each = m_removals.erase(each);
-        hasRemoved = true;
     }
-    if (hasRemoved)
+    if (!removed.empty())
         invalidate();
-    return hasRemoved;
+    return removed;
 }
 
 std::optional<time_point> fleet_view::nextRemoval() const
 {
     std::optional<time_point> next;
-    for (const auto& [id, at] : m_removals)
-        next = next ? std::min(*next, at) : at;
+    for (const auto& [id, removal] : m_removals)
+        next = next ? std::min(*next, removal.due) : removal.due;
     return next;
 }
 
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -236,7 +236,7 @@
     out.push_back(basis_confirmed { oldest });
 }
 
-void row_relay::learnEra(time_point now, store_era era, relay_actions& out)
+void row_relay::learnEra(time_point now, const vm_id& source, store_era era, relay_actions& out)
 {
     if (era <= m_era)
         return;
@@ -252,7 +252,7 @@
     m_returnedAt = now;
     m_recoveredAt = now;
     m_outageEnd = now;
-    out.push_back(store_recovered { now, {} });
+    out.push_back(store_recovered { source, now, {} });
 }
 
 store_era row_relay::basisEra() const
@@ -265,7 +265,7 @@
 
 /// Records the end of an outage at \p end if nobody has confirmed the servers for too long
 /// before \p current.
-void row_relay::noticeOutageEnd(time_point current, time_point end, relay_actions& out)
+void row_relay::noticeOutageEnd(time_point current, time_point end, const vm_id& source, relay_actions& out)
 {
     const table_state& servers = state(followed_table::servers);
     // A process that has just started had no rows to lose before.
@@ -274,18 +274,18 @@
         return;
     m_recoveredAt = current;
     m_outageEnd = end;
-    out.push_back(store_recovered { end, current - since });
+    out.push_back(store_recovered { source, end, current - since });
 }
 
 /// Another router reached the store again at \p returnedAt. If an outage of this one ended at
 /// about the same time, that tells its end more exactly than the rare reads of a follower.
-void row_relay::learnReturn(time_point returnedAt, relay_actions& out)
+void row_relay::learnReturn(time_point returnedAt, const vm_id& source, relay_actions& out)
 {
     const bool isCommon = m_recoveredAt && returnedAt - *m_recoveredAt <= m_limits.readerRetry.longestWithJitter();
     if (!isCommon || returnedAt <= *m_outageEnd)
         return;
     m_outageEnd = returnedAt;
-    out.push_back(store_recovered { returnedAt, {} });
+    out.push_back(store_recovered { source, returnedAt, {} });
 }
 
 /// Failures say nothing about the store once a source has confirmed the rows. A router that
@@ -372,9 +372,9 @@
     }
     if (table == followed_table::servers) {
         const bool hasFailed = m_failedAt > read.confirmedAt;
-        noticeOutageEnd(now, hasFailed ? std::min(now, *m_failedAt + m_limits.longestReturn) : now, out);
+        noticeOutageEnd(now, hasFailed ? std::min(now, *m_failedAt + m_limits.longestReturn) : now, {}, out);
     }
-    learnEra(now, answer->era, out);
+    learnEra(now, {}, answer->era, out);
     read.failures = 0;
     read.readAt = read.sentAt;
     const store_position before = read.replica.position();
@@ -469,7 +469,7 @@
 {
     m_followers[from.vm] = now;
     for (const table_position& have : asked.have)
-        learnEra(now, have.position.era, out);
+        learnEra(now, from.vm, have.position.era, out);
     rows_update answer;
     answer.echoSequence = asked.sequence;
     // Without `basisAge`, the follower switches to another reader at once.
@@ -499,7 +499,7 @@
 /// Returns false if rows between the table's position and the update's are missing.
 bool row_relay::applyTable(time_point now, const vm_id& source, const table_update& update, relay_actions& out)
 {
-    learnEra(now, update.to.era, out);
+    learnEra(now, source, update.to.era, out);
     if (update.to.era < m_era)
         return false;
     const auto table = static_cast<followed_table>(update.table);
@@ -549,11 +549,11 @@
     return out;
 }
 
-void row_relay::receiveRetained(time_point now, const retained_rows& received, relay_actions& out)
+void row_relay::receiveRetained(time_point now, const vm_id& from, const retained_rows& received, relay_actions& out)
 {
     if (received.table >= m_tables.size())
         return;
-    learnEra(now, received.position.era, out);
+    learnEra(now, from, received.position.era, out);
     const auto table = static_cast<followed_table>(received.table);
     table_state& held = state(table);
     const bool isInEra = held.replica.isWhole() && held.replica.position().era == received.position.era;
@@ -613,8 +613,10 @@
 void row_relay::applyUpdate(time_point now, const member_ref& from, const rows_update& received, relay_actions& out)
 {
     const auto askedAt = m_sources.onAnswer(now, from.vm, received.echoSequence);
+    if (askedAt)
+        out.push_back(reader_answered { from.vm, now - *askedAt });
     for (const retained_rows& each : received.retained)
-        receiveRetained(now, each, out);
+        receiveRetained(now, from.vm, each, out);
     // After an outage the sender may have read the servers, but not yet the other table that its
     // confirmation needs.
     const bool isConfirmed = askedAt && received.basisAge && *received.basisAge <= m_limits.outageAge;
@@ -624,11 +626,11 @@
         if (update.table >= m_tables.size())
             continue;
         if (update.table == static_cast<std::uint32_t>(followed_table::servers))
-            noticeOutageEnd(current, current, out);
+            noticeOutageEnd(current, current, from.vm, out);
         hasGap |= !applyTable(now, from.vm, update, out);
     }
     if (received.returnedAge)
-        learnReturn(now - *received.returnedAge, out);
+        learnReturn(now - *received.returnedAge, from.vm, out);
     hasGap |= received.era < m_era || basisEra() < m_era;
     if (askedAt)
         onAnswer(now, from.vm, received, *askedAt, hasGap, out);
--- a/unittests/Dispatch/FleetViewTests.cpp
+++ b/unittests/Dispatch/FleetViewTests.cpp
@@ -70,7 +70,7 @@
     CHECK(fleet.servers().size() == 2);
     fleet.putServer(makeServer("p2", "portal"));
     CHECK(fleet.nextRemoval() == start + 1900ms);
-    CHECK(fleet.onTick(start + 1900ms));
+    CHECK(fleet.onTick(start + 1900ms).size() == 1);
     CHECK_FALSE(fleet.findServer(server_id("p1")));
     CHECK(fleet.findServer(server_id("p2")));
 }
@@ -88,9 +88,9 @@
     fleet.onStoreRecovered(start - 1s);
     fleet.removeServer(server_id("p1"), start);
     fleet.onStoreRecovered(start + 500ms);
-    CHECK_FALSE(fleet.onTick(start + 2300ms));
+    CHECK(fleet.onTick(start + 2300ms).empty());
     CHECK(fleet.findServer(server_id("p1")));
-    CHECK(fleet.onTick(start + 2400ms));
+    CHECK(fleet.onTick(start + 2400ms).size() == 1);
     fleet.removeServer(server_id("p2"), start + 3s);
     CHECK_FALSE(fleet.findServer(server_id("p2")));
 }
