--- a/unittests/Replica/Fixture.h
+++ b/unittests/Replica/Fixture.h
@@ -115,6 +115,9 @@
     std::map<std::string, std::string> servers; ///< Rows of the servers' table, in the same way.
     std::map<std::string, time_point> removals; ///< When each server without a row is out of force, as in `fleet_view`.
     std::optional<time_point> recoveredAt; ///< From the last `store_recovered` action.
+    std::size_t recoveries = 0; ///< Number of `store_recovered` actions.
+    duration lateness {}; ///< Time for which what is sent to this router waits on its link. The order is kept.
+    time_point lastArrival; ///< Of the last message that waits.
     std::uint64_t wholeReads = 0;
     std::vector<store_era_changed> eraChanges;
     std::size_t outages = 0; ///< Number of `store_lost` actions.
@@ -191,7 +194,7 @@
             if (const auto* read = std::get_if<read_table>(&action)) {
                 ++by.reads;
                 by.wholeReads += read->isWhole ? 1 : 0;
-                if (storeTime == duration::zero() && by.access != store_access::silent)
+                if (storeTime == duration::zero() && by.lateness == duration::zero() && by.access != store_access::silent)
                     perform(by, by.relay.onRead(now, read->table, answerOf(by, *read)));
                 else
                     calls.push_back({ by.vm, *read, by.access, now });
@@ -201,7 +204,7 @@
             if (const auto* sent = std::get_if<send_to_router>(&action)) {
                 ++by.frames;
                 if (!by.isMute)
-                    frames.push_back({ by.vm, sent->to, sent->content });
+                    send(by.vm, sent->to, sent->content);
             }
             if (const auto* changed = std::get_if<row_changed>(&action); changed && changed->table != followed_table::members) {
                 auto& held = changed->table == followed_table::operators ? by.rows : by.servers;
@@ -218,6 +221,7 @@
                 by.eraChanges.push_back(*changed);
             if (const auto* recovered = std::get_if<store_recovered>(&action)) {
                 by.recoveredAt = recovered->at;
+                ++by.recoveries;
                 for (auto& [server, due] : by.removals)
                     due = due > now ? std::max(due, recovered->at + removalGrace) : due;
             }
@@ -227,6 +231,13 @@
         }
     }
 
+    void send(const vm_id& from, const vm_id& receiver, const message& content)
+    {
+        router& to = at(receiver);
+        to.lastArrival = std::max(to.lastArrival, now + to.lateness);
+        frames.push_back({ from, receiver, content, to.lastArrival });
+    }
+
     result<rows_page> answerOf(const router& by, const read_table& asked) const
     {
         if (by.access == store_access::answers)
@@ -244,8 +255,8 @@
             router& by = at(each.from);
             if (by.isFrozen)
                 continue;
-            const bool isSilent = each.access == store_access::silent;
-            const bool mayAnswer = now - each.at >= (isSilent ? silentCallTimeout : storeTime);
+            const bool isSilent = each.access == store_access::silent || storeTime + by.lateness >= silentCallTimeout;
+            const bool mayAnswer = now - each.at >= (isSilent ? silentCallTimeout : storeTime + by.lateness);
             const result<rows_page> answer = isSilent ? makeError(error_kind::outcomeUnknown, "silent") : answerOf(by, each.asked);
             const bool isHeld = answer && answer->rows.empty() && now - each.at < storeTime + each.asked.wait;
             if (!mayAnswer || isHeld) {
@@ -275,6 +286,10 @@
             due.swap(frames);
             for (const frame& each : due) {
                 router& to = at(each.to);
+                if (each.arrivesAt >= now) {
+                    frames.push_back(each);
+                    continue;
+                }
                 if (to.isFrozen)
                     continue;
                 perform(to, to.relay.onMessage(now, { each.from, incarnation(1) }, each.content));
@@ -293,6 +308,7 @@
         vm_id from;
         vm_id to;
         message content;
+        time_point arrivesAt;
     };
 
     struct call {
--- a/unittests/Replica/OutageTests.cpp
+++ b/unittests/Replica/OutageTests.cpp
@@ -123,3 +123,140 @@
         }
     }
 }
+
+namespace {
+
+/// How a router's link is disturbed: what is sent to it waits longer and longer, then for a
+/// constant time, and then arrives within a second.
+struct slow_link {
+    duration peak {};
+    duration rise {};
+    duration length {}; ///< From the begin of the rise to the end.
+
+    duration at(duration since) const
+    {
+        if (since >= length)
+            return {};
+        return since >= rise ? peak : std::chrono::duration_cast<duration>(peak * (std::chrono::duration<double>(since) / std::chrono::duration<double>(rise)));
+    }
+};
+
+constexpr std::array slowLinks { slow_link { 1s, 1s, 8s }, slow_link { 2500ms, 3s, 9s }, slow_link { 5s, 6s, 14s }, slow_link { 8s, 4s, 14s } };
+
+std::vector<router*> followersOf(fleet& all, std::size_t count)
+{
+    std::vector<router*> found;
+    const auto& readers = all.routers.front()->relay.readers();
+    for (const auto& each : all.routers) {
+        const bool isReader = std::any_of(readers.begin(), readers.end(), [&](const fleet_router& reader) { return reader.vm == each->vm; });
+        if (!isReader && found.size() < count)
+            found.push_back(each.get());
+    }
+    return found;
+}
+
+std::size_t recoveriesAt(const fleet& all)
+{
+    std::size_t sum = 0;
+    for (const auto& each : all.routers)
+        sum += each->recoveries;
+    return sum;
+}
+
+}
+
+// Guards against a router with a full link that takes late messages for an outage of the store, and keeps servers that leave.
+TEST_CASE("rows that arrive late are no outage of the store" * doctest::test_suite("late rows"))
+{
+    for (const slow_link& link : slowLinks) {
+        for (const bool hasRejected : { false, true }) {
+            CAPTURE(link.peak.count());
+            CAPTURE(hasRejected);
+            fleet all(18, 6);
+            all.storeTime = 20ms;
+            putServers(all, 40);
+            all.run(4s);
+            const std::vector<router*> slow = followersOf(all, 2);
+            const auto& readers = all.routers.front()->relay.readers();
+            int removed = 0;
+            duration longest {};
+            for (duration since {}; since < link.length + 4s; since += 20ms) {
+                for (router* each : slow)
+                    each->lateness = link.at(since);
+                // Half of the readers are rejected by the store, one after the other.
+                for (std::size_t i = 0; hasRejected && i < readers.size() / 2; ++i) {
+                    const bool isRejected = since >= 2s + i * 100ms && since < 7s + i * 100ms;
+                    all.at(readers[i].vm).access = isRejected ? store_access::refuses : store_access::answers;
+                }
+                if (since % 500ms == 0ms)
+                    all.store.remove(followed_table::servers, "server-" + std::to_string(removed++));
+                all.run(20ms);
+                for (const auto& each : all.routers) {
+                    for (const auto& [server, due] : each->removals)
+                        longest = std::max(longest, due - all.now);
+                }
+            }
+            CHECK(recoveriesAt(all) == 0);
+            CHECK(longest <= duration::zero());
+        }
+    }
+}
+
+// Guards against removals that each late message after an outage postpones again.
+TEST_CASE("an outage delays a removal once" * doctest::test_suite("late rows"))
+{
+    for (const slow_link& link : slowLinks) {
+        CAPTURE(link.peak.count());
+        fleet all(18, 6);
+        all.storeTime = 20ms;
+        putServers(all, 40);
+        all.run(4s);
+        std::map<std::pair<vm_id, std::string>, time_point> learntAt;
+        duration longest {};
+        int removed = 0;
+        for (duration since {}; since < link.length + 4s; since += 20ms) {
+            for (router* each : followersOf(all, 2))
+                each->lateness = link.at(since);
+            const bool isDown = since >= 1s && since < 5s;
+            setAccess(all, isDown ? store_access::refuses : store_access::answers);
+            if (!isDown && since % 500ms == 0ms)
+                all.store.remove(followed_table::servers, "server-" + std::to_string(removed++));
+            all.run(20ms);
+            for (const auto& each : all.routers) {
+                for (const auto& [server, due] : each->removals) {
+                    const time_point learnt = learntAt.try_emplace({ each->vm, server }, all.now).first->second;
+                    longest = std::max(longest, due - learnt);
+                }
+            }
+        }
+        CHECK(longest <= removalGrace);
+    }
+}
+
+// Guards against servers that a router with a full link loses, since their registrations expired in an outage.
+TEST_CASE("servers whose registrations expired in an outage stay at routers that hear of it late" * doctest::test_suite("late rows"))
+{
+    for (const slow_link& link : slowLinks) {
+        CAPTURE(link.peak.count());
+        fleet all(18, 6);
+        all.storeTime = 20ms;
+        putServers(all, 4);
+        all.run(4s);
+        std::size_t fewest = all.routers.size();
+        for (duration since {}; since < link.length + 4s; since += 20ms) {
+            for (router* each : followersOf(all, 2))
+                each->lateness = link.at(since);
+            if (since == 2s)
+                setAccess(all, store_access::refuses);
+            if (since == 6s - 20ms)
+                all.store.remove(followed_table::servers, "server-0");
+            if (since == 6s)
+                setAccess(all, store_access::answers);
+            if (since == 7200ms)
+                all.store.put(followed_table::servers, "server-0", "2");
+            all.run(20ms);
+            fewest = std::min(fewest, routersWith(all, "server-0"));
+        }
+        CHECK(fewest == all.routers.size());
+    }
+}
