Delay a removal once for an outage of the store

Callers' requests reached servers up to 5.1 s after these had said that they leave (DRAIN, bound 4 s). Each late message at a router with a full link was taken for another end of an outage, and each end postponed all pending removals: one was in force 10.1 s after it had been learnt.

An outage now ends once: the next one is counted from that end. And a removal waits for one grace at most from when it was learnt, since the store was in reach when it was read.

--- a/include/pimentoladder/Dispatch/FleetView.h
+++ b/include/pimentoladder/Dispatch/FleetView.h
@@ -72,7 +72,8 @@
     duration removeServer(const server_id& id, time_point now);
 
     /// Records that an outage of the store ended at \p at. Removals that are still delayed
-    /// are delayed until `returnGrace` has passed since then.
+    /// are delayed until `returnGrace` has passed since then, or since they were learnt if
+    /// that is earlier: the store was in reach when the removal was read from it.
     void onStoreRecovered(time_point at);
 
     /// Performs delayed removals that are due, and returns them.
--- a/lib/Dispatch/FleetView.cpp
+++ b/lib/Dispatch/FleetView.cpp
@@ -73,8 +73,8 @@
 {
     if (!m_servers.contains(id))
         return duration::zero();
-    const bool isReturning = m_returnedAt && now < *m_returnedAt + m_limits.returnGrace;
-    const auto added = m_removals.try_emplace(id, pending_removal { now, isReturning ? *m_returnedAt + m_limits.returnGrace : now }).first;
+    const time_point due = m_returnedAt ? std::max(now, std::min(*m_returnedAt, now) + m_limits.returnGrace) : now;
+    const auto added = m_removals.try_emplace(id, pending_removal { now, due }).first;
     const duration delay = std::max(added->second.due - now, duration::zero());
     onTick(now);
     return delay;
@@ -84,7 +84,7 @@
 {
     m_returnedAt = at;
     for (auto& [id, removal] : m_removals)
-        removal.due = std::max(removal.due, at + m_limits.returnGrace);
+        removal.due = std::max(removal.due, std::min(at, removal.learntAt) + m_limits.returnGrace);
 }
 
 std::vector<removed_server> fleet_view::onTick(time_point now)
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -268,8 +268,9 @@
 void row_relay::noticeOutageEnd(time_point current, time_point end, const vm_id& source, relay_actions& out)
 {
     const table_state& servers = state(followed_table::servers);
-    // A process that has just started had no rows to lose before.
-    const time_point since = std::max(servers.confirmedAt.value_or(time_point()), m_startedAt.value_or(current));
+    // A process that has just started had no rows to lose before, and an outage that has ended
+    // ends once.
+    const time_point since = std::max({ servers.confirmedAt.value_or(time_point()), m_startedAt.value_or(current), m_recoveredAt.value_or(time_point()) });
     if (!servers.replica.isWhole() || current - since <= m_limits.outageAge)
         return;
     m_recoveredAt = current;
--- a/unittests/Replica/Fixture.h
+++ b/unittests/Replica/Fixture.h
@@ -98,6 +98,12 @@
 /// Time after which a router gives up a call to a store that does not answer.
 constexpr duration silentCallTimeout = 1s;
 
+/// When a server whose registration ended is out of force, as in `fleet_view`.
+struct removal {
+    time_point learntAt;
+    time_point due;
+};
+
 /// One simulated router.
 struct router {
     router(const std::string& name, const data_centre_id& dataCentre, const row_rules& rules, std::uint64_t seed = 1)
@@ -113,7 +119,7 @@
     bool isFrozen = false; ///< Neither receives nor sends; its links stay open.
     std::map<std::string, std::string> rows; ///< Rows of the operators' table, from `row_changed` actions.
     std::map<std::string, std::string> servers; ///< Rows of the servers' table, in the same way.
-    std::map<std::string, time_point> removals; ///< When each server without a row is out of force, as in `fleet_view`.
+    std::map<std::string, removal> removals; ///< Of servers without a row.
     std::optional<time_point> recoveredAt; ///< From the last `store_recovered` action.
     std::size_t recoveries = 0; ///< Number of `store_recovered` actions.
     duration lateness {}; ///< Time for which what is sent to this router waits on its link. The order is kept.
@@ -131,7 +137,7 @@
     bool hasInForce(const std::string& server, time_point now) const
     {
         const auto removed = removals.find(server);
-        return servers.contains(server) || (removed != removals.end() && now < removed->second);
+        return servers.contains(server) || (removed != removals.end() && now < removed->second.due);
     }
 };
 
@@ -209,7 +215,7 @@
             if (const auto* changed = std::get_if<row_changed>(&action); changed && changed->table != followed_table::members) {
                 auto& held = changed->table == followed_table::operators ? by.rows : by.servers;
                 if (changed->table == followed_table::servers && changed->row.isDeleted)
-                    by.removals.try_emplace(changed->row.key, by.recoveredAt ? std::max(now, *by.recoveredAt + removalGrace) : now);
+                    by.removals.try_emplace(changed->row.key, removal { now, by.recoveredAt ? std::max(now, std::min(*by.recoveredAt, now) + removalGrace) : now });
                 else if (changed->table == followed_table::servers)
                     by.removals.erase(changed->row.key);
                 if (changed->row.isDeleted)
@@ -222,8 +228,8 @@
             if (const auto* recovered = std::get_if<store_recovered>(&action)) {
                 by.recoveredAt = recovered->at;
                 ++by.recoveries;
-                for (auto& [server, due] : by.removals)
-                    due = due > now ? std::max(due, recovered->at + removalGrace) : due;
+                for (auto& [server, each] : by.removals)
+                    each.due = each.due > now ? std::max(each.due, std::min(recovered->at, each.learntAt) + removalGrace) : each.due;
             }
             by.outages += std::holds_alternative<store_lost>(action) ? 1 : 0;
             if (const auto* confirmed = std::get_if<basis_confirmed>(&action))
--- a/unittests/Replica/OutageTests.cpp
+++ b/unittests/Replica/OutageTests.cpp
@@ -178,7 +178,7 @@
             all.run(4s);
             const std::vector<router*> slow = followersOf(all, 2);
             const auto& readers = all.routers.front()->relay.readers();
-            int removed = 0;
+            int leaving = 0;
             duration longest {};
             for (duration since {}; since < link.length + 4s; since += 20ms) {
                 for (router* each : slow)
@@ -189,11 +189,11 @@
                     all.at(readers[i].vm).access = isRejected ? store_access::refuses : store_access::answers;
                 }
                 if (since % 500ms == 0ms)
-                    all.store.remove(followed_table::servers, "server-" + std::to_string(removed++));
+                    all.store.remove(followed_table::servers, "server-" + std::to_string(leaving++));
                 all.run(20ms);
                 for (const auto& each : all.routers) {
-                    for (const auto& [server, due] : each->removals)
-                        longest = std::max(longest, due - all.now);
+                    for (const auto& [server, removed] : each->removals)
+                        longest = std::max(longest, removed.due - all.now);
                 }
             }
             CHECK(recoveriesAt(all) == 0);
@@ -211,22 +211,19 @@
         all.storeTime = 20ms;
         putServers(all, 40);
         all.run(4s);
-        std::map<std::pair<vm_id, std::string>, time_point> learntAt;
         duration longest {};
-        int removed = 0;
+        int leaving = 0;
         for (duration since {}; since < link.length + 4s; since += 20ms) {
             for (router* each : followersOf(all, 2))
                 each->lateness = link.at(since);
             const bool isDown = since >= 1s && since < 5s;
             setAccess(all, isDown ? store_access::refuses : store_access::answers);
             if (!isDown && since % 500ms == 0ms)
-                all.store.remove(followed_table::servers, "server-" + std::to_string(removed++));
+                all.store.remove(followed_table::servers, "server-" + std::to_string(leaving++));
             all.run(20ms);
             for (const auto& each : all.routers) {
-                for (const auto& [server, due] : each->removals) {
-                    const time_point learnt = learntAt.try_emplace({ each->vm, server }, all.now).first->second;
-                    longest = std::max(longest, due - learnt);
-                }
+                for (const auto& [server, removed] : each->removals)
+                    longest = std::max(longest, removed.due - removed.learntAt);
             }
         }
         CHECK(longest <= removalGrace);
