Take the end of an outage for 1.1 s earlier at most

Where rows may be 4 s old, a follower that noticed the end of an outage by its own read took it for up to 2.2 s earlier, which is more than the grace of 1.9 s: servers whose registrations had expired in the outage were removed at once. The end counted from half of the bound after the last failed read, and the pause between reads grows with the bound. It now counts from the longest pause less 1.1 s, which is the same at a bound of 2 s.

Shorter outages than the bound lose servers as before; their test lands failing and is listed.

--- a/include/pimentoladder/Replica/RelayLimits.h
+++ b/include/pimentoladder/Replica/RelayLimits.h
@@ -42,7 +42,8 @@
     duration sourceCooldown = std::chrono::seconds(4); ///< How long a lost source is not followed again, and a reader that has not answered is asked last.
     duration startGrace = std::chrono::milliseconds(500); ///< Time at the start to connect to a reader before this router reads the store itself.
     duration outageAge = std::chrono::seconds(2); ///< Time without a confirmation of the servers above which their registrations may have expired because the store was unavailable.
-    duration longestReturn = std::chrono::seconds(1); ///< An outage counts as over at most this long after the start of the last failed read, so that removals after it are in force in time although this router noticed its end late.
+    duration longestReturn = std::chrono::seconds(1); ///< Longest time from a failed read to the next one of a router that no reader answers.
+    duration latestEnd = std::chrono::seconds(1); ///< An outage counts as over at most this long after the start of the last failed read, so that removals after it are in force in time although this router noticed its end late.
     duration recoveryNoticePeriod = std::chrono::seconds(3); ///< How long followers are told that the store has recovered from an outage.
     duration sourceCooldownWithoutStore = std::chrono::milliseconds(500); ///< How long a source that reports that it has lost the store is not followed again.
     duration restoredHold = std::chrono::seconds(60); ///< How long rows that were in force stay in force after the store was restored from a copy, unless they are written again.
--- a/lib/Replica/RelayLimits.cpp
+++ b/lib/Replica/RelayLimits.cpp
@@ -1,5 +1,6 @@
 #include "pimentoladder/Replica/RelayLimits.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace pimentoladder {
@@ -22,6 +23,9 @@
     constexpr double steadyRetryJitter = 0.05;
     constexpr double longestReturn = 0.5;
     constexpr double retryJitter = 0.5;
+    // The end of an outage may be taken for earlier than it was by this much, which leaves servers
+    // time to register again.
+    constexpr duration greatestEndError = std::chrono::milliseconds(1100);
 
 }
 
@@ -37,6 +41,7 @@
     limits.hedgeDelay = part(hedgeDelay);
     limits.outageAge = maxRowAge;
     limits.longestReturn = part(longestReturn);
+    limits.latestEnd = std::max(limits.longestReturn, part(steadyRetry * (1 + steadyRetryJitter)) - greatestEndError);
     limits.sourceTimeout = part(silence);
     limits.maxBasisAge = part(ownRead);
     limits.readerRetry = { part(shortRetry), part(readerRetry), retryJitter };
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -401,7 +401,7 @@
     }
     if (table == followed_table::servers) {
         const bool hasFailed = m_failedAt > read.confirmedAt;
-        noticeOutageEnd(now, hasFailed ? std::min(now, *m_failedAt + m_limits.longestReturn) : now, {}, out);
+        noticeOutageEnd(now, hasFailed ? std::min(now, *m_failedAt + m_limits.latestEnd) : now, {}, out);
     }
     learnEra(now, {}, answer->era, out);
     read.failures = 0;
--- a/unittests/Replica/Fixture.h
+++ b/unittests/Replica/Fixture.h
@@ -106,9 +106,9 @@
 
 /// One simulated router.
 struct router {
-    router(const std::string& name, const data_centre_id& dataCentre, const row_rules& rules, std::uint64_t seed = 1)
+    router(const std::string& name, const data_centre_id& dataCentre, const row_rules& rules, const relay_limits& limits, std::uint64_t seed = 1)
         : vm(name)
-        , relay(vm, dataCentre, rules, {}, seed)
+        , relay(vm, dataCentre, rules, limits, seed)
     {
     }
 
@@ -147,11 +147,12 @@
 /// Fleet of routers on a simulated clock that advances in steps of 20 ms.
 struct fleet {
     /// \p size routers, evenly distributed over \p dataCentres.
-    explicit fleet(std::size_t size, std::size_t dataCentres = 1)
+    explicit fleet(std::size_t size, std::size_t dataCentres = 1, const relay_limits& relays = {})
+        : limits(relays)
     {
         for (std::size_t i = 0; i < size; ++i) {
             const data_centre_id dataCentre(std::string(1, static_cast<char>('a' + i % dataCentres)));
-            routers.push_back(std::make_unique<router>("router-" + std::to_string(i), dataCentre, rules, i + 1));
+            routers.push_back(std::make_unique<router>("router-" + std::to_string(i), dataCentre, rules, limits, i + 1));
             members.push_back({ routers.back()->vm, incarnation(1), dataCentre, { "127.0.0.1", 1 } });
         }
         for (const auto& each : routers)
@@ -174,7 +175,7 @@
     /// Replaces a router by one that knows nothing.
     void restart(std::size_t index)
     {
-        routers[index] = std::make_unique<router>("router-" + std::to_string(index), members[index].dataCentre, rules);
+        routers[index] = std::make_unique<router>("router-" + std::to_string(index), members[index].dataCentre, rules, limits);
         router& started = *routers[index];
         started.relay.setMembers(members);
         started.dueAt = now;
@@ -332,6 +333,7 @@
     };
 
     any_change rules;
+    relay_limits limits;
     fake_store store;
     std::vector<std::unique_ptr<router>> routers;
     std::vector<fleet_router> members;
--- a/unittests/Replica/OutageTests.cpp
+++ b/unittests/Replica/OutageTests.cpp
@@ -155,6 +155,26 @@
     return found;
 }
 
+/// Checks that a server whose registration expires in an outage stays in force for the time to
+/// register again, where rows may be 4 s old.
+void checkKeptAtLongBound(duration outage)
+{
+    for (int phase = 0; phase < 40; ++phase) {
+        CAPTURE(outage.count());
+        CAPTURE(phase);
+        fleet all(18, 6, relayLimitsFor(2 * maxRowAge));
+        all.storeTime = 20ms;
+        putServers(all, 2);
+        all.run(4s + phase * 40ms);
+        setAccess(all, store_access::refuses);
+        all.run(outage - 20ms);
+        all.store.remove(followed_table::servers, "server-0");
+        all.run(20ms);
+        setAccess(all, store_access::answers);
+        CHECK(isKeptFor(all, "server-0", 1800ms));
+    }
+}
+
 std::size_t recoveriesAt(const fleet& all)
 {
     std::size_t sum = 0;
@@ -169,10 +189,11 @@
 TEST_CASE("rows that arrive late are no outage of the store")
 {
     for (const slow_link& link : slowLinks) {
-        for (const bool hasRejected : { false, true }) {
+        for (const auto& [bound, hasRejected] : { std::pair(maxRowAge, false), std::pair(maxRowAge, true), std::pair(2 * maxRowAge, false), std::pair(2 * maxRowAge, true) }) {
+            CAPTURE(bound.count());
             CAPTURE(link.peak.count());
             CAPTURE(hasRejected);
-            fleet all(18, 6);
+            fleet all(18, 6, relayLimitsFor(bound));
             all.storeTime = 20ms;
             putServers(all, 40);
             all.run(4s);
@@ -202,6 +223,19 @@
     }
 }
 
+// Guards against servers that are lost at a longer bound on the age of rows, since a follower takes the end of an outage for much earlier than it was.
+TEST_CASE("servers whose registrations expired stay where followers retry rarely")
+{
+    checkKeptAtLongBound(5s);
+}
+
+// Guards against servers that are lost where rows may be older than an outage in which registrations expire.
+TEST_CASE("servers whose registrations expired stay although rows may be older than the outage" * doctest::test_suite("short outages"))
+{
+    for (const duration length : { duration(2400ms), duration(3s), duration(3900ms) })
+        checkKeptAtLongBound(length);
+}
+
 // Guards against a router that takes the time for which it stood still for an outage.
 TEST_CASE("a router that stood still delays no removal once another one answers")
 {
