Measure an outage from when the store certainly served

After a late message a router with a slow link took the store for served until the message arrived. If the store went down again in that time, the second outage looked too short, and servers whose registrations had expired were removed at once.

The begin of an outage is now the last time at which an answer to a question or an own read proves that the store served; times of arrival only bound what a router tells others.

--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -258,7 +258,8 @@
     std::optional<time_point> m_failedAt; ///< Start of the last read of any table that the store did not answer.
     std::optional<time_point> m_returnedAt; ///< When this router's reads succeeded again after they had failed.
     std::optional<time_point> m_servedSince; ///< Begin of the last span in which the store served this router or its sources, without an outage.
-    std::optional<time_point> m_servedUntil; ///< Latest time in this span at which it did so for certain.
+    std::optional<time_point> m_servedUntil; ///< Latest time in this span at which it certainly did so.
+    std::optional<time_point> m_heardUntil; ///< The same by the arrival of messages, which may have been on their way for long.
     std::optional<time_point> m_outageSince; ///< Last confirmation of the servers before the last outage, unless the outage was refuted.
     std::optional<time_point> m_recoveredAt; ///< When this router noticed the end of the last outage.
     std::optional<time_point> m_outageEnd; ///< End of the last outage, as in `store_recovered`.
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -225,8 +225,10 @@
 {
     table_state& confirmed = state(table);
     confirmed.confirmedAt = std::max(confirmed.confirmedAt.value_or(at), at);
-    if (table == followed_table::servers)
+    if (table == followed_table::servers) {
         m_servedUntil = std::max(m_servedUntil.value_or(at), at);
+        m_heardUntil = std::max(m_heardUntil.value_or(at), at);
+    }
 }
 
 void row_relay::confirm(relay_actions& out)
@@ -278,7 +280,9 @@
 {
     const table_state& servers = state(followed_table::servers);
     const time_point servedUntil = m_servedUntil.value_or(time_point());
-    m_servedUntil = std::max(servedUntil, current);
+    m_heardUntil = std::max(m_heardUntil.value_or(current), current);
+    if (source.isEmpty())
+        m_servedUntil = std::max(servedUntil, current);
     if (current - servedUntil <= m_limits.outageAge)
         return;
     m_servedSince = current;
@@ -430,7 +434,7 @@
 
 std::optional<duration> row_relay::servedAge(time_point now) const
 {
-    const bool isServed = m_servedSince && now - *m_servedUntil <= m_limits.outageAge;
+    const bool isServed = m_servedSince && now - *m_heardUntil <= m_limits.outageAge;
     return isServed ? std::optional(now - *m_servedSince) : std::nullopt;
 }
 
--- a/unittests/Replica/Fixture.h
+++ b/unittests/Replica/Fixture.h
@@ -144,6 +144,21 @@
 /// Time for which `fleet_view` delays the removal of servers after an outage.
 constexpr duration removalGrace = 1900ms;
 
+/// How a router's link is disturbed: what is sent to it waits longer and longer, then for a
+/// constant time, and then arrives within a second.
+struct slow_link {
+    duration peak {};
+    duration rise {};
+    duration length {}; ///< From the begin of the rise to the end.
+
+    duration at(duration since) const
+    {
+        if (since >= length)
+            return {};
+        return since >= rise ? peak : std::chrono::duration_cast<duration>(peak * (std::chrono::duration<double>(since) / std::chrono::duration<double>(rise)));
+    }
+};
+
 /// Fleet of routers on a simulated clock that advances in steps of 20 ms.
 struct fleet {
     /// \p size routers, evenly distributed over \p dataCentres.
--- a/unittests/Replica/OutageTests.cpp
+++ b/unittests/Replica/OutageTests.cpp
@@ -126,21 +126,6 @@
 
 namespace {
 
-/// How a router's link is disturbed: what is sent to it waits longer and longer, then for a
-/// constant time, and then arrives within a second.
-struct slow_link {
-    duration peak {};
-    duration rise {};
-    duration length {}; ///< From the begin of the rise to the end.
-
-    duration at(duration since) const
-    {
-        if (since >= length)
-            return {};
-        return since >= rise ? peak : std::chrono::duration_cast<duration>(peak * (std::chrono::duration<double>(since) / std::chrono::duration<double>(rise)));
-    }
-};
-
 constexpr std::array slowLinks { slow_link { 1s, 1s, 8s }, slow_link { 2500ms, 3s, 9s }, slow_link { 5s, 6s, 14s }, slow_link { 8s, 4s, 14s } };
 
 std::vector<router*> followersOf(fleet& all, std::size_t count)
