--- a/include/pimentoladder/Replica/RowRelay.h
+++ b/include/pimentoladder/Replica/RowRelay.h
@@ -261,7 +261,7 @@
     std::optional<time_point> m_servedUntil; ///< Latest time in this span at which it certainly did so.
     std::optional<time_point> m_heardUntil; ///< The same by the arrival of messages, which may have been on their way for long.
     std::optional<time_point> m_outageSince; ///< Last confirmation of the servers before the last outage, unless the outage was refuted.
-    std::optional<time_point> m_recoveredAt; ///< When this router noticed the end of the last outage.
+    std::optional<time_point> m_recoveredAt; ///< When this router noticed the end of the last outage, unless it was refuted.
     std::optional<time_point> m_outageEnd; ///< End of the last outage, as in `store_recovered`.
     std::optional<time_point> m_startedAt; ///< Time of the first tick.
     bool m_isOverdue = false; ///< `rows_overdue` was reported since the last confirmation.
--- a/lib/Replica/RowRelay.cpp
+++ b/lib/Replica/RowRelay.cpp
@@ -306,6 +306,7 @@
         return;
     }
     m_outageSince.reset();
+    m_recoveredAt.reset();
     m_servedSince = servedSince;
     out.push_back(outage_refuted { source });
 }
